--- /dev/null
+++ b/packages/claims/claims_state.ts
@@ -0,0 +1,73 @@
+import { HashMap } from 'effect'
+import type { ShardLimits } from './apply_operation.ts'
+import type { Operation, OperationAnswer } from './operation.ts'
+import type { Shard } from './shard.ts'
+
+/** An operation with the answer it will get once its write is durable. */
+export interface PreparedOperation {
+  readonly operation: Operation
+  readonly answer: OperationAnswer
+}
+
+/** A conditional update whose outcome is not known yet. */
+export interface ShardWrite {
+  readonly value: Shard
+  readonly expectedVersion: number
+  readonly prepared: readonly PreparedOperation[]
+  readonly repeatAtMs: number
+}
+
+/** What a process knows and has under way for one shard. */
+export interface ShardState {
+  readonly value: Shard
+  /** Version of the value, or undefined where the shard was never read. */
+  readonly version: number | undefined
+  readonly queue: readonly Operation[]
+  readonly reading: boolean
+  /** Number of queued operations that the read under way may answer. */
+  readonly readCovers: number
+  readonly write: ShardWrite | undefined
+  readonly lastWriteMs: number
+}
+
+/** What a process knows of the claims. */
+export interface ClaimsState {
+  /** Incarnation of the process. */
+  readonly incarnation: string
+  readonly limits: ShardLimits
+  /** Shortest time between two writes of one shard, in which operations gather, in ms. */
+  readonly writeIntervalMs: number
+  readonly shards: HashMap.HashMap<number, ShardState>
+  readonly writes: number
+}
+
+/** Limits that the examples use. */
+export const DEFAULT_SHARD_LIMITS: ShardLimits = { maxClaims: 1500, retentionMs: 3_600_000, maxCrashes: 2 }
+
+/** What a claims state is built from. */
+export interface ClaimsOptions {
+  readonly limits?: ShardLimits
+  readonly writeIntervalMs?: number
+}
+
+/**
+ * Builds the state of a process that has read no shard.
+ *
+ * @param incarnation The process's incarnation.
+ * @param options Limits and pace.
+ * @returns The state.
+ *
+ * @example
+ * ```ts
+ * const state = newClaimsState('entry-1/8f3a')
+ * ```
+ */
+export function newClaimsState (incarnation: string, options: ClaimsOptions = {}): ClaimsState {
+  return {
+    incarnation,
+    limits: options.limits ?? DEFAULT_SHARD_LIMITS,
+    writeIntervalMs: options.writeIntervalMs ?? 20,
+    shards: HashMap.empty(),
+    writes: 0
+  }
+}
--- /dev/null
+++ b/packages/claims/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Claims of idempotency keys and records of suspects, kept in store objects by conditional updates.
+ *
+ * @module
+ */
+export * from './apply_operation.ts'
+export * from './claims_event.ts'
+export * from './claims_state.ts'
+export * from './operation.ts'
+export * from './reduce_claims.ts'
+export * from './shard.ts'
--- /dev/null
+++ b/packages/configuration/document.ts
@@ -0,0 +1,100 @@
+import { Schema } from 'effect'
+
+const Name = Schema.String.check(Schema.isPattern(/^[A-Za-z0-9][A-Za-z0-9._-]*$/))
+const Count = Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: 1_000_000_000 }))
+const Positive = Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 1_000_000_000 }))
+const Weight = Schema.Number.check(Schema.isBetween({ minimum: 0.001, maximum: 1_000_000 }))
+
+/** Schema of one upstream. */
+export const UpstreamSchema = Schema.Struct({
+  name: Name,
+  kind: Schema.Literals(['engine', 'service']),
+  address: Schema.NonEmptyString,
+  availability_zone: Name,
+  slots: Positive,
+  accelerators: Schema.optionalKey(Count),
+  memory_mb: Schema.optionalKey(Count),
+  kv_floor_mb: Schema.optionalKey(Count),
+  checks_fence: Schema.optionalKey(Schema.Boolean),
+  logs_orders: Schema.optionalKey(Schema.Boolean)
+})
+
+/** Schema of one model or adapter. */
+export const ModelSchema = Schema.Struct({
+  name: Name,
+  base: Schema.optionalKey(Name),
+  memory_mb: Positive,
+  load_ms: Positive,
+  max_replicas: Count
+})
+
+/** Schema of one plain service and its routes. */
+export const ServiceSchema = Schema.Struct({
+  name: Name,
+  upstreams: Schema.Array(Name),
+  routes: Schema.Array(Schema.Struct({
+    path: Schema.NonEmptyString,
+    idempotent: Schema.Boolean
+  }))
+})
+
+/** Schema of a template's parameter. */
+export const ParameterSchema = Schema.Struct({
+  type: Schema.Literals(['number', 'strings']),
+  default: Schema.optionalKey(Schema.Union([Schema.Number, Schema.Array(Schema.String)]))
+})
+
+const ParameterReference = Schema.String.check(Schema.isPattern(/^\$[a-z_]+$/))
+const NumberField = Schema.Union([Schema.Number, ParameterReference])
+
+/** Schema of a template: each field is a value or the name of a parameter behind a dollar sign. */
+export const TemplateSchema = Schema.Struct({
+  name: Name,
+  parameters: Schema.Record(Schema.String, ParameterSchema),
+  fields: Schema.Struct({
+    models: Schema.Union([Schema.Array(Schema.String), ParameterReference]),
+    services: Schema.Union([Schema.Array(Schema.String), ParameterReference]),
+    priority: NumberField,
+    deadline_ms: NumberField,
+    requests_per_second: NumberField,
+    request_burst: NumberField,
+    tokens_per_second: NumberField,
+    token_burst: NumberField,
+    concurrency: NumberField,
+    weight: NumberField,
+    cold_start_weight: NumberField
+  })
+})
+
+/** Schema of a customer: a template, its parameters and the digests of its API keys. */
+export const CustomerSchema = Schema.Struct({
+  name: Name,
+  template: Name,
+  key_sha256: Schema.Array(Schema.String.check(Schema.isPattern(/^[0-9a-f]{64}$/))),
+  parameters: Schema.Record(Schema.String, Schema.Union([Schema.Number, Schema.Array(Schema.String)]))
+})
+
+/** Schema of a whole configuration. */
+export const DocumentSchema = Schema.Struct({
+  cell: Name,
+  weight_store: Schema.Struct({
+    starts_per_second: Weight,
+    loads_in_flight: Positive,
+    adapter_loads_in_flight: Positive
+  }),
+  zones: Schema.Struct({ distance_ms: Schema.Number }),
+  upstreams: Schema.Array(UpstreamSchema),
+  models: Schema.Array(ModelSchema),
+  services: Schema.Array(ServiceSchema),
+  templates: Schema.Array(TemplateSchema),
+  customers: Schema.Array(CustomerSchema)
+})
+
+/** A whole configuration, as operators write it and the store holds it. */
+export type Document = typeof DocumentSchema.Type
+
+/** One template. */
+export type Template = typeof TemplateSchema.Type
+
+/** One customer. */
+export type Customer = typeof CustomerSchema.Type
--- /dev/null
+++ b/packages/configuration/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The deployment's configuration: upstreams, models, services, templates and customers.
+ *
+ * @module
+ */
+export * from './document.ts'
+export * from './find_problems.ts'
+export * from './resolve_customer.ts'
--- /dev/null
+++ b/packages/configuration/resolve_customer.ts
@@ -0,0 +1,90 @@
+import { err, ok, type Result } from 'neverthrow'
+import type { Customer, Template } from './document.ts'
+
+/** A customer with its template's fields filled in. */
+export interface ResolvedCustomer {
+  readonly name: string
+  readonly models: readonly string[]
+  readonly services: readonly string[]
+  readonly priority: number
+  readonly deadlineMs: number
+  readonly requestsPerSecond: number
+  readonly requestBurst: number
+  readonly tokensPerSecond: number
+  readonly tokenBurst: number
+  readonly concurrency: number
+  readonly weight: number
+  readonly coldStartWeight: number
+}
+
+/** A problem with one parameter or field of a customer. */
+export interface ResolutionProblem {
+  readonly field: string
+  readonly message: string
+}
+
+type _Value = number | readonly string[]
+
+/**
+ * Fills a template's fields with a customer's parameters.
+ *
+ * @param customer The customer.
+ * @param template The customer's template.
+ * @returns The resolved customer, or every problem.
+ *
+ * @example
+ * ```ts
+ * const resolved = resolveCustomer(customer, template)
+ * if (resolved.isOk()) console.log(resolved.value.deadlineMs)
+ * ```
+ */
+export function resolveCustomer (
+  customer: Customer,
+  template: Template
+): Result<ResolvedCustomer, readonly ResolutionProblem[]> {
+  const problems: ResolutionProblem[] = [..._unknownParameters(customer, template)]
+  const number = (field: keyof Template['fields']): number => {
+    const value = _value(customer, template, template.fields[field])
+    if (typeof value === 'number') return value
+    problems.push({ field, message: _complaint(template.fields[field], 'a number') })
+    return 0
+  }
+  const strings = (field: keyof Template['fields']): readonly string[] => {
+    const value = _value(customer, template, template.fields[field])
+    if (Array.isArray(value)) return value
+    problems.push({ field, message: _complaint(template.fields[field], 'a list of names') })
+    return []
+  }
+  const resolved: ResolvedCustomer = {
+    name: customer.name,
+    models: strings('models'),
+    services: strings('services'),
+    priority: number('priority'),
+    deadlineMs: number('deadline_ms'),
+    requestsPerSecond: number('requests_per_second'),
+    requestBurst: number('request_burst'),
+    tokensPerSecond: number('tokens_per_second'),
+    tokenBurst: number('token_burst'),
+    concurrency: number('concurrency'),
+    weight: number('weight'),
+    coldStartWeight: number('cold_start_weight')
+  }
+  return problems.length === 0 ? ok(resolved) : err(problems)
+}
+
+function _value (customer: Customer, template: Template, field: number | string | readonly string[]): _Value | undefined {
+  if (typeof field !== 'string') return field
+  const name = field.slice(1)
+  return customer.parameters[name] ?? template.parameters[name]?.default
+}
+
+function _complaint (field: number | string | readonly string[], expected: string): string {
+  if (typeof field !== 'string') return `Expected ${expected}`
+  return `Parameter ${field.slice(1)} is missing or not ${expected}; set it or give it a default`
+}
+
+function _unknownParameters (customer: Customer, template: Template): readonly ResolutionProblem[] {
+  return Object.keys(customer.parameters)
+    .filter((name) => template.parameters[name] === undefined)
+    .map((name) => ({ field: name, message: `Template ${template.name} has no parameter ${name}; remove it` }))
+}
--- /dev/null
+++ b/packages/instance/admin_server.ts
@@ -0,0 +1,144 @@
+import { createHash, timingSafeEqual } from 'node:crypto'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { DocumentSchema, findProblems } from '@berylshed/configuration'
+import { liveEntries } from '@berylshed/membership'
+import { committedMemory, countReplicas } from '@berylshed/placement'
+import type { Store } from '@berylshed/platform'
+import { checkDocument, type Finding, type Settings } from '@berylshed/settings'
+import { explainModel } from './explain_model.ts'
+import type { InstanceState } from './instance_state.ts'
+import { countOpenRequests } from './reduce_instance.ts'
+
+const MAX_BODY_BYTES = 1024 * 1024
+const CONFIGURATION_KEY = 'configuration'
+
+/** What the operators' server works with. */
+export interface AdminServerOptions {
+  readonly settings: Settings
+  readonly store: Store
+  nowMs (): number
+  state (): InstanceState
+  isReady (): boolean
+}
+
+type _Role = 'read' | 'operate'
+
+/**
+ * Creates the server that operators reach.
+ *
+ * @param options The instance's settings, store and state.
+ * @returns The server, not listening yet.
+ *
+ * @example
+ * ```ts
+ * const server = createAdminServer(options)
+ * server.listen(8070)
+ * ```
+ */
+export function createAdminServer (options: AdminServerOptions): Server {
+  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const role = _roleOf(request, options.settings)
+    if (role === undefined) return _answer(response, 401, { error: 'Cannot accept call: its key is unknown; send a valid key as a bearer token' })
+    const url = new URL(request.url ?? '/', 'http://admin')
+    if (request.method === 'PUT' && url.pathname === '/configuration') {
+      if (role !== 'operate') return _answer(response, 403, { error: 'Cannot change configuration: the key may only read; use an operator key' })
+      return await applyConfiguration(request, response, Number(url.searchParams.get('version')))
+    }
+    if (request.method !== 'GET') return _answer(response, 405, { error: `Cannot accept call: ${request.method ?? ''} is not supported here; see docs/OPERATING.md` })
+    _read(url.pathname, response, options)
+  }
+
+  async function applyConfiguration (request: IncomingMessage, response: ServerResponse, version: number): Promise<void> {
+    const text = await _readBody(request)
+    const findings = _check(text)
+    if (findings.length > 0) return _answer(response, 422, { error: 'Cannot apply configuration: it has findings; correct them', findings })
+    const updated = await options.store.update(CONFIGURATION_KEY, { value: text, expectedVersion: version })
+    if (updated.isOk()) return _answer(response, 200, { version: updated.value })
+    if (updated.error.kind === 'unknown') return _answer(response, 504, { error: 'Cannot tell whether the configuration was applied: the store gave no answer; read it and compare' })
+    const { current } = updated.error
+    _answer(response, 409, { error: `Cannot apply configuration: version ${version} was seen, but ${current.version} is current; merge and apply again`, current })
+  }
+
+  return createServer((request, response) => {
+    handle(request, response).catch((error: unknown) => _answer(response, 500, { error: String(error) }))
+  })
+}
+
+function _check (text: string): readonly Finding[] {
+  try {
+    const checked = checkDocument(JSON.parse(text), DocumentSchema, { source: CONFIGURATION_KEY })
+    return checked.match((document) => findProblems(document, CONFIGURATION_KEY), (findings) => findings)
+  } catch (error) {
+    return [{ source: CONFIGURATION_KEY, line: undefined, path: '', message: error instanceof Error ? error.message : String(error) }]
+  }
+}
+
+function _read (path: string, response: ServerResponse, options: AdminServerOptions): void {
+  const state = options.state()
+  if (path === '/status') return _answer(response, 200, _status(state, options))
+  if (path === '/models') return _answer(response, 200, _models(state))
+  if (path === '/upstreams') return _answer(response, 200, _upstreams(state))
+  if (path === '/configuration') return _answer(response, 200, { version: state.deployment?.version ?? 0, document: state.deployment?.document })
+  if (path.startsWith('/explain/')) return _answer(response, 200, explainModel(state, decodeURIComponent(path.slice('/explain/'.length)), options.nowMs()))
+  _answer(response, 404, { error: `Cannot find ${path}; see docs/OPERATING.md` })
+}
+
+function _status (state: InstanceState, options: AdminServerOptions): unknown {
+  return {
+    instance: state.self.name,
+    incarnation: state.self.incarnation,
+    ready: options.isReady(),
+    configuration: state.deployment?.version ?? 0,
+    openRequests: countOpenRequests(state),
+    cell: { name: state.placement.cell?.name, version: state.placement.version, fence: state.placement.cell?.fence, holder: state.placement.cell?.holder },
+    peers: liveEntries(state.membership, options.nowMs())
+  }
+}
+
+function _models (state: InstanceState): unknown {
+  const { cell, catalog } = state.placement
+  return [...catalog.models.values()].map((model) => ({
+    name: model.name,
+    decided: cell === undefined ? 0 : countReplicas(cell, model.name),
+    limit: model.maxReplicas,
+    replicas: (cell?.replicas ?? []).filter((replica) => replica.model === model.name)
+      .map((replica) => ({ upstream: replica.upstream, phase: replica.phase, unresolved: replica.orders.length }))
+  }))
+}
+
+function _upstreams (state: InstanceState): unknown {
+  const { cell, catalog } = state.placement
+  return [...catalog.upstreams.values()].map((upstream) => ({
+    name: upstream.name,
+    availabilityZone: upstream.availabilityZone,
+    memoryMb: upstream.memoryMb,
+    committedMb: cell === undefined ? 0 : committedMemory(cell, upstream.name),
+    checksFence: upstream.checksFence
+  }))
+}
+
+function _roleOf (request: IncomingMessage, settings: Settings): _Role | undefined {
+  const key = (request.headers.authorization ?? '').replace(/^Bearer /, '')
+  const given = _digest(key)
+  if (settings.admin.operate_keys.some((known) => timingSafeEqual(_digest(known), given))) return 'operate'
+  return settings.admin.read_keys.some((known) => timingSafeEqual(_digest(known), given)) ? 'read' : undefined
+}
+
+function _digest (key: string): Buffer {
+  return createHash('sha256').update(key).digest()
+}
+
+function _answer (response: ServerResponse, status: number, value: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value))
+}
+
+async function _readBody (request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of request) {
+    bytes += (chunk as Buffer).length
+    if (bytes > MAX_BODY_BYTES) throw new RangeError(`Cannot read body: it exceeds ${MAX_BODY_BYTES} bytes; split the change`)
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
--- /dev/null
+++ b/packages/instance/explain_model.ts
@@ -0,0 +1,43 @@
+import { HashMap, Option } from 'effect'
+import { isHolder, outlookFor } from '@berylshed/placement'
+import type { InstanceState } from './instance_state.ts'
+
+/** Why a model is loaded or not, for operators. */
+export interface Explanation {
+  readonly model: string
+  readonly state: string
+  readonly reason: string
+  /** Incarnation of the holder, which alone knows the reasons. */
+  readonly askInstance: string
+  readonly replicas: ReadonlyArray<{ readonly upstream: string, readonly phase: string, readonly unresolvedOrders: readonly string[] }>
+}
+
+/**
+ * Explains the placement of a model.
+ *
+ * @param state The instance's state.
+ * @param model The name of the model or adapter.
+ * @param nowMs The local time in ms.
+ * @returns The explanation; its reason is complete only on the lease holder.
+ *
+ * @example
+ * ```ts
+ * console.log(explainModel(state, 'toast-7b', performance.now()).reason)
+ * ```
+ */
+export function explainModel (state: InstanceState, model: string, nowMs: number): Explanation {
+  const { placement } = state
+  const replicas = (placement.cell?.replicas ?? []).filter((replica) => replica.model === model)
+  const decided = Option.getOrUndefined(HashMap.get(placement.reasons, model))
+  return {
+    model,
+    state: outlookFor(placement, model, nowMs).state,
+    reason: decided ?? (isHolder(placement) ? 'nobody has asked for it since this instance took the lease' : 'known to the lease holder only'),
+    askInstance: placement.cell?.holder?.instance ?? 'nobody',
+    replicas: replicas.map((replica) => ({
+      upstream: replica.upstream,
+      phase: replica.phase,
+      unresolvedOrders: replica.orders.map((order) => `${order.kind} by ${order.sender} under fence ${order.fence}`)
+    }))
+  }
+}
--- /dev/null
+++ b/packages/instance/instance_effect.ts
@@ -0,0 +1,14 @@
+import type { ClaimsEffect, Operation } from '@berylshed/claims'
+import type { MembershipEffect } from '@berylshed/membership'
+import type { Demand, ModelUse, PlacementEffect } from '@berylshed/placement'
+import type { RequestEffect } from '@berylshed/requests'
+
+/** Everything that an instance asks the outside to do. */
+export type InstanceEffect =
+  | { readonly subject: 'placement', readonly effect: PlacementEffect }
+  | { readonly subject: 'requests', readonly effect: RequestEffect }
+  | { readonly subject: 'claims', readonly effect: ClaimsEffect }
+  | { readonly subject: 'membership', readonly effect: MembershipEffect }
+  | { readonly subject: 'demand', readonly to: string, readonly demand: Demand }
+  | { readonly subject: 'exchange', readonly to: string, readonly uses: readonly ModelUse[] }
+  | { readonly subject: 'operate', readonly to: string, readonly operation: Operation }
--- /dev/null
+++ b/packages/instance/start_stand_ins.ts
@@ -0,0 +1,84 @@
+import { findProblems, type Document } from '@berylshed/configuration'
+import { startEngineStandIn, startServiceStandIn, startStoreStandIn, startWeightStoreStandIn, type EngineStandIn, type ServiceStandIn, type StoreStandIn } from '@berylshed/standins'
+import { CONFIGURATION_KEY } from './run_instance.ts'
+
+/** The running stand-ins of a deployment. */
+export interface StandIns {
+  readonly store: StoreStandIn
+  readonly engines: ReadonlyMap<string, EngineStandIn>
+  readonly services: ReadonlyMap<string, ServiceStandIn>
+  /** The configuration with the stand-ins' addresses filled in. */
+  readonly document: Document
+  close (): Promise<void>
+}
+
+/** How stand-ins are started. */
+export interface StandInOptions {
+  readonly storePort?: number
+  /** Listens on any free ports instead of the configured ones. */
+  readonly anyPort?: boolean
+  /** Divides every load time, for demonstrations and tests. */
+  readonly speedUp?: number
+  readonly tokenMs?: number
+}
+
+/**
+ * Starts the stand-ins of a deployment and puts its configuration into their store.
+ *
+ * @param document The configuration.
+ * @param options Ports and speed.
+ * @returns The running stand-ins.
+ *
+ * @throws {RangeError} Where the configuration has findings.
+ *
+ * @example
+ * ```ts
+ * const standIns = await startStandIns(document, { anyPort: true })
+ * await standIns.close()
+ * ```
+ */
+export async function startStandIns (document: Document, options: StandInOptions = {}): Promise<StandIns> {
+  const problems = findProblems(document, CONFIGURATION_KEY)
+  if (problems.length > 0) throw new RangeError(`Cannot start stand-ins: ${problems[0]?.path ?? ''}: ${problems[0]?.message ?? ''}`)
+  const store = await startStoreStandIn(options.storePort ?? 0)
+  const weights = startWeightStoreStandIn({
+    loadsInFlight: document.weight_store.loads_in_flight,
+    adapterLoadsInFlight: document.weight_store.adapter_loads_in_flight
+  })
+  const models = document.models.map((model) => ({
+    name: model.name, adapter: model.base !== undefined, loadMs: model.load_ms / (options.speedUp ?? 1)
+  }))
+  const engines = new Map<string, EngineStandIn>()
+  const services = new Map<string, ServiceStandIn>()
+  for (const upstream of document.upstreams) {
+    const port = options.anyPort === true ? 0 : Number(upstream.address.split(':')[1])
+    if (upstream.kind === 'service') {
+      services.set(upstream.name, await startServiceStandIn(port))
+      continue
+    }
+    engines.set(upstream.name, await startEngineStandIn({
+      port,
+      memoryMb: (upstream.memory_mb ?? 0) - (upstream.kv_floor_mb ?? 0),
+      checksFence: upstream.checks_fence ?? false,
+      logsOrders: upstream.logs_orders ?? false,
+      models,
+      weights,
+      ...options.tokenMs === undefined ? {} : { tokenMs: options.tokenMs }
+    }))
+  }
+  const bound: Document = {
+    ...document,
+    models: document.models.map((model) => ({ ...model, load_ms: Math.max(1, Math.round(model.load_ms / (options.speedUp ?? 1))) })),
+    upstreams: document.upstreams.map((upstream) => ({
+      ...upstream, address: (engines.get(upstream.name) ?? services.get(upstream.name))?.address ?? upstream.address
+    }))
+  }
+  store.put(CONFIGURATION_KEY, JSON.stringify(bound))
+
+  async function close (): Promise<void> {
+    weights.close()
+    await Promise.all([...engines.values(), ...services.values(), store].map((standIn) => standIn.close()))
+  }
+
+  return { store, engines, services, document: bound, close }
+}
--- /dev/null
+++ b/packages/placement/_probe_upstreams.ts
@@ -0,0 +1,26 @@
+import { HashMap, Option } from 'effect'
+import { step, type Step } from '@berylshed/reducer'
+import { isHolder } from './is_holder.ts'
+import type { PlacementEffect } from './placement_effect.ts'
+import type { PlacementState } from './placement_state.ts'
+
+/** Probes the upstreams whose status is due; only the holder does. */
+export function probeUpstreams (state: PlacementState, nowMs: number): Step<PlacementState, PlacementEffect> {
+  if (!isHolder(state)) return step(state)
+  let next = state
+  const effects: PlacementEffect[] = []
+  for (const upstream of state.catalog.upstreams.keys()) {
+    if (!_isDue(next, upstream, nowMs)) continue
+    const probe = next.probes + 1
+    next = { ...next, probes: probe, probedAtMs: HashMap.set(next.probedAtMs, upstream, nowMs) }
+    effects.push({ kind: 'probe', upstream, probe, fence: next.cell?.fence ?? 0 })
+  }
+  return step(next, effects)
+}
+
+function _isDue (state: PlacementState, upstream: string, nowMs: number): boolean {
+  const lastMs = Option.getOrElse(HashMap.get(state.probedAtMs, upstream), () => -Infinity)
+  const replicas = (state.cell?.replicas ?? []).filter((replica) => replica.upstream === upstream)
+  const busy = replicas.some((replica) => replica.phase !== 'loaded' || replica.orders.length > 0)
+  return nowMs - lastMs >= (busy ? state.times.busyProbeMs : state.times.probeMs)
+}
--- /dev/null
+++ b/packages/placement/_replica_key.ts
@@ -0,0 +1,6 @@
+import type { Replica } from './cell.ts'
+
+/** Names a replica by its model and upstream. */
+export function replicaKey (replica: Pick<Replica, 'model' | 'upstream'>): string {
+  return `${replica.model}@${replica.upstream}`
+}
--- /dev/null
+++ b/packages/placement/_send_orders.ts
@@ -0,0 +1,59 @@
+import { HashMap, Option } from 'effect'
+import { step, type Step } from '@berylshed/reducer'
+import type { Order, Replica } from './cell.ts'
+import { mayDecide } from './is_holder.ts'
+import type { PlacementEffect } from './placement_effect.ts'
+import type { PlacementState } from './placement_state.ts'
+
+/** Hands out the recorded orders of the current lease that were not handed out before. */
+export function sendOrders (state: PlacementState, nowMs: number): Step<PlacementState, PlacementEffect> {
+  const { cell } = state
+  if (cell === undefined || !mayDecide(state, nowMs)) return step(state)
+  const effects = cell.replicas.flatMap((replica) => replica.orders
+    .filter((order) => order.sender === state.self.incarnation && order.fence === cell.fence)
+    .filter((order) => !HashMap.has(state.sent, order.id))
+    .filter((order) => order.kind === 'load' || _isDrained(state, replica, { order, nowMs }))
+    .map((order): PlacementEffect => ({
+      kind: 'send_order',
+      order,
+      model: replica.model,
+      upstream: replica.upstream,
+      memoryMb: replica.memoryMb,
+      notAfterMs: state.leaseUntilMs
+    })))
+  const sent = effects.reduce((known, effect) => {
+    return effect.kind === 'send_order' ? HashMap.set(known, effect.order.id, 'sending' as const) : known
+  }, state.sent)
+  return step({ ...state, sent }, effects)
+}
+
+interface _Unload {
+  readonly order: Order
+  readonly nowMs: number
+}
+
+// Routers that have seen the record send nothing more to the replica; what they sent before is left to finish.
+function _isDrained (state: PlacementState, replica: Replica, unload: _Unload): boolean {
+  const recordedAtMs = Option.getOrElse(HashMap.get(state.recordedAtMs, unload.order.id), () => unload.nowMs)
+  const settledAtMs = recordedAtMs + state.times.unloadSettleMs
+  const report = Option.getOrUndefined(HashMap.get(state.reports, replica.upstream))
+  if (unload.nowMs < settledAtMs || report === undefined || report.receivedAtMs < settledAtMs) return false
+  const holding = report.status.holdings.find((h) => h.model === replica.model)
+  return holding === undefined || holding.running === 0
+}
+
+/** Tells a new holder which orders of this process will not be executed from now on. */
+export function disclaimOrders (state: PlacementState): readonly PlacementEffect[] {
+  const { cell } = state
+  if (cell === undefined || cell.holder === null || cell.holder.incarnation === state.self.incarnation) return []
+  const orderIds = cell.replicas.flatMap((replica) => replica.orders)
+    .filter((order) => order.sender === state.self.incarnation && _isClosed(state, order.id))
+    .map((order) => order.id)
+  return orderIds.length === 0 ? [] : [{ kind: 'disclaim_orders', to: cell.holder, orderIds }]
+}
+
+function _isClosed (state: PlacementState, orderId: string): boolean {
+  const answer = HashMap.get(state.sent, orderId)
+  if (answer._tag === 'None') return true
+  return answer.value !== 'sending' && answer.value !== 'unknown'
+}
--- /dev/null
+++ b/packages/placement/cell.ts
@@ -0,0 +1,66 @@
+/** A process that may hold a lease, told apart from its predecessors under the same name by its incarnation. */
+export interface Holder {
+  readonly instance: string
+  readonly incarnation: string
+  /** Host and port at which peers reach the process. */
+  readonly address: string
+}
+
+/** What an order asks of an upstream. */
+export type OrderKind = 'load' | 'unload'
+
+/** An order that was recorded and may still be executed. */
+export interface Order {
+  readonly id: string
+  readonly kind: OrderKind
+  /** Fencing number of the lease under which the order was recorded. */
+  readonly fence: number
+  /** Incarnation of the process that sends the order. */
+  readonly sender: string
+  /** Incarnation of the upstream that the order is bound to. */
+  readonly upstreamIncarnation: string
+}
+
+/**
+ * The stage of a replica.
+ *
+ * A `vacated` replica takes no memory; it only blocks a new load while an unload may still arrive.
+ */
+export type ReplicaPhase = 'loading' | 'loaded' | 'unloading' | 'vacated'
+
+/** A decided replica of one model or adapter on one upstream. */
+export interface Replica {
+  readonly model: string
+  readonly upstream: string
+  readonly upstreamIncarnation: string
+  readonly memoryMb: number
+  readonly phase: ReplicaPhase
+  /** Orders for this replica that may still be executed. */
+  readonly orders: readonly Order[]
+}
+
+/** The whole placement of a group of upstreams: the value of one store object. */
+export interface Cell {
+  readonly name: string
+  /** Fencing number; each takeover increments it. */
+  readonly fence: number
+  readonly holder: Holder | null
+  /** Names the write that produced this value, so that its writer recognises it after a lost answer. */
+  readonly writeId: string
+  readonly replicas: readonly Replica[]
+}
+
+/**
+ * Builds a cell without holder or replicas.
+ *
+ * @param name The cell's name.
+ * @returns The empty cell.
+ *
+ * @example
+ * ```ts
+ * console.log(emptyCell('drafting').fence) // 0
+ * ```
+ */
+export function emptyCell (name: string): Cell {
+  return { name, fence: 0, holder: null, writeId: '', replicas: [] }
+}
--- /dev/null
+++ b/packages/placement/expected_cost_policy.ts
@@ -0,0 +1,74 @@
+import { bucketBound, type Gaps } from './gaps.ts'
+import { Policy, type Scene } from './policy.ts'
+
+/** Observations below which the histogram is not trusted. */
+const MIN_OBSERVATIONS = 4
+/** Longest time that an idle model is kept, in ms. */
+const MAX_KEEP_MS = 12 * 3_600_000
+const MS_PER_SECOND = 1000
+
+/** Settings of an expected cost policy. */
+export interface ExpectedCostOptions {
+  /** Price of a second of cold start against an idle accelerator second, on top of the customers' weights. */
+  readonly coldStartFactor?: number
+}
+
+/**
+ * Keeps each idle model for the time that costs least on its own history of idle periods.
+ *
+ * For each candidate time T the expected cost is the idle accelerator time up to T plus the weighted wait of a cold
+ * start for the share of idle periods longer than T. Without enough history the break-even time of the ski-rental
+ * problem is used (Karlin et al., Competitive snoopy caching, Algorithmica 1988). The histogram of idle times follows
+ * Shahrad et al., Serverless in the Wild, USENIX ATC 2020. Eviction ranks by frequency, cost and size (Cao and Irani,
+ * Cost-aware WWW proxy caching algorithms, USITS 1997).
+ */
+export class ExpectedCostPolicy extends Policy {
+  readonly name = 'expected-cost'
+  readonly #factor: number
+
+  /**
+   * @param options The weights.
+   */
+  constructor (options: ExpectedCostOptions = {}) {
+    super()
+    this.#factor = options.coldStartFactor ?? 1
+  }
+
+  override keepAliveMs (model: string, scene: Scene): number {
+    const missCostMs = this.#missCostMs(model, scene)
+    const { gaps } = scene.usage(model)
+    if (gaps.total < MIN_OBSERVATIONS) return Math.min(MAX_KEEP_MS, missCostMs)
+    return _cheapestKeepMs(gaps, missCostMs)
+  }
+
+  override worth (model: string, scene: Scene): number {
+    const entry = scene.catalog.models.get(model)
+    const usage = scene.usage(model)
+    const idleMs = Math.max(MS_PER_SECOND, scene.nowMs - usage.lastUsedMs)
+    const frequency = (1 + usage.gaps.total) / idleMs
+    return frequency * this.#missCostMs(model, scene) / Math.max(1, entry?.memoryMb ?? 1)
+  }
+
+  // A miss costs its wait, weighed against time on the share of the accelerators that the model takes.
+  #missCostMs (model: string, scene: Scene): number {
+    const entry = scene.catalog.models.get(model)
+    if (entry === undefined) return 0
+    const weight = scene.demands.get(model)?.coldStartWeight ?? entry.coldStartWeight
+    return this.#factor * weight * entry.loadMs
+  }
+}
+
+function _cheapestKeepMs (gaps: Gaps, missCostMs: number): number {
+  let longer = gaps.total
+  let idleMs = 0
+  let best = { keepMs: 0, cost: longer * missCostMs }
+  gaps.weights.forEach((weight, bucket) => {
+    const boundMs = bucketBound(bucket)
+    const shareMs = bucket === 0 ? boundMs : bucketBound(bucket - 1)
+    longer -= weight
+    idleMs += weight * (shareMs + boundMs) / 2
+    const cost = idleMs + longer * (boundMs + missCostMs)
+    if (cost < best.cost) best = { keepMs: boundMs, cost }
+  })
+  return Math.min(MAX_KEEP_MS, best.keepMs)
+}
--- /dev/null
+++ b/packages/placement/fixed_keep_alive_policy.ts
@@ -0,0 +1,25 @@
+import { Policy, type Scene } from './policy.ts'
+
+/** Keeps each idle model for the same time and evicts the least recently used one. */
+export class FixedKeepAlivePolicy extends Policy {
+  readonly name: string
+  readonly #keepMs: number
+
+  /**
+   * @param keepMs The time that an idle model is kept, in ms; infinite for never unloading.
+   * @param name The policy's name.
+   */
+  constructor (keepMs: number, name = `fixed-${keepMs / 60_000}m`) {
+    super()
+    this.name = name
+    this.#keepMs = keepMs
+  }
+
+  override keepAliveMs (): number {
+    return this.#keepMs
+  }
+
+  override worth (model: string, scene: Scene): number {
+    return scene.usage(model).lastUsedMs
+  }
+}
--- /dev/null
+++ b/packages/placement/gaps.ts
@@ -0,0 +1,65 @@
+/** Length of the shortest bucket of a gap histogram, in ms. */
+const FIRST_BUCKET_MS = 1000
+/** Ratio between the bounds of neighbouring buckets. */
+const BUCKET_RATIO = 1.3
+/** Number of buckets; the last one reaches beyond three days. */
+const BUCKETS = 48
+/** Factor by which older observations lose weight at each new one. */
+const DECAY = 0.97
+
+/** A decaying histogram of the lengths of idle periods. */
+export interface Gaps {
+  /** Weight per bucket; bucket i covers gaps up to `bucketBound(i)`. */
+  readonly weights: readonly number[]
+  readonly total: number
+}
+
+/**
+ * Builds a histogram without observations.
+ *
+ * @returns The histogram.
+ *
+ * @example
+ * ```ts
+ * console.log(emptyGaps().total) // 0
+ * ```
+ */
+export function emptyGaps (): Gaps {
+  return { weights: [], total: 0 }
+}
+
+/**
+ * Gives the upper bound of a bucket.
+ *
+ * @param bucket The bucket's index.
+ * @returns The bound in ms.
+ *
+ * @example
+ * ```ts
+ * console.log(bucketBound(0)) // 1000
+ * ```
+ */
+export function bucketBound (bucket: number): number {
+  return FIRST_BUCKET_MS * BUCKET_RATIO ** bucket
+}
+
+/**
+ * Adds the length of one idle period to a histogram.
+ *
+ * @param gaps The histogram.
+ * @param gapMs The length of the idle period in ms.
+ * @returns The histogram with older observations decayed.
+ *
+ * @example
+ * ```ts
+ * console.log(addGap(emptyGaps(), 5000).total) // 1
+ * ```
+ */
+export function addGap (gaps: Gaps, gapMs: number): Gaps {
+  // Gaps below the first bucket come from requests of one burst and say nothing about keeping a model.
+  if (gapMs < FIRST_BUCKET_MS) return gaps
+  const bucket = Math.min(BUCKETS - 1, Math.ceil(Math.log(gapMs / FIRST_BUCKET_MS) / Math.log(BUCKET_RATIO)))
+  const length = Math.max(gaps.weights.length, bucket + 1)
+  const weights = Array.from({ length }, (_, i) => (gaps.weights[i] ?? 0) * DECAY + (i === bucket ? 1 : 0))
+  return { weights, total: gaps.total * DECAY + 1 }
+}
--- /dev/null
+++ b/packages/placement/mod.ts
@@ -0,0 +1,27 @@
+/**
+ * Placement of models and adapters on upstreams: the lease, the recorded orders, the safety rules and the policies.
+ *
+ * @module
+ */
+export * from './admit_decision.ts'
+export * from './catalog.ts'
+export * from './cell.ts'
+export * from './committed_memory.ts'
+export * from './count_replicas.ts'
+export * from './decision.ts'
+export * from './demand.ts'
+export * from './expected_cost_policy.ts'
+export * from './fixed_keep_alive_policy.ts'
+export * from './gaps.ts'
+export * from './is_holder.ts'
+export * from './order_is_dead.ts'
+export * from './outlook.ts'
+export * from './placement_effect.ts'
+export * from './placement_event.ts'
+export * from './placement_state.ts'
+export * from './policy.ts'
+export * from './reconcile_replica.ts'
+export * from './reduce_placement.ts'
+export * from './upstream_status.ts'
+export * from './usage.ts'
+export * from './weight_queue.ts'
--- /dev/null
+++ b/packages/placement/order_is_dead.ts
@@ -0,0 +1,31 @@
+import type { UpstreamEntry } from './catalog.ts'
+import type { Order } from './cell.ts'
+import type { UpstreamStatus } from './upstream_status.ts'
+
+/**
+ * Tells whether a status proves that an order can no longer be executed.
+ *
+ * A passed deadline is never a proof. An order is written to a connection on which its sender has verified the
+ * upstream's incarnation, so it can't reach a later incarnation.
+ *
+ * @param order The recorded order.
+ * @param status A status whose probe was sent after the order was recorded.
+ * @param options The upstream's configured traits.
+ * @returns Whether the order is dead.
+ *
+ * @example
+ * ```ts
+ * const order = { id: 'a', kind: 'load', fence: 1, sender: 's', upstreamIncarnation: 'u1' } as const
+ * const status = { incarnation: 'u2', fence: 0, holdings: [], running: 0, ran: [], leaving: false }
+ * console.log(orderIsDead(order, status, { checksFence: false, logsOrders: false })) // true
+ * ```
+ */
+export function orderIsDead (
+  order: Order,
+  status: UpstreamStatus,
+  options: Pick<UpstreamEntry, 'checksFence' | 'logsOrders'>
+): boolean {
+  if (status.incarnation !== order.upstreamIncarnation) return true
+  if (options.checksFence && status.fence > order.fence) return true
+  return options.logsOrders && status.ran.includes(order.id)
+}
--- /dev/null
+++ b/packages/placement/placement_effect.ts
@@ -0,0 +1,31 @@
+import type { Cell, Holder, Order } from './cell.ts'
+import type { Outlook } from './outlook.ts'
+
+/** Everything that the placement of a cell asks the outside to do. */
+export type PlacementEffect =
+  | { readonly kind: 'write_cell', readonly expectedVersion: number, readonly cell: Cell }
+  | {
+    readonly kind: 'send_order'
+    readonly order: Order
+    readonly model: string
+    readonly upstream: string
+    readonly memoryMb: number
+    /** The order must not leave after this local time, in ms; to be checked right before the write. */
+    readonly notAfterMs: number
+  }
+  | { readonly kind: 'probe', readonly upstream: string, readonly probe: number, readonly fence: number }
+  | { readonly kind: 'disclaim_orders', readonly to: Holder, readonly orderIds: readonly string[] }
+  | { readonly kind: 'answer_demand', readonly call: string, readonly outlook: Outlook }
+  | { readonly kind: 'placement_changed', readonly cell: Cell }
+  | { readonly kind: 'count', readonly metric: PlacementMetric, readonly model?: string }
+
+/** Counters of the placement. */
+export type PlacementMetric =
+  | 'takeover'
+  | 'lease_lapsed'
+  | 'load_decided'
+  | 'unload_decided'
+  | 'order_unknown'
+  | 'order_refused'
+  | 'write_lost'
+  | 'write_conflicted'
--- /dev/null
+++ b/packages/placement/placement_event.ts
@@ -0,0 +1,37 @@
+import type { Catalog } from './catalog.ts'
+import type { Cell } from './cell.ts'
+import type { Demand } from './demand.ts'
+import type { UpstreamStatus } from './upstream_status.ts'
+
+/**
+ * How the sending of an order ended.
+ *
+ * `accepted` and `refused` are the engine's own words, `not_sent` means that no byte left this process, and `unknown`
+ * that the order may have been, or may yet be, executed.
+ */
+export type OrderAnswer = 'accepted' | 'refused' | 'not_sent' | 'unknown'
+
+/** Use of one model on one instance. */
+export interface ModelUse {
+  readonly model: string
+  readonly running: number
+  /** Time since the last use, in ms. */
+  readonly idleForMs: number
+}
+
+/** Everything that can happen to the placement of a cell. */
+export type PlacementEvent =
+  | { readonly kind: 'cell_seen', readonly version: number, readonly cell: Cell, readonly nowMs: number }
+  | { readonly kind: 'cell_unseen', readonly nowMs: number }
+  | { readonly kind: 'write_done', readonly writeId: string, readonly version: number, readonly nowMs: number }
+  | { readonly kind: 'write_conflicted', readonly writeId: string, readonly version: number, readonly cell: Cell, readonly nowMs: number }
+  | { readonly kind: 'write_lost', readonly writeId: string, readonly nowMs: number, readonly random: number }
+  | { readonly kind: 'order_answered', readonly orderId: string, readonly answer: OrderAnswer, readonly nowMs: number }
+  | { readonly kind: 'status_reported', readonly upstream: string, readonly probe: number, readonly status: UpstreamStatus, readonly nowMs: number }
+  | { readonly kind: 'demanded', readonly call: string, readonly demand: Demand, readonly nowMs: number }
+  | { readonly kind: 'used', readonly instance: string, readonly uses: readonly ModelUse[], readonly nowMs: number }
+  | { readonly kind: 'catalog_changed', readonly catalog: Catalog, readonly nowMs: number }
+  | { readonly kind: 'upstream_gone', readonly upstream: string, readonly nowMs: number }
+  | { readonly kind: 'orders_disclaimed', readonly orderIds: readonly string[], readonly nowMs: number }
+  | { readonly kind: 'stopping', readonly nowMs: number }
+  | { readonly kind: 'ticked', readonly nowMs: number, readonly random: number }
--- /dev/null
+++ b/packages/placement/policy.ts
@@ -0,0 +1,52 @@
+import type { Catalog } from './catalog.ts'
+import type { Cell } from './cell.ts'
+import type { ReceivedDemand } from './demand.ts'
+import type { UpstreamReport } from './upstream_status.ts'
+import type { Usage } from './usage.ts'
+
+/** What a policy sees when it plans. */
+export interface Scene {
+  readonly nowMs: number
+  readonly cell: Cell
+  readonly catalog: Catalog
+  /** The current demand of each model that somebody waits for. */
+  readonly demands: ReadonlyMap<string, ReceivedDemand>
+  usage (model: string): Usage
+  report (upstream: string): UpstreamReport | undefined
+  /** Whether the upstream is known to hold the model's checkpoint near the accelerator. */
+  cachedOn (model: string, upstream: string): boolean
+}
+
+/** Decides when models are loaded and unloaded, without regard to safety, which the admission sees to. */
+export abstract class Policy {
+  /** Name by which settings and commands choose the policy. */
+  abstract readonly name: string
+
+  /**
+   * Tells how long an idle replica is kept.
+   *
+   * @param model The model's name.
+   * @param scene What is known.
+   * @returns The time from the last use to the unload, in ms.
+   */
+  abstract keepAliveMs (model: string, scene: Scene): number
+
+  /**
+   * Ranks replicas for eviction.
+   *
+   * @param model The name of a loaded, idle model.
+   * @param scene What is known.
+   * @returns The worth of keeping it; the lowest is evicted first.
+   */
+  abstract worth (model: string, scene: Scene): number
+
+  /**
+   * Names models to load before anybody asks.
+   *
+   * @param _scene What is known.
+   * @returns The models' names.
+   */
+  preload (_scene: Scene): readonly string[] {
+    return []
+  }
+}
--- /dev/null
+++ b/packages/platform/http_engine.ts
@@ -0,0 +1,100 @@
+import { Agent, type ClientRequestArgs } from 'node:http'
+import { connect, type Socket } from 'node:net'
+import type { OrderAnswer, UpstreamStatus } from '@berylshed/placement'
+import { err, ok, type Result } from 'neverthrow'
+import { Engine, type EngineFailure, type OrderDelivery } from './engine.ts'
+import { httpCall } from './http_call.ts'
+
+const OK = 200
+const CONFLICT = 409
+
+/** How an engine is reached. */
+export interface HttpEngineOptions {
+  readonly timeoutMs?: number
+}
+
+/** The control interface of one engine over HTTP. */
+export class HttpEngine extends Engine {
+  readonly #address: string
+  readonly #timeoutMs: number
+
+  /**
+   * @param address Host and port of the engine.
+   * @param options Timeouts.
+   */
+  constructor (address: string, options: HttpEngineOptions = {}) {
+    super()
+    this.#address = address
+    this.#timeoutMs = options.timeoutMs ?? 1000
+  }
+
+  override probe (fence: number): Promise<Result<UpstreamStatus, EngineFailure>> {
+    return this.#probe(fence, undefined)
+  }
+
+  override async send (delivery: OrderDelivery): Promise<OrderAnswer> {
+    const agent = new OneConnectionAgent(this.#address)
+    try {
+      const status = await this.#probe(delivery.order.fence, agent)
+      if (status.isErr()) return 'not_sent'
+      if (status.value.incarnation !== delivery.order.upstreamIncarnation) return 'not_sent'
+      if (agent.isClosed() || !delivery.mayLeave()) return 'not_sent'
+      return await this.#deliver(delivery, agent)
+    } finally {
+      agent.destroy()
+    }
+  }
+
+  async #probe (fence: number, agent: Agent | undefined): Promise<Result<UpstreamStatus, EngineFailure>> {
+    const answer = await httpCall({
+      method: 'POST',
+      url: `http://${this.#address}/control/probe`,
+      body: JSON.stringify({ fence }),
+      timeoutMs: this.#timeoutMs,
+      ...agent === undefined ? {} : { agent }
+    })
+    if (answer.isErr()) {
+      const kind = answer.error.kind === 'timeout' ? 'silent' : 'unreachable'
+      return err({ kind, message: answer.error.message })
+    }
+    if (answer.value.status !== OK) return err({ kind: 'malformed', message: `Engine answered ${answer.value.status}` })
+    return ok(JSON.parse(answer.value.body) as UpstreamStatus)
+  }
+
+  async #deliver (delivery: OrderDelivery, agent: Agent): Promise<OrderAnswer> {
+    const { order, model, memoryMb } = delivery
+    const answer = await httpCall({
+      method: 'POST',
+      url: `http://${this.#address}/control/orders`,
+      body: JSON.stringify({ id: order.id, kind: order.kind, fence: order.fence, model, memoryMb }),
+      timeoutMs: this.#timeoutMs,
+      agent
+    })
+    if (answer.isErr()) return answer.error.kind === 'not_connected' ? 'not_sent' : 'unknown'
+    if (answer.value.status === OK) return 'accepted'
+    return answer.value.status === CONFLICT ? 'refused' : 'unknown'
+  }
+}
+
+/** Uses a single connection and never opens a second one. */
+class OneConnectionAgent extends Agent {
+  readonly #address: string
+  #socket: Socket | undefined
+
+  constructor (address: string) {
+    super({ keepAlive: true, maxSockets: 1 })
+    this.#address = address
+  }
+
+  isClosed (): boolean {
+    return this.#socket === undefined || this.#socket.destroyed || !this.#socket.writable
+  }
+
+  // Node's documentation names this method as the place to change how sockets are made.
+  override createConnection (_options: ClientRequestArgs): Socket {
+    if (this.#socket !== undefined) throw new Error('Cannot send order: the verified connection is closed')
+    const [host, port] = this.#address.split(':')
+    this.#socket = connect({ host: host ?? '', port: Number(port) })
+    return this.#socket
+  }
+}
--- /dev/null
+++ b/packages/platform/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * What an entry instance needs of the platform, as abstract classes, and their implementations over HTTP.
+ *
+ * @module
+ */
+export * from './engine.ts'
+export * from './http_call.ts'
+export * from './http_engine.ts'
+export * from './http_store.ts'
+export * from './instance_list.ts'
+export * from './store.ts'
--- /dev/null
+++ b/packages/reducer/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The shape that every reducer of this workspace shares.
+ *
+ * @module
+ */
+export * from './step.ts'
--- /dev/null
+++ b/packages/requests/_fail_attempt.ts
@@ -0,0 +1,87 @@
+import { HashMap } from 'effect'
+import { step, type Step } from '@berylshed/reducer'
+import { freeSlot, refuseRequest } from './_settle_request.ts'
+import type { RefusalReason } from './refusal.ts'
+import type { Request } from './request.ts'
+import type { AttemptFailure } from './request_event.ts'
+import type { RequestEffect } from './request_effect.ts'
+import { loadOf, type RequestsState } from './requests_state.ts'
+import { backoffMs, withdrawRetry } from './retry_budget.ts'
+
+/** Time for which an upstream is avoided after a failure, unless a check clears it earlier, in ms. */
+const SUSPICION_MS = 3000
+
+type _Step = Step<RequestsState, RequestEffect>
+
+const REASONS: Readonly<Record<AttemptFailure, RefusalReason>> = {
+  not_connected: 'no_upstream',
+  refused: 'no_upstream',
+  broken: 'upstream_broken',
+  stale: 'upstream_broken',
+  silent: 'upstream_silent',
+  crossed: 'answer_crossed',
+  truncated: 'answer_truncated'
+}
+
+/** What is known of a failed attempt. */
+export interface FailureFacts {
+  readonly failure: AttemptFailure
+  readonly upstream: string
+  readonly nowMs: number
+  readonly random: number
+}
+
+/** Decides between another attempt and a refusal. */
+export function failAttempt (state: RequestsState, request: Request, facts: FailureFacts): _Step {
+  const ranNothing = facts.failure === 'not_connected' || facts.failure === 'refused'
+  const answering = request.phase === 'answering'
+  const freed = _suspectUpstream(freeSlot(state, request, facts.nowMs), facts)
+  const failed: Request = {
+    ...request,
+    phase: 'backing_off',
+    mayHaveRun: request.mayHaveRun || !ranNothing,
+    suspect: request.suspect || _mayHaveCrashed(facts.failure)
+  }
+  const known: RequestsState = { ...freed, requests: HashMap.set(freed.requests, request.id, failed) }
+  const alarms = _alarms(failed, facts)
+  const next = answering ? _refuse(known, failed, facts) : _retryOrRefuse(known, failed, facts)
+  return step(next.state, [...alarms, ...next.effects])
+}
+
+// Failures that say nothing against the upstream itself.
+const HARMLESS: readonly AttemptFailure[] = ['refused', 'crossed', 'stale']
+
+function _mayHaveCrashed (failure: AttemptFailure): boolean {
+  return failure === 'broken' || failure === 'truncated'
+}
+
+function _suspectUpstream (state: RequestsState, facts: FailureFacts): RequestsState {
+  if (HARMLESS.includes(facts.failure)) return state
+  const load = loadOf(state, facts.upstream)
+  const suspected = { ...load, suspectedUntilMs: facts.nowMs + SUSPICION_MS }
+  return { ...state, upstreams: HashMap.set(state.upstreams, facts.upstream, suspected) }
+}
+
+function _alarms (request: Request, facts: FailureFacts): readonly RequestEffect[] {
+  const effects: RequestEffect[] = []
+  if (facts.failure !== 'refused') effects.push({ kind: 'check_upstream', upstream: facts.upstream })
+  if (_mayHaveCrashed(facts.failure)) effects.push({ kind: 'record_crash', request, upstream: facts.upstream })
+  return effects
+}
+
+function _refuse (state: RequestsState, request: Request, facts: FailureFacts): _Step {
+  return refuseRequest(state, request, { reason: REASONS[facts.failure], nowMs: facts.nowMs })
+}
+
+function _retryOrRefuse (state: RequestsState, request: Request, facts: FailureFacts): _Step {
+  if (!request.idempotent && request.mayHaveRun) return _refuse(state, request, facts)
+  if (request.attempts.length >= state.rules.maxAttempts) return _refuse(state, request, facts)
+  const budget = withdrawRetry(state.budget)
+  if (budget === undefined) return refuseRequest(state, request, { reason: 'retry_budget', nowMs: facts.nowMs })
+  const atMs = facts.nowMs + backoffMs(request.attempts.length, facts.random)
+  if (atMs >= request.deadlineMs) return _refuse(state, request, facts)
+  return step({ ...state, budget }, [
+    { kind: 'wake', id: request.id, why: 'retry', atMs },
+    { kind: 'count', metric: `retried.${facts.failure}`, request }
+  ])
+}
--- /dev/null
+++ b/packages/requests/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * The life of a caller's request: limits, queues, routing, retries and its one outcome.
+ *
+ * @module
+ */
+export * from './choose_upstream.ts'
+export * from './reduce_requests.ts'
+export * from './refusal.ts'
+export * from './request.ts'
+export * from './request_effect.ts'
+export * from './request_event.ts'
+export * from './requests_state.ts'
+export * from './retry_budget.ts'
+export * from './rules.ts'
+export * from './token_bucket.ts'
+export * from './upstream_load.ts'
--- /dev/null
+++ b/packages/requests/reduce_requests.ts
@@ -0,0 +1,176 @@
+import { HashMap, Option } from 'effect'
+import { step, type Step } from '@berylshed/reducer'
+import { admitRequest } from './_admit_request.ts'
+import { dispatchAll, dispatchTarget, enqueueRequest } from './_dispatch_requests.ts'
+import { failAttempt } from './_fail_attempt.ts'
+import { abandonRequest, answerRequest, currentAttempt, refuseRequest, replayRequest, targetKey } from './_settle_request.ts'
+import type { RefusalReason } from './refusal.ts'
+import type { Request } from './request.ts'
+import type { ClaimAnswer, RequestEvent } from './request_event.ts'
+import type { RequestEffect } from './request_effect.ts'
+import { loadOf, type RequestsState } from './requests_state.ts'
+import { backoffMs } from './retry_budget.ts'
+import type { UpstreamLoad } from './upstream_load.ts'
+
+type _Step = Step<RequestsState, RequestEffect>
+
+/**
+ * Reduces one event of an instance's requests.
+ *
+ * Each request ends exactly once: with an `answered` or `replayed` count, a `refuse` effect, or because its caller left.
+ *
+ * @param state The state so far.
+ * @param event What happened.
+ * @returns The next state and the effects to carry out.
+ *
+ * @example
+ * ```ts
+ * const { effects } = reduceRequests(state, { kind: 'received', request, nowMs: 0 })
+ * ```
+ */
+export function reduceRequests (state: RequestsState, event: RequestEvent): _Step {
+  switch (event.kind) {
+    case 'received': return admitRequest(state, event.request, event.nowMs)
+    case 'residency_changed': return _changeResidencies(state, event)
+    case 'outlook_known': return _applyOutlook(state, event)
+    case 'upstream_reported': return _applyReport(state, event)
+    case 'upstream_suspected': return step(_changeLoad(state, event.upstream, (load) => ({
+      ...load, suspectedUntilMs: Math.max(load.suspectedUntilMs, event.nowMs + event.forMs)
+    })))
+    case 'upstream_cleared': return dispatchAll(_changeLoad(state, event.upstream, (load) => ({
+      ...load, suspectedUntilMs: -Infinity
+    })), event.nowMs)
+    case 'rules_changed': return dispatchAll({ ...state, rules: event.rules, shares: event.shares }, event.nowMs)
+    case 'draining': return step({ ...state, draining: true })
+    case 'ticked': return dispatchAll(state, event.nowMs)
+    default: return _reduceRequest(state, event)
+  }
+}
+
+type _RequestEvent = Extract<RequestEvent, { readonly id: string }>
+
+function _reduceRequest (state: RequestsState, event: _RequestEvent): _Step {
+  const request = Option.getOrUndefined(HashMap.get(state.requests, event.id))
+  if (request === undefined) return step(state)
+  switch (event.kind) {
+    case 'claim_answered': return _applyClaim(state, request, event)
+    case 'permit_answered': return _applyPermit(state, request, event)
+    case 'answer_started': return _startAnswer(state, request, event.attempt)
+    case 'answer_ended': return _endAnswer(state, request, event)
+    case 'attempt_failed': return _failCurrent(state, request, event)
+    case 'caller_left': return _thenDispatch(abandonRequest(state, request, event.nowMs), request, event.nowMs)
+    case 'deadline_passed': return _passDeadline(state, request, event.nowMs)
+    case 'retry_due': return _retry(state, request, event.nowMs)
+  }
+}
+
+function _isCurrent (request: Request, attempt: number): boolean {
+  return currentAttempt(request)?.number === attempt
+}
+
+function _startAnswer (state: RequestsState, request: Request, attempt: number): _Step {
+  if (!_isCurrent(request, attempt)) return step(state)
+  return step({ ...state, requests: HashMap.set(state.requests, request.id, { ...request, phase: 'answering' }) })
+}
+
+type _Ended = Extract<RequestEvent, { kind: 'answer_ended' }>
+
+function _endAnswer (state: RequestsState, request: Request, event: _Ended): _Step {
+  if (!_isCurrent(request, event.attempt)) return step(state)
+  return _thenDispatch(answerRequest(state, request, event), request, event.nowMs)
+}
+
+type _Failed = Extract<RequestEvent, { kind: 'attempt_failed' }>
+
+function _failCurrent (state: RequestsState, request: Request, event: _Failed): _Step {
+  const attempt = currentAttempt(request)
+  if (attempt === undefined || attempt.number !== event.attempt) return step(state)
+  return _thenDispatch(failAttempt(state, request, { ...event, upstream: attempt.upstream }), request, event.nowMs)
+}
+
+// A freed slot may serve any target whose model shares the upstream.
+function _thenDispatch (ended: _Step, request: Request, nowMs: number): _Step {
+  const next = request.attempts.length === 0 ? dispatchTarget(ended.state, targetKey(request), nowMs) : dispatchAll(ended.state, nowMs)
+  return step(next.state, [...ended.effects, ...next.effects])
+}
+
+const CLAIM_REASONS: Readonly<Record<Exclude<ClaimAnswer['kind'], 'granted' | 'completed'>, RefusalReason>> = {
+  busy: 'claim_busy',
+  unknown: 'claim_unknown',
+  key_reused: 'key_reused',
+  full: 'claim_full',
+  unavailable: 'claim_unavailable'
+}
+
+type _Claimed = Extract<RequestEvent, { kind: 'claim_answered' }>
+
+function _applyClaim (state: RequestsState, request: Request, event: _Claimed): _Step {
+  if (request.phase !== 'claiming') return step(state)
+  const { answer, nowMs } = event
+  if (answer.kind === 'granted') return enqueueRequest(state, request, nowMs)
+  if (answer.kind === 'completed') return replayRequest(state, request, { outcome: answer.outcome, nowMs })
+  return refuseRequest(state, request, { reason: CLAIM_REASONS[answer.kind], nowMs })
+}
+
+type _Permitted = Extract<RequestEvent, { kind: 'permit_answered' }>
+
+function _applyPermit (state: RequestsState, request: Request, event: _Permitted): _Step {
+  if (request.phase !== 'claiming') return step(state)
+  if (event.answer === 'granted') return enqueueRequest(state, request, event.nowMs)
+  if (event.answer === 'refused') return refuseRequest(state, request, { reason: 'suspected_crash', nowMs: event.nowMs })
+  const waiting: Request = { ...request, phase: 'backing_off' }
+  const atMs = event.nowMs + backoffMs(request.attempts.length + 2, event.random)
+  return step({ ...state, requests: HashMap.set(state.requests, request.id, waiting) }, [
+    { kind: 'wake', id: request.id, why: 'retry', atMs }
+  ])
+}
+
+function _retry (state: RequestsState, request: Request, nowMs: number): _Step {
+  if (request.phase !== 'backing_off') return step(state)
+  if (!request.suspect) return enqueueRequest(state, request, nowMs)
+  const asking: Request = { ...request, phase: 'claiming' }
+  return step({ ...state, requests: HashMap.set(state.requests, request.id, asking) }, [
+    { kind: 'ask_permit', request: asking }
+  ])
+}
+
+function _passDeadline (state: RequestsState, request: Request, nowMs: number): _Step {
+  const reason = currentAttempt(request) === undefined ? 'deadline_waiting' : 'deadline_running'
+  return _thenDispatch(refuseRequest(state, request, { reason, nowMs }), request, nowMs)
+}
+
+type _ResidencyChanged = Extract<RequestEvent, { kind: 'residency_changed' }>
+
+function _changeResidencies (state: RequestsState, event: _ResidencyChanged): _Step {
+  const residencies = HashMap.fromIterable(event.residencies.map((r) => [r.model, r.upstreams] as const))
+  return dispatchAll({ ...state, residencies }, event.nowMs)
+}
+
+type _Outlook = Extract<RequestEvent, { kind: 'outlook_known' }>
+
+// Refuses at once the waiters that a load can't reach before their deadlines.
+function _applyOutlook (state: RequestsState, event: _Outlook): _Step {
+  if (event.state === 'loaded' || event.state === 'not_holder') return step(state)
+  const key = targetKey({ target: { kind: 'model', name: event.model } })
+  const ids = Option.getOrElse(HashMap.get(state.waiting, key), () => [])
+  const late = ids.flatMap((id) => Option.toArray(HashMap.get(state.requests, id)))
+    .filter((request) => request.deadlineMs < event.nowMs + event.readyInMs)
+  const reason = event.state === 'no_room' ? 'no_room' : 'cold_start_too_long'
+  return late.reduce<_Step>((known, request) => {
+    const refused = refuseRequest(known.state, request, { reason, nowMs: event.nowMs, retryAfterMs: event.readyInMs })
+    return step(refused.state, [...known.effects, ...refused.effects])
+  }, step(state))
+}
+
+type _Report = Extract<RequestEvent, { kind: 'upstream_reported' }>
+
+function _applyReport (state: RequestsState, event: _Report): _Step {
+  const changed = _changeLoad(state, event.upstream, (load) => ({
+    ...load, others: Math.max(0, event.running - load.own), leaving: event.leaving
+  }))
+  return dispatchAll(changed, event.nowMs)
+}
+
+function _changeLoad (state: RequestsState, upstream: string, change: (load: UpstreamLoad) => UpstreamLoad): RequestsState {
+  return { ...state, upstreams: HashMap.set(state.upstreams, upstream, change(loadOf(state, upstream))) }
+}
--- /dev/null
+++ b/packages/requests/request_effect.ts
@@ -0,0 +1,30 @@
+import type { Refusal, RefusalReason } from './refusal.ts'
+import type { Request } from './request.ts'
+import type { AttemptFailure, RecordedOutcome } from './request_event.ts'
+
+/** Everything that the requests of an instance ask the outside to do. */
+export type RequestEffect =
+  | { readonly kind: 'claim', readonly request: Request }
+  | { readonly kind: 'settle_claim', readonly request: Request, readonly outcome: RecordedOutcome | undefined }
+  | { readonly kind: 'release_claim', readonly request: Request }
+  | { readonly kind: 'record_crash', readonly request: Request, readonly upstream: string }
+  | { readonly kind: 'ask_permit', readonly request: Request }
+  | { readonly kind: 'clear_suspect', readonly request: Request }
+  | { readonly kind: 'send', readonly request: Request, readonly attempt: number, readonly upstream: string }
+  | { readonly kind: 'cancel', readonly id: string, readonly attempt: number }
+  /** Ends the caller's answer, which the attempt has received in whole. */
+  | { readonly kind: 'deliver', readonly id: string, readonly attempt: number }
+  | { readonly kind: 'refuse', readonly id: string, readonly refusal: Refusal }
+  | { readonly kind: 'replay_outcome', readonly id: string, readonly outcome: RecordedOutcome }
+  | { readonly kind: 'wake', readonly id: string, readonly why: 'deadline' | 'retry', readonly atMs: number }
+  | { readonly kind: 'demand', readonly model: string, readonly waiting: number, readonly deadlineInMs: number, readonly priority: number, readonly coldStartWeight: number }
+  | { readonly kind: 'check_upstream', readonly upstream: string }
+  | { readonly kind: 'count', readonly metric: RequestMetric, readonly request: Request }
+
+/** Counters of the requests. */
+export type RequestMetric =
+  | 'answered'
+  | 'replayed'
+  | 'caller_left'
+  | `refused.${RefusalReason}`
+  | `retried.${AttemptFailure}`
--- /dev/null
+++ b/packages/requests/requests_state.ts
@@ -0,0 +1,94 @@
+import { HashMap, Option } from 'effect'
+import type { Request } from './request.ts'
+import type { RetryBudget } from './retry_budget.ts'
+import { fullRetryBudget } from './retry_budget.ts'
+import type { Rules } from './rules.ts'
+import type { TokenBucket } from './token_bucket.ts'
+import { UNKNOWN_LOAD, type UpstreamLoad } from './upstream_load.ts'
+
+/** What one customer uses on this instance. */
+export interface CustomerLoad {
+  readonly requests: TokenBucket
+  readonly tokens: TokenBucket
+  /** Requests without an outcome. */
+  readonly open: number
+  /** Requests that were sent and have no outcome. */
+  readonly running: number
+}
+
+/** What an instance knows of all its requests. */
+export interface RequestsState {
+  readonly rules: Rules
+  /** Live instances among which each customer's limits are divided. */
+  readonly shares: number
+  readonly requests: HashMap.HashMap<string, Request>
+  /** Ids of waiting requests per target, in the order of receipt. */
+  readonly waiting: HashMap.HashMap<string, readonly string[]>
+  readonly customers: HashMap.HashMap<string, CustomerLoad>
+  readonly upstreams: HashMap.HashMap<string, UpstreamLoad>
+  /** Upstreams per model that is loaded somewhere. */
+  readonly residencies: HashMap.HashMap<string, readonly string[]>
+  /** Upstream on which each fingerprint runs, so that concurrent repeats run together. */
+  readonly running: HashMap.HashMap<string, string>
+  readonly budget: RetryBudget
+  /** Local time of the last demand per model, in ms. */
+  readonly demandedAtMs: HashMap.HashMap<string, number>
+  /** Local time of the last use per model, in ms. */
+  readonly usedAtMs: HashMap.HashMap<string, number>
+  readonly draining: boolean
+  /** Spreads a digest over upstreams. */
+  readonly hash: (text: string) => number
+}
+
+/** What the state of an instance's requests is built from. */
+export interface RequestsOptions {
+  readonly rules: Rules
+  /** Live instances among which each customer's limits are divided. */
+  readonly shares?: number
+  readonly hash: (text: string) => number
+}
+
+/**
+ * Builds the state of an instance without requests.
+ *
+ * @param options The configuration and the hash function.
+ * @returns The state.
+ *
+ * @example
+ * ```ts
+ * const state = newRequestsState({ rules, hash: (text) => text.length })
+ * ```
+ */
+export function newRequestsState (options: RequestsOptions): RequestsState {
+  return {
+    rules: options.rules,
+    shares: options.shares ?? 1,
+    requests: HashMap.empty(),
+    waiting: HashMap.empty(),
+    customers: HashMap.empty(),
+    upstreams: HashMap.empty(),
+    residencies: HashMap.empty(),
+    running: HashMap.empty(),
+    budget: fullRetryBudget(),
+    demandedAtMs: HashMap.empty(),
+    usedAtMs: HashMap.empty(),
+    draining: false,
+    hash: options.hash
+  }
+}
+
+/**
+ * Gives what is known of an upstream's load.
+ *
+ * @param state The requests' state.
+ * @param upstream The upstream's name.
+ * @returns The load; idle and healthy where nothing is known.
+ *
+ * @example
+ * ```ts
+ * console.log(loadOf(state, 'runner-1').own) // 0
+ * ```
+ */
+export function loadOf (state: RequestsState, upstream: string): UpstreamLoad {
+  return Option.getOrElse(HashMap.get(state.upstreams, upstream), () => UNKNOWN_LOAD)
+}
--- /dev/null
+++ b/packages/requests/upstream_load.ts
@@ -0,0 +1,17 @@
+/** What one instance knows of the load and health of an upstream. */
+export interface UpstreamLoad {
+  /** Requests that this instance has running there. */
+  readonly own: number
+  /** Requests that other instances had running there by the last report. */
+  readonly others: number
+  readonly leaving: boolean
+  /** Until when the upstream is avoided, in ms. */
+  readonly suspectedUntilMs: number
+  /** Average duration of a request, in ms. */
+  readonly durationMs: number
+}
+
+/** An upstream of which nothing is known. */
+export const UNKNOWN_LOAD: UpstreamLoad = {
+  own: 0, others: 0, leaving: false, suspectedUntilMs: -Infinity, durationMs: 0
+}
--- /dev/null
+++ b/packages/settings/locate_key.ts
@@ -0,0 +1,67 @@
+const TABLE = /^\s*\[([^[\]]+)\]/
+const ARRAY_TABLE = /^\s*\[\[([^[\]]+)\]\]/
+const KEY = /^\s*([A-Za-z0-9_-]+)\s*=/
+
+interface _Line {
+  readonly path: string
+  readonly line: number
+}
+
+/**
+ * Finds the line of a TOML text on which a key stands.
+ *
+ * The text has been parsed by the TOML library already; this only finds places for messages. A key inside an inline
+ * table is placed on the line of the outermost key or table that stands on a line of its own.
+ *
+ * @param text The TOML text.
+ * @param path The keys and array indices that lead to the value.
+ * @returns The line, from 1, or undefined where no part of the path is found.
+ *
+ * @example
+ * ```ts
+ * console.log(locateKey('[a]\nb = 1', ['a', 'b'])) // 2
+ * ```
+ */
+export function locateKey (text: string, path: readonly PropertyKey[]): number | undefined {
+  const lines = _indexLines(text)
+  for (let length = path.length; length > 0; length -= 1) {
+    const wanted = path.slice(0, length).map(String).join('.')
+    const found = lines.find((line) => line.path === wanted)
+    if (found !== undefined) return found.line
+  }
+  return undefined
+}
+
+function _indexLines (text: string): readonly _Line[] {
+  const counts = new Map<string, number>()
+  const lines: _Line[] = []
+  let table = ''
+  text.split('\n').forEach((content, index) => {
+    const array = ARRAY_TABLE.exec(content)?.[1]
+    const plain = TABLE.exec(content)?.[1]
+    const key = KEY.exec(content)?.[1]
+    if (array !== undefined) table = _openElement(_resolve(array, counts), counts)
+    else if (plain !== undefined) table = _resolve(plain, counts)
+    else if (key === undefined) return
+    const isTable = array !== undefined || plain !== undefined
+    const path = isTable ? table : [table, key].filter((part) => part !== '').join('.')
+    lines.push({ path, line: index + 1 })
+  })
+  return lines
+}
+
+function _openElement (name: string, counts: Map<string, number>): string {
+  const index = counts.get(name) ?? 0
+  counts.set(name, index + 1)
+  return `${name}.${index}`
+}
+
+// A table below an array of tables belongs to the array's last element.
+function _resolve (name: string, counts: ReadonlyMap<string, number>): string {
+  const parts = name.split('.').map((part) => part.trim())
+  return parts.reduce((path, part, i) => {
+    const joined = path === '' ? part : `${path}.${part}`
+    const count = counts.get(joined)
+    return count !== undefined && i < parts.length - 1 ? `${joined}.${count - 1}` : joined
+  }, '')
+}
--- /dev/null
+++ b/packages/settings/read_document.ts
@@ -0,0 +1,94 @@
+import { Schema } from 'effect'
+import { err, ok, type Result } from 'neverthrow'
+import { parse, TomlError } from 'smol-toml'
+import type { Finding } from './finding.ts'
+import { locateKey } from './locate_key.ts'
+
+/** Where a document comes from. */
+export interface DocumentOptions {
+  /** Name of the file or object, for findings. */
+  readonly source: string
+}
+
+/**
+ * Reads a TOML text and checks it against a schema.
+ *
+ * Unknown keys are findings, and all findings are reported together.
+ *
+ * @param text The TOML text.
+ * @param schema The schema of the document.
+ * @param options The document's source.
+ * @returns The document, or every finding with its place.
+ *
+ * @example
+ * ```ts
+ * const read = readDocument('port = 1', Schema.Struct({ port: Schema.Int }), { source: 'a.toml' })
+ * console.log(read.isOk()) // true
+ * ```
+ */
+export function readDocument<T> (
+  text: string,
+  schema: Schema.Codec<T, unknown>,
+  options: DocumentOptions
+): Result<T, readonly Finding[]> {
+  const parsed = _parse(text, options)
+  if (parsed.isErr()) return err(parsed.error)
+  return checkDocument(parsed.value, schema, { ...options, text })
+}
+
+/** Where a checked value comes from. */
+export interface CheckOptions extends DocumentOptions {
+  /** The text that the value was parsed from, by which lines are found. */
+  readonly text?: string
+}
+
+/**
+ * Checks a value against a schema.
+ *
+ * @param value The value.
+ * @param schema The schema.
+ * @param options Where the value comes from.
+ * @returns The typed value, or every finding with its place.
+ *
+ * @example
+ * ```ts
+ * const checked = checkDocument({ port: 'x' }, Schema.Struct({ port: Schema.Int }), { source: 'request' })
+ * console.log(checked.isErr()) // true
+ * ```
+ */
+export function checkDocument<T> (
+  value: unknown,
+  schema: Schema.Codec<T, unknown>,
+  options: CheckOptions
+): Result<T, readonly Finding[]> {
+  const strict = Schema.toStandardSchemaV1(schema, { parseOptions: { errors: 'all', onExcessProperty: 'error' } })
+  const result = strict['~standard'].validate(value)
+  if (result instanceof Promise) throw new TypeError('Cannot check document: its schema is asynchronous')
+  if (result.issues === undefined) return ok(result.value)
+  return err(result.issues.map((issue) => _finding(issue, options)))
+}
+
+function _parse (text: string, options: DocumentOptions): Result<unknown, readonly Finding[]> {
+  try {
+    return ok(parse(text))
+  } catch (error) {
+    const line = error instanceof TomlError ? error.line : undefined
+    const message = error instanceof Error ? error.message.split('\n')[0] ?? '' : String(error)
+    return err([{ source: options.source, line, path: '', message }])
+  }
+}
+
+interface _Issue {
+  readonly message: string
+  readonly path?: ReadonlyArray<PropertyKey | { readonly key: PropertyKey }> | undefined
+}
+
+function _finding (issue: _Issue, options: CheckOptions): Finding {
+  const path = (issue.path ?? []).map((part) => typeof part === 'object' ? part.key : part)
+  return {
+    source: options.source,
+    line: options.text === undefined ? undefined : locateKey(options.text, path),
+    path: path.map(String).join('.'),
+    message: issue.message
+  }
+}
--- /dev/null
+++ b/packages/standins/engine_stand_in.ts
@@ -0,0 +1,245 @@
+import { randomUUID } from 'node:crypto'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { answerJson } from './_answer_json.ts'
+import { listen, type Listener } from './_listen.ts'
+import { readBody } from './_read_body.ts'
+import type { WeightStoreStandIn } from './weight_store_stand_in.ts'
+
+/** A model that an engine stand-in can load. */
+export interface StandInModel {
+  readonly name: string
+  readonly adapter: boolean
+  readonly loadMs: number
+}
+
+/** Traits of an engine stand-in. */
+export interface EngineOptions {
+  readonly port: number
+  readonly memoryMb: number
+  readonly checksFence: boolean
+  readonly logsOrders: boolean
+  readonly models: readonly StandInModel[]
+  readonly weights: WeightStoreStandIn
+  /** Time between two tokens of an answer, in ms. */
+  readonly tokenMs?: number
+  /** Tokens of an answer whose request sets no `max_tokens`. */
+  readonly answerTokens?: number
+}
+
+/** Faults that an engine stand-in shows. */
+export interface EngineFaults {
+  /** Breaks every connection and forgets all models when a body contains this text. */
+  crashOn: string
+  /** Accepts requests without ever answering them. */
+  silent: boolean
+  /** Ends each answer after this many tokens without its closing event; 0 for never. */
+  truncateAfter: number
+  /** Answers with the id of another request. */
+  crossed: boolean
+}
+
+/** An engine stand-in that is listening. */
+export interface EngineStandIn extends Listener {
+  readonly faults: EngineFaults
+  /** Requests that were run so far. */
+  readonly runs: () => number
+  readonly holdings: () => ReadonlyMap<string, StandInHolding>
+  /** The most memory that was ever in use at once, in MB. */
+  readonly peakMb: () => number
+  /** Loads that were started so far, per model. */
+  readonly loads: () => ReadonlyMap<string, number>
+  /** Breaks all connections, forgets all models and starts a new incarnation. */
+  crash (): void
+}
+
+/** What an engine stand-in holds of a model. */
+export interface StandInHolding {
+  readonly phase: 'loading' | 'loaded'
+  readonly memoryMb: number
+}
+
+interface _Order {
+  readonly id: string
+  readonly kind: 'load' | 'unload'
+  readonly fence: number
+  readonly model: string
+  readonly memoryMb: number
+}
+
+const DEFAULT_TOKEN_MS = 5
+const DEFAULT_ANSWER_TOKENS = 12
+const WORDS = ['Dear', 'members,', 'tonight', 'we', 'thank', 'everyone', 'who', 'kept', 'the', 'old', 'works', 'running.']
+
+/**
+ * Starts a stand-in for a model engine.
+ *
+ * It speaks the OpenAI-style completion calls and the control interface of docs/INTERFACES.md.
+ *
+ * @param options The engine's traits.
+ * @returns The listening stand-in.
+ *
+ * @example
+ * ```ts
+ * const engine = await startEngineStandIn({ port: 0, memoryMb: 80_000, checksFence: true, logsOrders: true, models, weights })
+ * await engine.close()
+ * ```
+ */
+export async function startEngineStandIn (options: EngineOptions): Promise<EngineStandIn> {
+  const faults: EngineFaults = { crashOn: '', silent: false, truncateAfter: 0, crossed: false }
+  let holdings = new Map<string, StandInHolding>()
+  let cancels = new Map<string, () => void>()
+  let incarnation = randomUUID()
+  let fence = 0
+  let ran: string[] = []
+  let running = 0
+  let runs = 0
+  let runningOn = new Map<string, number>()
+  let peakMb = 0
+  const loads = new Map<string, number>()
+
+  function usedMb (): number {
+    return [...holdings.values()].reduce((sum, holding) => sum + holding.memoryMb, 0)
+  }
+
+  function status (): unknown {
+    return {
+      incarnation,
+      fence,
+      holdings: [...holdings].map(([model, holding]) => ({ model, ...holding, running: runningOn.get(model) ?? 0 })),
+      running,
+      ran,
+      leaving: false
+    }
+  }
+
+  function runOrder (order: _Order): boolean {
+    if (options.checksFence && order.fence < fence) return false
+    if (options.checksFence) fence = order.fence
+    if (options.logsOrders) {
+      if (ran.includes(order.id)) return true
+      ran = [...ran.slice(-999), order.id]
+    }
+    return order.kind === 'load' ? load(order) : unload(order.model)
+  }
+
+  function load (order: _Order): boolean {
+    const model = options.models.find((candidate) => candidate.name === order.model)
+    if (holdings.has(order.model)) return true
+    if (model === undefined || usedMb() + order.memoryMb > options.memoryMb) return false
+    holdings.set(order.model, { phase: 'loading', memoryMb: order.memoryMb })
+    peakMb = Math.max(peakMb, usedMb())
+    loads.set(order.model, (loads.get(order.model) ?? 0) + 1)
+    const finish = (): void => { holdings.set(order.model, { phase: 'loaded', memoryMb: order.memoryMb }) }
+    cancels.set(order.model, options.weights.start({ adapter: model.adapter, loadMs: model.loadMs, finish }))
+    return true
+  }
+
+  function unload (model: string): boolean {
+    cancels.get(model)?.()
+    cancels.delete(model)
+    holdings.delete(model)
+    return true
+  }
+
+  function crash (): void {
+    for (const cancel of cancels.values()) cancel()
+    cancels = new Map()
+    holdings = new Map()
+    incarnation = randomUUID()
+    fence = 0
+    ran = []
+    running = 0
+    runningOn = new Map()
+    server.closeAllConnections()
+  }
+
+  function enter (model: string): () => void {
+    const mine = incarnation
+    running += 1
+    runningOn.set(model, (runningOn.get(model) ?? 0) + 1)
+    return () => {
+      if (mine !== incarnation) return
+      running -= 1
+      runningOn.set(model, (runningOn.get(model) ?? 1) - 1)
+    }
+  }
+
+  async function complete (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const text = await readBody(request)
+    if (faults.crashOn !== '' && text.includes(faults.crashOn)) return crash()
+    if (faults.silent) return
+    const body = JSON.parse(text) as { model: string, stream?: boolean, max_tokens?: number }
+    if (holdings.get(body.model)?.phase !== 'loaded') {
+      return answerJson(response, 503, { error: { code: 'model_not_loaded', not_run: true } }, { 'x-not-run': 'true' })
+    }
+    runs += 1
+    const leave = enter(body.model)
+    response.on('close', leave)
+    const id = faults.crossed ? randomUUID() : String(request.headers['x-request-id'])
+    await generate(response, { id, model: body.model, stream: body.stream === true, tokens: body.max_tokens ?? options.answerTokens ?? DEFAULT_ANSWER_TOKENS })
+  }
+
+  async function generate (response: ServerResponse, job: _Job): Promise<void> {
+    const headers = { 'x-request-id': job.id, 'content-type': job.stream ? 'text/event-stream' : 'application/json' }
+    const words: string[] = []
+    if (job.stream) response.writeHead(200, headers)
+    for (let i = 0; i < job.tokens && !response.destroyed; i += 1) {
+      await new Promise((resolve) => setTimeout(resolve, options.tokenMs ?? DEFAULT_TOKEN_MS))
+      const word = `${WORDS[i % WORDS.length] ?? ''} `
+      words.push(word)
+      if (job.stream) response.write(`data: ${JSON.stringify(_chunk(job, word))}\n\n`)
+      if (faults.truncateAfter > 0 && words.length >= faults.truncateAfter) return truncate(response, job)
+    }
+    if (job.stream) response.end('data: [DONE]\n\n')
+    else answerJson(response, 200, _whole(job, words.join('')), headers)
+  }
+
+  function truncate (response: ServerResponse, job: _Job): void {
+    if (job.stream) response.end()
+    else response.destroy()
+  }
+
+  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === '/control/probe') {
+      const asked = JSON.parse(await readBody(request)) as { fence: number }
+      if (options.checksFence) fence = Math.max(fence, asked.fence)
+      return answerJson(response, 200, status())
+    }
+    if (request.url === '/control/orders') {
+      const done = runOrder(JSON.parse(await readBody(request)) as _Order)
+      return answerJson(response, done ? 200 : 409, status())
+    }
+    if (request.url === '/control/faults') {
+      Object.assign(faults, JSON.parse(await readBody(request)))
+      return answerJson(response, 200, faults)
+    }
+    await complete(request, response)
+  }
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy())
+  })
+  const listener = await listen(server, options.port)
+  return { ...listener, faults, runs: () => runs, holdings: () => holdings, peakMb: () => peakMb, loads: () => loads, crash }
+}
+
+interface _Job {
+  readonly id: string
+  readonly model: string
+  readonly stream: boolean
+  readonly tokens: number
+}
+
+function _chunk (job: _Job, content: string): unknown {
+  return { id: job.id, object: 'chat.completion.chunk', model: job.model, choices: [{ index: 0, delta: { content } }] }
+}
+
+function _whole (job: _Job, content: string): unknown {
+  return {
+    id: job.id,
+    object: 'chat.completion',
+    model: job.model,
+    choices: [{ index: 0, message: { role: 'assistant', content }, finish_reason: 'stop' }],
+    usage: { completion_tokens: job.tokens }
+  }
+}
--- /dev/null
+++ b/packages/standins/service_stand_in.ts
@@ -0,0 +1,47 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { answerJson } from './_answer_json.ts'
+import { listen, type Listener } from './_listen.ts'
+import { readBody } from './_read_body.ts'
+
+/** A service stand-in that is listening. */
+export interface ServiceStandIn extends Listener {
+  /** How often each body was run. */
+  readonly runs: ReadonlyMap<string, number>
+  /** Breaks the connection after running a request, as often as this says. */
+  faults: { breakAfterRun: number, delayMs: number }
+}
+
+/**
+ * Starts a stand-in for a plain service, such as an order service.
+ *
+ * @param port The port to listen on; 0 for any.
+ * @returns The listening stand-in.
+ *
+ * @example
+ * ```ts
+ * const orders = await startServiceStandIn(0)
+ * await orders.close()
+ * ```
+ */
+export async function startServiceStandIn (port: number): Promise<ServiceStandIn> {
+  const runs = new Map<string, number>()
+  const faults = { breakAfterRun: 0, delayMs: 0 }
+
+  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request)
+    runs.set(body, (runs.get(body) ?? 0) + 1)
+    if (faults.breakAfterRun > 0) {
+      faults.breakAfterRun -= 1
+      response.destroy()
+      return
+    }
+    if (faults.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, faults.delayMs))
+    answerJson(response, 200, { path: request.url, number: runs.size }, { 'x-request-id': String(request.headers['x-request-id']) })
+  }
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy())
+  })
+  const listener = await listen(server, port)
+  return { ...listener, runs, faults }
+}
