--- /dev/null
+++ b/benches/long_placement.ts
@@ -0,0 +1,33 @@
+/**
+ * Runs the placement world under many drawn schedules and prints the counts; any violation is printed with its seed.
+ *
+ * Usage: node --conditions=source --import=tsx benches/long_placement.ts [schedules] [first seed] [minutes]
+ *
+ * @module
+ */
+import { checkPlacement, drawFaults, runPlacementWorld } from '@berylshed/history'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+const MS_PER_MINUTE = 60_000
+const schedules = Number(process.argv[2] ?? 1000)
+const firstSeed = Number(process.argv[3] ?? 1)
+const endMs = performance.now() + Number(process.argv[4] ?? 10) * MS_PER_MINUTE
+
+const totals = { schedules: 0, loads: 0, takeovers: 0, reserved: 0, violations: 0, unserved: 0 }
+for (let seed = firstSeed; seed < firstSeed + schedules && performance.now() < endMs; seed += 1) {
+  const random = xoroshiro128plus(seed)
+  const faults = drawFaults((min, max) => uniformInt(random, min, max), { count: uniformInt(random, 0, 7) })
+  const run = runPlacementWorld({ seed, faults })
+  const violations = checkPlacement(run.records, run.capacityMb)
+  totals.schedules += 1
+  totals.loads += run.loads
+  totals.takeovers += run.takeovers
+  totals.reserved += run.reserved
+  totals.violations += violations.length > 0 ? 1 : 0
+  totals.unserved += run.unserved.length > 0 ? 1 : 0
+  if (violations.length > 0 || run.unserved.length > 0) {
+    process.stdout.write(`seed ${seed}: ${JSON.stringify({ first: violations[0], unserved: run.unserved, faults })}\n`)
+  }
+}
+process.stdout.write(`${JSON.stringify(totals)}\n`)
--- /dev/null
+++ b/packages/history/virtual_clock.ts
@@ -0,0 +1,85 @@
+/** A queue of actions in virtual time. */
+export interface VirtualClock {
+  nowMs (): number
+  /** Plans an action; actions planned for the same time run in the order of planning. */
+  at (timeMs: number, action: () => void): void
+  after (delayMs: number, action: () => void): void
+  /** Runs actions until none is left before the given time. */
+  runUntil (timeMs: number): void
+}
+
+interface _Planned {
+  readonly timeMs: number
+  readonly order: number
+  readonly action: () => void
+}
+
+/**
+ * Creates a clock that starts at 0.
+ *
+ * @returns The clock.
+ *
+ * @example
+ * ```ts
+ * const clock = createVirtualClock()
+ * clock.after(10, () => console.log(clock.nowMs())) // 10
+ * clock.runUntil(20)
+ * ```
+ */
+export function createVirtualClock (): VirtualClock {
+  const heap: _Planned[] = []
+  let nowMs = 0
+  let planned = 0
+
+  function at (timeMs: number, action: () => void): void {
+    heap.push({ timeMs: Math.max(nowMs, timeMs), order: planned, action })
+    planned += 1
+    _siftUp(heap)
+  }
+
+  function runUntil (timeMs: number): void {
+    for (let next = heap[0]; next !== undefined && next.timeMs <= timeMs; next = heap[0]) {
+      _removeFirst(heap)
+      nowMs = next.timeMs
+      next.action()
+    }
+    nowMs = timeMs
+  }
+
+  return { nowMs: () => nowMs, at, after: (delayMs, action) => at(nowMs + delayMs, action), runUntil }
+}
+
+function _before (a: _Planned | undefined, b: _Planned | undefined): boolean {
+  if (a === undefined || b === undefined) return false
+  return a.timeMs < b.timeMs || (a.timeMs === b.timeMs && a.order < b.order)
+}
+
+function _swap (heap: _Planned[], i: number, j: number): void {
+  const a = heap[i]
+  const b = heap[j]
+  if (a === undefined || b === undefined) return
+  heap[i] = b
+  heap[j] = a
+}
+
+function _siftUp (heap: _Planned[]): void {
+  for (let i = heap.length - 1; i > 0;) {
+    const parent = (i - 1) >> 1
+    if (!_before(heap[i], heap[parent])) return
+    _swap(heap, i, parent)
+    i = parent
+  }
+}
+
+function _removeFirst (heap: _Planned[]): void {
+  const last = heap.pop()
+  if (last === undefined || heap.length === 0) return
+  heap[0] = last
+  for (let i = 0; ;) {
+    const left = 2 * i + 1
+    const smaller = _before(heap[left + 1], heap[left]) ? left + 1 : left
+    if (!_before(heap[smaller], heap[i])) return
+    _swap(heap, i, smaller)
+    i = smaller
+  }
+}
--- a/packages/placement/_evolve_cell.ts
+++ b/packages/placement/_evolve_cell.ts
@@ -57,8 +57,8 @@
 
 function _reconcile (state: PlacementState, cell: Cell): Cell {
   const replicas = cell.replicas.flatMap((replica) => {
-    if (state.gone.includes(replica.upstream)) return []
     const report = _freshReport(state, replica)
+    if (_isGone(state, replica.upstream, report)) return []
     const upstream = state.catalog.upstreams.get(replica.upstream)
     if (report === undefined || upstream === undefined) return [replica]
     const next = reconcileReplica(replica, report.status, upstream)
@@ -67,6 +67,10 @@
   return { ...cell, replicas }
 }
 
+function _isGone (state: PlacementState, upstream: string, report: UpstreamReport | undefined): boolean {
+  return state.gone.some((gone) => gone.upstream === upstream && (report === undefined || report.probe <= gone.probe))
+}
+
 function _freshReport (state: PlacementState, replica: Pick<Replica, 'model' | 'upstream'>): UpstreamReport | undefined {
   const report = Option.getOrUndefined(HashMap.get(state.reports, replica.upstream))
   if (report === undefined || report.probe <= state.probeFloor) return undefined
--- a/packages/placement/placement_state.ts
+++ b/packages/placement/placement_state.ts
@@ -45,6 +45,13 @@
   readonly attempts: number
 }
 
+/** An upstream whose processes the platform says have ended. */
+export interface GoneUpstream {
+  readonly upstream: string
+  /** Number of the last probe sent before; an answer to a later one shows a new process. */
+  readonly probe: number
+}
+
 /** What one process knows and has under way for the placement of one cell. */
 export interface PlacementState {
   readonly self: Holder
@@ -73,7 +80,7 @@
   readonly usages: HashMap.HashMap<string, Usage>
   /** Running requests per model and instance. */
   readonly running: HashMap.HashMap<string, number>
-  readonly gone: readonly string[]
+  readonly gone: readonly GoneUpstream[]
   readonly disclaimed: readonly string[]
   readonly recentStarts: RecentStarts
   /** Local time at which each load was first seen, in ms. */
--- a/packages/placement/reduce_placement.ts
+++ b/packages/placement/reduce_placement.ts
@@ -59,7 +59,7 @@
     case 'demanded': return step(_absorbDemand(state, event.demand, event.nowMs))
     case 'used': return step(_absorbUses(state, event))
     case 'catalog_changed': return step(_absorbCatalog(state, event))
-    case 'upstream_gone': return step({ ...state, gone: [...state.gone, event.upstream] })
+    case 'upstream_gone': return step(_absorbGone(state, event.upstream))
     case 'orders_disclaimed': return step(_absorbDisclaimer(state, event.orderIds))
     case 'stopping': return step({ ...state, stopping: true })
     case 'ticked': return step(state)
@@ -110,6 +110,7 @@
   const held: PlacementState = {
     ...seen.state,
     usages,
+    gone: tookOver ? [] : state.gone,
     leaseUntilMs: pending.sentAtMs + state.times.holderTtlMs,
     lastWriteMs: pending.sentAtMs,
     probeFloor: tookOver ? state.probes : state.probeFloor,
@@ -228,6 +229,11 @@
   return sum
 }
 
+// Only a holder acts on it, and at once: kept for later it could be applied to the upstream's next incarnation.
+function _absorbGone (state: PlacementState, upstream: string): PlacementState {
+  return isHolder(state) ? { ...state, gone: [...state.gone, { upstream, probe: state.probes }] } : state
+}
+
 type _CatalogChanged = Extract<PlacementEvent, { kind: 'catalog_changed' }>
 
 function _absorbCatalog (state: PlacementState, event: _CatalogChanged): PlacementState {
@@ -242,11 +248,12 @@
   return { ...state, touched, disclaimed: [...new Set([...state.disclaimed, ...orderIds])] }
 }
 
+// Recorded orders are handed out before the next write is made up, which takes an order that was not for void.
 function _advance (state: PlacementState, nowMs: number): _Step {
-  const written = _write(state, nowMs)
-  const sent = sendOrders(written.state, nowMs)
-  const probed = probeUpstreams(sent.state, nowMs)
-  return step(probed.state, [...written.effects, ...sent.effects, ...probed.effects])
+  const sent = sendOrders(state, nowMs)
+  const written = _write(sent.state, nowMs)
+  const probed = probeUpstreams(written.state, nowMs)
+  return step(probed.state, [...sent.effects, ...written.effects, ...probed.effects])
 }
 
 function _write (state: PlacementState, nowMs: number): _Step {
