--- a/packages/claims/apply_operation.ts
+++ b/packages/claims/apply_operation.ts
@@ -2,7 +2,7 @@
 import { MAX_BODY_BYTES, type Claim, type ClaimOutcome, type Shard, type Suspect } from './shard.ts'
 
 /** Time after which a permit that was never used up lapses, in ms. */
-const PERMIT_TTL_MS = 120_000
+const PERMIT_TTL_MS = 15_000
 
 /** Limits of a shard. */
 export interface ShardLimits {
@@ -49,6 +49,7 @@
     case 'release': return _release(shard, operation)
     case 'crash': return _crash(shard, operation, options)
     case 'permit': return _permit(shard, operation, options)
+    case 'yield': return _yield(shard, operation.fingerprint)
     case 'clear': return _clear(shard, operation.fingerprint)
   }
 }
@@ -126,6 +127,7 @@
   if (known?.crashes.includes(operation.attempt) === true) return { shard, answer: { kind: 'done' } }
   const suspect: Suspect = {
     crashes: [...known?.crashes ?? [], operation.attempt],
+    group: operation.group,
     changedAtMs: options.clockMs
   }
   return { shard: _withSuspect(shard, operation.fingerprint, suspect), answer: { kind: 'done' } }
@@ -136,13 +138,25 @@
 }
 
 function _permit (shard: Shard, operation: PermitOperation, options: ApplyOptions): Applied {
-  const known: Suspect = shard.suspects[operation.fingerprint] ?? { crashes: [], changedAtMs: options.clockMs }
+  const { fingerprint, group } = operation
+  const known: Suspect = shard.suspects[fingerprint] ?? { crashes: [], group, changedAtMs: options.clockMs }
   if (known.permit === operation.id) return { shard, answer: { kind: 'granted' } }
   if (known.crashes.length >= options.limits.maxCrashes) return { shard, answer: { kind: 'refused' } }
-  const lapsed = options.clockMs - known.changedAtMs > PERMIT_TTL_MS
-  if (known.permit !== undefined && !lapsed) return { shard, answer: { kind: 'busy', holder: known.permit } }
+  const running = Object.values(shard.suspects).find((suspect) => suspect.group === group && _isRunning(suspect, options))
+  if (running !== undefined) return { shard, answer: { kind: 'busy', holder: running.permit ?? '' } }
   const suspect: Suspect = { ...known, permit: operation.id, changedAtMs: options.clockMs }
-  return { shard: _withSuspect(shard, operation.fingerprint, suspect), answer: { kind: 'granted' } }
+  return { shard: _withSuspect(shard, fingerprint, suspect), answer: { kind: 'granted' } }
+}
+
+function _isRunning (suspect: Suspect, options: ApplyOptions): boolean {
+  return suspect.permit !== undefined && options.clockMs - suspect.changedAtMs <= PERMIT_TTL_MS
+}
+
+function _yield (shard: Shard, fingerprint: string): Applied {
+  const known = shard.suspects[fingerprint]
+  if (known?.permit === undefined) return { shard, answer: { kind: 'done' } }
+  const { permit: _given, ...suspect } = known
+  return { shard: _withSuspect(shard, fingerprint, suspect), answer: { kind: 'done' } }
 }
 
 function _clear (shard: Shard, fingerprint: string): Applied {
--- a/packages/claims/operation.ts
+++ b/packages/claims/operation.ts
@@ -37,14 +37,23 @@
 export interface CrashOperation extends _Common {
   readonly kind: 'crash'
   readonly fingerprint: string
+  readonly group: string
   /** Names the attempt, so that it counts once. */
   readonly attempt: string
 }
 
-/** Asks to run a suspect once more, apart from other runs of it. */
+/** Asks to run a suspect once more, apart from the other suspects of its group. */
 export interface PermitOperation extends _Common {
   readonly kind: 'permit'
   readonly fingerprint: string
+  /** Names the upstreams that the suspect may break, such as those of one cell. */
+  readonly group: string
+}
+
+/** Gives a permit back once the suspect has got past the point at which requests break upstreams. */
+export interface YieldOperation extends _Common {
+  readonly kind: 'yield'
+  readonly fingerprint: string
 }
 
 /** Clears a suspect that ran to its end. */
@@ -60,6 +69,7 @@
   | ReleaseOperation
   | CrashOperation
   | PermitOperation
+  | YieldOperation
   | ClearOperation
 
 /** What an operation came to. */
--- a/packages/claims/shard.ts
+++ b/packages/claims/shard.ts
@@ -27,6 +27,8 @@
 export interface Suspect {
   /** One entry per attempt during which an upstream broke. */
   readonly crashes: readonly string[]
+  /** Suspects of one group run one at a time. */
+  readonly group: string
   /** The operation that may run the request once more. */
   readonly permit?: string
   readonly changedAtMs: number
--- a/packages/instance/peer_client.ts
+++ b/packages/instance/peer_client.ts
@@ -30,6 +30,7 @@
   gossip (address: string, entries: readonly PeerEntry[]): ResultAsync<readonly PeerEntry[], PeerFailure>
   operate (address: string, operation: Operation): ResultAsync<OperationAnswer, PeerFailure>
   configuration (address: string): ResultAsync<PeerConfiguration | null, PeerFailure>
+  warn (address: string, fingerprint: string): ResultAsync<void, PeerFailure>
   suspect (address: string, upstream: string, forMs: number): ResultAsync<void, PeerFailure>
 }
 
@@ -86,6 +87,7 @@
       deadlineInMs: Math.min(Number.MAX_SAFE_INTEGER, deadlineMs - options.nowMs()), operation
     })),
     configuration: (address) => call(address, (client) => client.configuration.query()),
+    warn: (address, fingerprint) => call(address, (client) => client.warn.mutate({ fingerprint })),
     suspect: (address, upstream, forMs) => call(address, (client) => client.suspect.mutate({ upstream, forMs }))
   }
 }
--- a/packages/instance/peer_router.ts
+++ b/packages/instance/peer_router.ts
@@ -49,13 +49,15 @@
     Schema.Struct({ ...COMMON, kind: Schema.Literal('claim'), key: Schema.String, fingerprint: Schema.String, holder: Schema.String }),
     Schema.Struct({ ...COMMON, kind: Schema.Literal('settle'), key: Schema.String, claim: Schema.String, outcome: Schema.UndefinedOr(OutcomeSchema).pipe(Schema.optional) }),
     Schema.Struct({ ...COMMON, kind: Schema.Literal('release'), key: Schema.String, claim: Schema.String }),
-    Schema.Struct({ ...COMMON, kind: Schema.Literal('crash'), fingerprint: Schema.String, attempt: Schema.String }),
-    Schema.Struct({ ...COMMON, kind: Schema.Literal('permit'), fingerprint: Schema.String }),
+    Schema.Struct({ ...COMMON, kind: Schema.Literal('crash'), fingerprint: Schema.String, group: Schema.String, attempt: Schema.String }),
+    Schema.Struct({ ...COMMON, kind: Schema.Literal('permit'), fingerprint: Schema.String, group: Schema.String }),
+    Schema.Struct({ ...COMMON, kind: Schema.Literal('yield'), fingerprint: Schema.String }),
     Schema.Struct({ ...COMMON, kind: Schema.Literal('clear'), fingerprint: Schema.String })
   ])
 })
 
 const DisclaimerSchema = Schema.Struct({ orderIds: Schema.Array(Schema.String) })
+const WarningSchema = Schema.Struct({ fingerprint: Schema.String })
 const SuspicionSchema = Schema.Struct({ upstream: Schema.String, forMs: Schema.Number })
 
 /** A configuration as peers pass it on. */
@@ -72,6 +74,7 @@
   gossip (entries: readonly PeerEntry[]): readonly PeerEntry[]
   operate (operation: Operation): Promise<OperationAnswer>
   configuration (): PeerConfiguration | undefined
+  warn (fingerprint: string): void
   suspect (upstream: string, forMs: number): void
   nowMs (): number
 }
@@ -95,6 +98,8 @@
       return service.operate({ ...operation, deadlineMs })
     }),
     configuration: trpc.procedure.query(() => service.configuration() ?? null),
+    warn: trpc.procedure.input(Schema.toStandardSchemaV1(WarningSchema))
+      .mutation(({ input }) => service.warn(input.fingerprint)),
     suspect: trpc.procedure.input(Schema.toStandardSchemaV1(SuspicionSchema))
       .mutation(({ input }) => service.suspect(input.upstream, input.forMs))
   })
--- a/packages/instance/reduce_instance.ts
+++ b/packages/instance/reduce_instance.ts
@@ -97,11 +97,13 @@
     case 'release_claim':
     case 'record_crash':
     case 'ask_permit':
+    case 'yield_permit':
     case 'clear_suspect': {
       const operation = claimOperation(effect, {
         incarnation: state.self.incarnation, nowMs, number: state.operations, hash: state.requests.hash
       })
-      return _operate({ ...state, operations: state.operations + 1 }, operation, nowMs)
+      const operated = _operate({ ...state, operations: state.operations + 1 }, operation, nowMs)
+      return effect.kind === 'record_crash' ? _chain(operated, (s) => _warnPeers(s, effect.request.fingerprint, nowMs)) : operated
     }
     default: return step(state, [{ subject: 'requests', effect }])
   }
@@ -122,6 +124,12 @@
   return step(state, [{ subject: 'operate', to: home.incarnation === state.self.incarnation ? '' : home.address, operation }])
 }
 
+// A repeat may come to any instance at once, sooner than it would read of the crash.
+function _warnPeers (state: InstanceState, fingerprint: string, nowMs: number): _Step {
+  const others = liveEntries(state.membership, nowMs).filter((entry) => entry.incarnation !== state.self.incarnation)
+  return step(state, others.map((entry): InstanceEffect => ({ subject: 'warn', to: entry.address, fingerprint })))
+}
+
 function _claims (state: InstanceState, event: ClaimsEvent): _Step {
   const reduced = reduceClaims(state.claims, event)
   const next = { ...state, claims: reduced.state }
--- a/packages/instance/run_instance.ts
+++ b/packages/instance/run_instance.ts
@@ -145,6 +145,7 @@
       dispatch({ subject: 'claims', event: { kind: 'operation_asked', operation, nowMs: nowMs(), clockMs: Date.now() } })
     }),
     configuration: () => configuration,
+    warn: (fingerprint) => dispatch({ subject: 'requests', event: { kind: 'fingerprint_suspected', fingerprint, nowMs: nowMs() } }),
     suspect: (upstream, forMs) => dispatch({ subject: 'requests', event: { kind: 'upstream_suspected', upstream, forMs, nowMs: nowMs() } })
   }
 
@@ -304,6 +305,9 @@
         if (effect.effect.kind === 'read_shard') return await readShard(effect.effect.shard)
         if (effect.effect.kind === 'write_shard') return await writeShard(effect.effect.shard, effect.effect.expectedVersion, effect.effect.value)
         return answerOperation(effect.effect.operation, effect.effect.answer)
+      case 'warn':
+        await peers.warn(effect.to, effect.fingerprint)
+        return
       case 'membership': return await performMembership(effect.effect)
       case 'demand': return await demand(effect.to, effect.demand)
       case 'exchange': return await exchange(effect)
--- a/packages/placement/_probe_upstreams.ts
+++ b/packages/placement/_probe_upstreams.ts
@@ -12,15 +12,19 @@
   for (const upstream of state.catalog.upstreams.keys()) {
     if (!_isDue(next, upstream, nowMs)) continue
     const probe = next.probes + 1
-    next = { ...next, probes: probe, probedAtMs: HashMap.set(next.probedAtMs, upstream, nowMs) }
+    next = { ...next, probes: probe, lastProbes: HashMap.set(next.lastProbes, upstream, { probe, sentAtMs: nowMs, answered: false }) }
     effects.push({ kind: 'probe', upstream, probe, fence: next.cell?.fence ?? 0 })
   }
   return step(next, effects)
 }
 
+// One probe at a time: of two on their way at once, the later one may have looked at the engine first.
 function _isDue (state: PlacementState, upstream: string, nowMs: number): boolean {
-  const lastMs = Option.getOrElse(HashMap.get(state.probedAtMs, upstream), () => -Infinity)
+  const last = Option.getOrUndefined(HashMap.get(state.lastProbes, upstream))
+  if (last === undefined) return true
+  const ageMs = nowMs - last.sentAtMs
+  if (!last.answered && ageMs < state.times.probeTimeoutMs) return false
   const replicas = (state.cell?.replicas ?? []).filter((replica) => replica.upstream === upstream)
   const busy = replicas.some((replica) => replica.phase !== 'loaded' || replica.orders.length > 0)
-  return nowMs - lastMs >= (busy ? state.times.busyProbeMs : state.times.probeMs)
+  return ageMs >= (busy ? state.times.busyProbeMs : state.times.probeMs)
 }
--- a/packages/placement/placement_state.ts
+++ b/packages/placement/placement_state.ts
@@ -21,6 +21,8 @@
   readonly probeMs: number
   /** Time between probes of an upstream with a load, an unload or an unresolved order. */
   readonly busyProbeMs: number
+  /** A probe without an answer is given up after this time, and its answer ignored. */
+  readonly probeTimeoutMs: number
   /** Time from the record of an unload, at which routers stop using the replica, to the order itself. */
   readonly unloadSettleMs: number
 }
@@ -33,6 +35,7 @@
   writeTimeoutMs: 1000,
   probeMs: 2000,
   busyProbeMs: 200,
+  probeTimeoutMs: 1000,
   unloadSettleMs: 300
 }
 
@@ -45,6 +48,13 @@
   readonly attempts: number
 }
 
+/** A probe on its way or answered. */
+export interface SentProbe {
+  readonly probe: number
+  readonly sentAtMs: number
+  readonly answered: boolean
+}
+
 /** An upstream whose processes the platform says have ended. */
 export interface GoneUpstream {
   readonly upstream: string
@@ -67,7 +77,8 @@
   readonly leaseUntilMs: number
   readonly lastWriteMs: number
   readonly reports: HashMap.HashMap<string, UpstreamReport>
-  readonly probedAtMs: HashMap.HashMap<string, number>
+  /** The last probe of each upstream. */
+  readonly lastProbes: HashMap.HashMap<string, SentProbe>
   /** Number of probes sent. */
   readonly probes: number
   /** Statuses from probes up to this number are older than the lease. */
@@ -127,7 +138,7 @@
     leaseUntilMs: -Infinity,
     lastWriteMs: -Infinity,
     reports: HashMap.empty(),
-    probedAtMs: HashMap.empty(),
+    lastProbes: HashMap.empty(),
     probes: 0,
     probeFloor: 0,
     touched: HashMap.empty(),
--- a/packages/placement/reduce_placement.ts
+++ b/packages/placement/reduce_placement.ts
@@ -114,7 +114,7 @@
     leaseUntilMs: pending.sentAtMs + state.times.holderTtlMs,
     lastWriteMs: pending.sentAtMs,
     probeFloor: tookOver ? state.probes : state.probeFloor,
-    probedAtMs: tookOver ? HashMap.empty() : state.probedAtMs,
+    lastProbes: tookOver ? HashMap.empty() : state.lastProbes,
     recordedAtMs: _recordTimes(seen.state, event.nowMs)
   }
   return step(isHolder(held) ? held : { ...held, leaseUntilMs: -Infinity }, seen.effects)
@@ -175,10 +175,14 @@
 type _Reported = Extract<PlacementEvent, { kind: 'status_reported' }>
 
 function _absorbStatus (state: PlacementState, event: _Reported): PlacementState {
-  const known = Option.getOrUndefined(HashMap.get(state.reports, event.upstream))
-  if (known !== undefined && known.probe >= event.probe) return state
+  const last = Option.getOrUndefined(HashMap.get(state.lastProbes, event.upstream))
+  if (last === undefined || last.probe !== event.probe || last.answered) return state
   const report = { status: event.status, probe: event.probe, receivedAtMs: event.nowMs }
-  return { ...state, reports: HashMap.set(state.reports, event.upstream, report) }
+  return {
+    ...state,
+    reports: HashMap.set(state.reports, event.upstream, report),
+    lastProbes: HashMap.set(state.lastProbes, event.upstream, { ...last, answered: true })
+  }
 }
 
 function _absorbDemand (state: PlacementState, demand: Demand, nowMs: number): PlacementState {
--- a/packages/requests/_admit_request.ts
+++ b/packages/requests/_admit_request.ts
@@ -3,6 +3,7 @@
 import { customerLoad } from './_customer_load.ts'
 import { candidatesFor, enqueueRequest } from './_dispatch_requests.ts'
 import { refuseRequest, targetKey } from './_settle_request.ts'
+import { askPermit } from './_suspects.ts'
 import { refusal, type RefusalReason } from './refusal.ts'
 import type { ReceivedRequest, Request } from './request.ts'
 import type { RequestEffect } from './request_effect.ts'
@@ -21,7 +22,8 @@
 
 /** Takes a request in, or refuses it before anything was done for it. */
 export function admitRequest (state: RequestsState, received: ReceivedRequest, nowMs: number): _Step {
-  const request: Request = { ...received, phase: 'waiting', attempts: [], mayHaveRun: false, suspect: false }
+  const suspect = HashMap.has(state.suspects, received.fingerprint)
+  const request: Request = { ...received, phase: 'waiting', attempts: [], mayHaveRun: false, suspect }
   const rules = state.rules.customers.get(request.customer)
   const verdict = _judge(state, request, { rules, nowMs })
   if (verdict !== undefined || rules === undefined) {
@@ -120,6 +122,6 @@
     const next = { ...counted, requests: HashMap.set(counted.requests, request.id, claiming) }
     return step(next, [timer, { kind: 'claim', request: claiming }])
   }
-  const queued = enqueueRequest(counted, request, entry.nowMs)
+  const queued = request.suspect ? askPermit(counted, request) : enqueueRequest(counted, request, entry.nowMs)
   return step(queued.state, [timer, ...queued.effects])
 }
--- a/packages/requests/_fail_attempt.ts
+++ b/packages/requests/_fail_attempt.ts
@@ -1,6 +1,7 @@
 import { HashMap } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { freeSlot, refuseRequest } from './_settle_request.ts'
+import { suspectFingerprint } from './_suspects.ts'
 import type { RefusalReason } from './refusal.ts'
 import type { Request } from './request.ts'
 import type { AttemptFailure } from './request_event.ts'
@@ -42,7 +43,8 @@
     mayHaveRun: request.mayHaveRun || !ranNothing,
     suspect: request.suspect || _mayHaveCrashed(facts.failure)
   }
-  const known: RequestsState = { ...freed, requests: HashMap.set(freed.requests, request.id, failed) }
+  const told = _mayHaveCrashed(facts.failure) ? suspectFingerprint(freed, request.fingerprint, facts.nowMs) : freed
+  const known: RequestsState = { ...told, requests: HashMap.set(told.requests, request.id, failed) }
   const alarms = _alarms(failed, facts)
   const next = answering ? _refuse(known, failed, facts) : _retryOrRefuse(known, failed, facts)
   return step(next.state, [...alarms, ...next.effects])
--- a/packages/requests/reduce_requests.ts
+++ b/packages/requests/reduce_requests.ts
@@ -1,6 +1,7 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { admitRequest } from './_admit_request.ts'
+import { askPermit, suspectFingerprint } from './_suspects.ts'
 import { dispatchAll, dispatchTarget, enqueueRequest } from './_dispatch_requests.ts'
 import { failAttempt } from './_fail_attempt.ts'
 import { abandonRequest, answerRequest, currentAttempt, refuseRequest, replayRequest, targetKey } from './_settle_request.ts'
@@ -40,6 +41,7 @@
     case 'upstream_cleared': return dispatchAll(_changeLoad(state, event.upstream, (load) => ({
       ...load, suspectedUntilMs: -Infinity
     })), event.nowMs)
+    case 'fingerprint_suspected': return step(suspectFingerprint(state, event.fingerprint, event.nowMs))
     case 'rules_changed': return dispatchAll({ ...state, rules: event.rules, shares: event.shares }, event.nowMs)
     case 'draining': return step({ ...state, draining: true })
     case 'ticked': return dispatchAll(state, event.nowMs)
@@ -70,7 +72,9 @@
 
 function _startAnswer (state: RequestsState, request: Request, attempt: number): _Step {
   if (!_isCurrent(request, attempt)) return step(state)
-  return step({ ...state, requests: HashMap.set(state.requests, request.id, { ...request, phase: 'answering' }) })
+  const answering: Request = { ...request, phase: 'answering' }
+  const effects: readonly RequestEffect[] = request.suspect ? [{ kind: 'yield_permit', request: answering }] : []
+  return step({ ...state, requests: HashMap.set(state.requests, request.id, answering) }, effects)
 }
 
 type _Ended = Extract<RequestEvent, { kind: 'answer_ended' }>
@@ -107,7 +111,7 @@
 function _applyClaim (state: RequestsState, request: Request, event: _Claimed): _Step {
   if (request.phase !== 'claiming') return step(state)
   const { answer, nowMs } = event
-  if (answer.kind === 'granted') return enqueueRequest(state, request, nowMs)
+  if (answer.kind === 'granted') return request.suspect ? askPermit(state, request) : enqueueRequest(state, request, nowMs)
   if (answer.kind === 'completed') return replayRequest(state, request, { outcome: answer.outcome, nowMs })
   return refuseRequest(state, request, { reason: CLAIM_REASONS[answer.kind], nowMs })
 }
@@ -127,11 +131,7 @@
 
 function _retry (state: RequestsState, request: Request, nowMs: number): _Step {
   if (request.phase !== 'backing_off') return step(state)
-  if (!request.suspect) return enqueueRequest(state, request, nowMs)
-  const asking: Request = { ...request, phase: 'claiming' }
-  return step({ ...state, requests: HashMap.set(state.requests, request.id, asking) }, [
-    { kind: 'ask_permit', request: asking }
-  ])
+  return request.suspect ? askPermit(state, request) : enqueueRequest(state, request, nowMs)
 }
 
 function _passDeadline (state: RequestsState, request: Request, nowMs: number): _Step {
--- a/packages/requests/request_effect.ts
+++ b/packages/requests/request_effect.ts
@@ -9,6 +9,8 @@
   | { readonly kind: 'release_claim', readonly request: Request }
   | { readonly kind: 'record_crash', readonly request: Request, readonly upstream: string }
   | { readonly kind: 'ask_permit', readonly request: Request }
+  /** The suspect has got past the point at which requests break upstreams. */
+  | { readonly kind: 'yield_permit', readonly request: Request }
   | { readonly kind: 'clear_suspect', readonly request: Request }
   | { readonly kind: 'send', readonly request: Request, readonly attempt: number, readonly upstream: string }
   | { readonly kind: 'cancel', readonly id: string, readonly attempt: number }
--- a/packages/requests/request_event.ts
+++ b/packages/requests/request_event.ts
@@ -60,6 +60,7 @@
   | { readonly kind: 'upstream_reported', readonly upstream: string, readonly running: number, readonly leaving: boolean, readonly nowMs: number }
   | { readonly kind: 'upstream_suspected', readonly upstream: string, readonly forMs: number, readonly nowMs: number }
   | { readonly kind: 'upstream_cleared', readonly upstream: string, readonly nowMs: number }
+  | { readonly kind: 'fingerprint_suspected', readonly fingerprint: string, readonly nowMs: number }
   | { readonly kind: 'rules_changed', readonly rules: Rules, readonly shares: number, readonly nowMs: number }
   | { readonly kind: 'draining', readonly nowMs: number }
   | { readonly kind: 'ticked', readonly nowMs: number }
--- a/packages/requests/requests_state.ts
+++ b/packages/requests/requests_state.ts
@@ -31,6 +31,8 @@
   /** Upstream on which each fingerprint runs, so that concurrent repeats run together. */
   readonly running: HashMap.HashMap<string, string>
   readonly budget: RetryBudget
+  /** Local time at which each fingerprint was last told to break upstreams, in ms. */
+  readonly suspects: HashMap.HashMap<string, number>
   /** Local time of the last demand per model, in ms. */
   readonly demandedAtMs: HashMap.HashMap<string, number>
   /** Local time of the last use per model, in ms. */
@@ -70,6 +72,7 @@
     residencies: HashMap.empty(),
     running: HashMap.empty(),
     budget: fullRetryBudget(),
+    suspects: HashMap.empty(),
     demandedAtMs: HashMap.empty(),
     usedAtMs: HashMap.empty(),
     draining: false,
