Replay traces through the serving reducer and weigh models by their share

Change: a replica's record says whether a load of it may have run, and is then dropped only on a status. An idle model is priced by its share of an accelerator. Statuses that tell nothing new no longer make up a write.

--- a/packages/history/placement_world.ts
+++ b/packages/history/placement_world.ts
@@ -9,7 +9,7 @@
 import { createFakeStore, type FakeObject } from './fake_store.ts'
 import type { Fault } from './fault.ts'
 import type { PlacementRecord } from './placement_history.ts'
-import { createVirtualClock } from './virtual_clock.ts'
+import { createVirtualClock } from '@berylshed/replay'
 
 /** A reducer under test; a planted fault wraps the real one. */
 export type PlacementReducer = (state: PlacementState, event: PlacementEvent) => Step<PlacementState, PlacementEffect>
--- a/packages/history/request_world.ts
+++ b/packages/history/request_world.ts
@@ -11,7 +11,7 @@
 import { createFakeEngine, type FakeEngine } from './fake_engine.ts'
 import { createFakeStore, type FakeStore } from './fake_store.ts'
 import type { RequestRecord } from './request_history.ts'
-import { createVirtualClock } from './virtual_clock.ts'
+import { createVirtualClock } from '@berylshed/replay'
 
 /** The kinds of faults that strike the request world. */
 export type RequestFaultKind =
--- a/packages/placement/_evolve_cell.ts
+++ b/packages/placement/_evolve_cell.ts
@@ -32,8 +32,9 @@
   const replicas = cell.replicas.flatMap((replica) => {
     const orders = replica.orders.filter((order) => !_isSettled(state, cell, order))
     if (orders.length === replica.orders.length) return [replica]
-    const loadNeverRan = replica.phase === 'loading' && replica.orders.every((order) => _neverRan(state, cell, order))
-    return loadNeverRan ? [] : [{ ...replica, orders }]
+    const mayHaveRun = replica.mayHaveRun || !replica.orders.every((order) => orders.includes(order) || _neverRan(state, cell, order))
+    const loadNeverRan = replica.phase === 'loading' && orders.length === 0 && !mayHaveRun
+    return loadNeverRan ? [] : [{ ...replica, orders, mayHaveRun }]
   })
   return { ...cell, replicas }
 }
@@ -92,6 +93,7 @@
         upstreamIncarnation: report.status.incarnation,
         memoryMb: state.catalog.models.get(holding.model)?.memoryMb ?? holding.memoryMb,
         phase: _mayAdopt(state, cell, holding.model, upstream.name) ? holding.phase : 'unloading',
+        mayHaveRun: true,
         orders: []
       }))
   })
@@ -165,6 +167,7 @@
       upstreamIncarnation: order.upstreamIncarnation,
       memoryMb: state.catalog.models.get(decision.model)?.memoryMb ?? 0,
       phase: 'loading',
+      mayHaveRun: false,
       orders: [order]
     }]
   }
--- a/packages/placement/_probe_upstreams.ts
+++ b/packages/placement/_probe_upstreams.ts
@@ -24,7 +24,12 @@
   if (last === undefined) return true
   const ageMs = nowMs - last.sentAtMs
   if (!last.answered && ageMs < state.times.probeTimeoutMs) return false
-  const replicas = (state.cell?.replicas ?? []).filter((replica) => replica.upstream === upstream)
-  const busy = replicas.some((replica) => replica.phase !== 'loaded' || replica.orders.length > 0)
-  return ageMs >= (busy ? state.times.busyProbeMs : state.times.probeMs)
+  return ageMs >= (isBusy(state, upstream) ? state.times.busyProbeMs : state.times.probeMs)
+}
+
+/** Tells whether a load, an unload or an unresolved order is under way on an upstream. */
+export function isBusy (state: PlacementState, upstream: string): boolean {
+  return (state.cell?.replicas ?? []).some((replica) => {
+    return replica.upstream === upstream && (replica.phase !== 'loaded' || replica.orders.length > 0)
+  })
 }
--- /dev/null
+++ b/packages/placement/accelerator_share.ts
@@ -0,0 +1,21 @@
+import type { Catalog } from './catalog.ts'
+
+/**
+ * Gives the part of its upstream's accelerators that a replica of a model takes up.
+ *
+ * @param catalog The configuration.
+ * @param model The name of the model or adapter.
+ * @returns The share in accelerators, by memory, on the smallest upstream that can hold the model.
+ *
+ * @example
+ * ```ts
+ * console.log(acceleratorShare(catalog, 'toast-7b')) // 0.25
+ * ```
+ */
+export function acceleratorShare (catalog: Catalog, model: string): number {
+  const needMb = catalog.models.get(model)?.memoryMb ?? 0
+  const shares = [...catalog.upstreams.values()]
+    .filter((upstream) => upstream.memoryMb >= needMb && upstream.memoryMb > 0)
+    .map((upstream) => needMb / upstream.memoryMb * upstream.accelerators)
+  return shares.length === 0 ? 0 : Math.min(...shares)
+}
--- a/packages/placement/cell.ts
+++ b/packages/placement/cell.ts
@@ -35,6 +35,8 @@
   readonly upstreamIncarnation: string
   readonly memoryMb: number
   readonly phase: ReplicaPhase
+  /** Whether a load that is no longer among the orders may have been run; only a status then proves the replica gone. */
+  readonly mayHaveRun: boolean
   /** Orders for this replica that may still be executed. */
   readonly orders: readonly Order[]
 }
--- a/packages/placement/expected_cost_policy.ts
+++ b/packages/placement/expected_cost_policy.ts
@@ -1,3 +1,4 @@
+import { acceleratorShare } from './accelerator_share.ts'
 import { bucketBound, type Gaps } from './gaps.ts'
 import { Policy, type Scene } from './policy.ts'
 
@@ -6,6 +7,8 @@
 /** Longest time that an idle model is kept, in ms. */
 const MAX_KEEP_MS = 12 * 3_600_000
 const MS_PER_SECOND = 1000
+/** Share of an accelerator below which a model counts as this large. */
+const MIN_SHARE = 0.01
 
 /** Settings of an expected cost policy. */
 export interface ExpectedCostOptions {
@@ -49,12 +52,13 @@
     return frequency * this.#missCostMs(model, scene) / Math.max(1, entry?.memoryMb ?? 1)
   }
 
-  // A miss costs its wait, weighed against time on the share of the accelerators that the model takes.
+  // A miss costs its wait, in time during which the model's share of the accelerators could as well have idled.
   #missCostMs (model: string, scene: Scene): number {
     const entry = scene.catalog.models.get(model)
     if (entry === undefined) return 0
     const weight = scene.demands.get(model)?.coldStartWeight ?? entry.coldStartWeight
-    return this.#factor * weight * entry.loadMs
+    const share = Math.max(MIN_SHARE, acceleratorShare(scene.catalog, model))
+    return this.#factor * weight * entry.loadMs / share
   }
 }
 
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './accelerator_share.ts'
 export * from './admit_decision.ts'
 export * from './catalog.ts'
 export * from './cell.ts'
@@ -14,6 +15,7 @@
 export * from './fixed_keep_alive_policy.ts'
 export * from './gaps.ts'
 export * from './is_holder.ts'
+export * from './never_unload_policy.ts'
 export * from './order_is_dead.ts'
 export * from './outlook.ts'
 export * from './placement_effect.ts'
--- a/packages/placement/plan_decisions.ts
+++ b/packages/placement/plan_decisions.ts
@@ -182,6 +182,7 @@
   if (freeMb >= room.needMb) return { replicas: [], worth: -1 }
   const idle = scene.cell.replicas
     .filter((replica) => replica.upstream === room.upstream && _isIdle(scene, replica))
+    .filter((replica) => policy.mayEvict(replica.model, scene))
     .filter((replica) => !room.taken.some((d) => d.kind === 'unload' && d.model === replica.model && d.upstream === room.upstream))
     .map((replica) => ({ replica, worth: policy.worth(replica.model, scene) }))
     .sort((a, b) => a.worth - b.worth)
--- a/packages/placement/policy.ts
+++ b/packages/placement/policy.ts
@@ -40,6 +40,17 @@
    */
   abstract worth (model: string, scene: Scene): number
 
+  /**
+   * Tells whether an idle replica may be evicted for another model.
+   *
+   * @param _model The model's name.
+   * @param _scene What is known.
+   * @returns Whether eviction is allowed.
+   */
+  mayEvict (_model: string, _scene: Scene): boolean {
+    return true
+  }
+
   /**
    * Names models to load before anybody asks.
    *
--- a/packages/placement/reconcile_replica.ts
+++ b/packages/placement/reconcile_replica.ts
@@ -33,5 +33,7 @@
     return { ...replica, upstreamIncarnation, orders, phase: 'loading' }
   }
   const phase = replica.phase === 'unloading' || replica.phase === 'vacated' ? 'unloading' : holding.phase
-  return { ...replica, upstreamIncarnation, orders, phase }
+  const same = phase === replica.phase && orders.length === replica.orders.length && replica.mayHaveRun
+  if (same && upstreamIncarnation === replica.upstreamIncarnation) return replica
+  return { ...replica, upstreamIncarnation, orders, phase, mayHaveRun: true }
 }
--- a/packages/placement/reduce_placement.ts
+++ b/packages/placement/reduce_placement.ts
@@ -2,7 +2,7 @@
 import { step, type Step } from '@berylshed/reducer'
 import { evolveCell, type Evolution } from './_evolve_cell.ts'
 import { backOffWrite, renewalIsDue, repeatWrite, startWrite, takeOver } from './_hold_lease.ts'
-import { probeUpstreams } from './_probe_upstreams.ts'
+import { isBusy, probeUpstreams } from './_probe_upstreams.ts'
 import { replicaKey } from './_replica_key.ts'
 import { DEMAND_TTL_MS } from './_scene_of.ts'
 import { disclaimOrders, sendOrders } from './_send_orders.ts'
@@ -35,13 +35,23 @@
  */
 export function reducePlacement (state: PlacementState, event: PlacementEvent): _Step {
   const absorbed = _absorb(state, event)
-  const advanced = _advance(absorbed.state, event.nowMs)
+  const advanced = _mayChangeCell(state, event) ? _advance(absorbed.state, event.nowMs) : step<PlacementState, PlacementEffect>(absorbed.state)
   const effects = [...absorbed.effects, ...advanced.effects]
   if (event.kind !== 'demanded') return step(advanced.state, effects)
   const outlook = _outlook(advanced.state, event.demand.model, event.nowMs)
   return step(advanced.state, [...effects, { kind: 'answer_demand', call: event.call, outlook }])
 }
 
+// Most statuses tell what is known already, and most uses only matter at the next tick.
+function _mayChangeCell (state: PlacementState, event: PlacementEvent): boolean {
+  if (event.kind === 'used') return false
+  if (event.kind !== 'status_reported') return true
+  const known = Option.getOrUndefined(HashMap.get(state.reports, event.upstream))?.status
+  if (known === undefined || known.incarnation !== event.status.incarnation || known.fence !== event.status.fence) return true
+  if (known.leaving !== event.status.leaving || known.holdings.length !== event.status.holdings.length) return true
+  return isBusy(state, event.upstream)
+}
+
 function _outlook (state: PlacementState, model: string, nowMs: number): Outlook {
   if (!isHolder(state)) return { model, state: 'not_holder', readyInMs: 0 }
   return outlookFor(state, model, nowMs)
@@ -293,7 +303,8 @@
     const other = b.replicas[i]
     if (other === undefined || replica.orders.length !== other.orders.length) return false
     return replica === other || (replica.model === other.model && replica.upstream === other.upstream &&
-      replica.phase === other.phase && replica.upstreamIncarnation === other.upstreamIncarnation)
+      replica.phase === other.phase && replica.mayHaveRun === other.mayHaveRun &&
+      replica.upstreamIncarnation === other.upstreamIncarnation)
   })
 }
 
--- /dev/null
+++ b/packages/replay/clairvoyant_policy.ts
@@ -0,0 +1,56 @@
+import { acceleratorShare, Policy, type Scene } from '@berylshed/placement'
+import type { TraceRequest } from './trace.ts'
+
+/**
+ * Knows when each model will be asked for next; a bound for policies that load on demand.
+ *
+ * It keeps a model exactly when the coming idle period costs less than the cold start after it, and evicts the model
+ * whose next use is furthest away (Belady, A study of replacement algorithms, IBM Systems Journal 1966). It does not
+ * load before a request, which would make every cold start vanish.
+ */
+export class ClairvoyantPolicy extends Policy {
+  readonly name = 'clairvoyant'
+  readonly #arrivals = new Map<string, number[]>()
+
+  /**
+   * @param trace The trace that will be replayed.
+   * @param baseOf Gives the base of an adapter.
+   */
+  constructor (trace: readonly TraceRequest[], baseOf: (model: string) => string | undefined) {
+    super()
+    for (const request of trace) {
+      this.#add(request.model, request.at_ms)
+      const base = baseOf(request.model)
+      if (base !== undefined) this.#add(base, request.at_ms)
+    }
+  }
+
+  override keepAliveMs (model: string, scene: Scene): number {
+    const entry = scene.catalog.models.get(model)
+    const gapMs = this.#nextUseMs(model, scene.nowMs) - scene.usage(model).lastUsedMs
+    const share = acceleratorShare(scene.catalog, model)
+    return gapMs * share < (entry?.coldStartWeight ?? 1) * (entry?.loadMs ?? 0) ? Infinity : 0
+  }
+
+  override worth (model: string, scene: Scene): number {
+    return -this.#nextUseMs(model, scene.nowMs)
+  }
+
+  #add (model: string, atMs: number): void {
+    const known = this.#arrivals.get(model) ?? []
+    known.push(atMs)
+    this.#arrivals.set(model, known)
+  }
+
+  #nextUseMs (model: string, nowMs: number): number {
+    const arrivals = this.#arrivals.get(model) ?? []
+    let low = 0
+    let high = arrivals.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if ((arrivals[middle] ?? 0) < nowMs) low = middle + 1
+      else high = middle
+    }
+    return arrivals[low] ?? Infinity
+  }
+}
--- /dev/null
+++ b/packages/replay/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Replay of recorded traces through the reducer that serves, in virtual time.
+ *
+ * @module
+ */
+export * from './clairvoyant_policy.ts'
+export * from './generate_trace.ts'
+export * from './policies.ts'
+export * from './replay_figures.ts'
+export * from './replay_trace.ts'
+export * from './trace.ts'
+export * from './virtual_clock.ts'
