Blend each model's idle periods with those of all models

Cause: at equal idle hours the policy met more cold starts than fixed 10 minutes: most models are seen so seldom that their own histogram of four or more gaps is chance. Change: the idle periods of all models together count as 10 observations beside a model's own.

--- a/packages/placement/_scene_of.ts
+++ b/packages/placement/_scene_of.ts
@@ -16,6 +16,7 @@
     catalog: state.catalog,
     demands: _currentDemands(state, nowMs),
     usage: (model) => Option.getOrElse(HashMap.get(state.usages, model), () => newUsage(nowMs)),
+    allGaps: state.allGaps,
     report: (upstream) => Option.getOrUndefined(HashMap.get(state.reports, upstream)),
     cachedOn: () => false
   }
--- a/packages/placement/expected_cost_policy.ts
+++ b/packages/placement/expected_cost_policy.ts
@@ -1,9 +1,11 @@
 import { acceleratorShare } from './accelerator_share.ts'
-import { bucketBound, type Gaps } from './gaps.ts'
+import { blendGaps, bucketBound, type Gaps } from './gaps.ts'
 import { Policy, type Scene } from './policy.ts'
 
-/** Observations below which the histogram is not trusted. */
-const MIN_OBSERVATIONS = 4
+/** Observations of all models below which no histogram is trusted. */
+const MIN_OBSERVATIONS = 20
+/** Observations that the idle periods of all models count for beside a model's own. */
+const PRIOR_OBSERVATIONS = 10
 /** Longest time that an idle model is kept, in ms. */
 const MAX_KEEP_MS = 12 * 3_600_000
 const MS_PER_SECOND = 1000
@@ -39,8 +41,8 @@
 
   override keepAliveMs (model: string, scene: Scene): number {
     const missCostMs = this.#missCostMs(model, scene)
-    const { gaps } = scene.usage(model)
-    if (gaps.total < MIN_OBSERVATIONS) return Math.min(MAX_KEEP_MS, missCostMs)
+    if (scene.allGaps.total < MIN_OBSERVATIONS) return Math.min(MAX_KEEP_MS, missCostMs)
+    const gaps = blendGaps(scene.usage(model).gaps, scene.allGaps, { observations: PRIOR_OBSERVATIONS })
     return _cheapestKeepMs(gaps, missCostMs)
   }
 
--- a/packages/placement/gaps.ts
+++ b/packages/placement/gaps.ts
@@ -4,7 +4,7 @@
 const BUCKET_RATIO = 1.3
 /** Number of buckets; the last one reaches beyond three days. */
 const BUCKETS = 48
-/** Factor by which older observations lose weight at each new one. */
+/** Factor by which older observations of one model lose weight at each new one. */
 const DECAY = 0.97
 
 /** A decaying histogram of the lengths of idle periods. */
@@ -43,11 +43,17 @@
   return FIRST_BUCKET_MS * BUCKET_RATIO ** bucket
 }
 
+/** How a histogram forgets. */
+export interface GapOptions {
+  readonly decay?: number
+}
+
 /**
  * Adds the length of one idle period to a histogram.
  *
  * @param gaps The histogram.
  * @param gapMs The length of the idle period in ms.
+ * @param options The factor by which older observations lose weight.
  * @returns The histogram with older observations decayed.
  *
  * @example
@@ -55,11 +61,33 @@
  * console.log(addGap(emptyGaps(), 5000).total) // 1
  * ```
  */
-export function addGap (gaps: Gaps, gapMs: number): Gaps {
+export function addGap (gaps: Gaps, gapMs: number, options: GapOptions = {}): Gaps {
   // Gaps below the first bucket come from requests of one burst and say nothing about keeping a model.
   if (gapMs < FIRST_BUCKET_MS) return gaps
+  const decay = options.decay ?? DECAY
   const bucket = Math.min(BUCKETS - 1, Math.ceil(Math.log(gapMs / FIRST_BUCKET_MS) / Math.log(BUCKET_RATIO)))
   const length = Math.max(gaps.weights.length, bucket + 1)
-  const weights = Array.from({ length }, (_, i) => (gaps.weights[i] ?? 0) * DECAY + (i === bucket ? 1 : 0))
-  return { weights, total: gaps.total * DECAY + 1 }
+  const weights = Array.from({ length }, (_, i) => (gaps.weights[i] ?? 0) * decay + (i === bucket ? 1 : 0))
+  return { weights, total: gaps.total * decay + 1 }
+}
+
+/**
+ * Adds a prior to a histogram, for models that were seen too seldom.
+ *
+ * @param gaps The model's own histogram.
+ * @param prior The histogram of all models together.
+ * @param options The number of observations that the prior counts for.
+ * @returns The blended histogram.
+ *
+ * @example
+ * ```ts
+ * console.log(blendGaps(emptyGaps(), addGap(emptyGaps(), 5000), { observations: 8 }).total) // 8
+ * ```
+ */
+export function blendGaps (gaps: Gaps, prior: Gaps, options: { readonly observations: number }): Gaps {
+  if (prior.total === 0) return gaps
+  const scale = options.observations / prior.total
+  const length = Math.max(gaps.weights.length, prior.weights.length)
+  const weights = Array.from({ length }, (_, i) => (gaps.weights[i] ?? 0) + scale * (prior.weights[i] ?? 0))
+  return { weights, total: gaps.total + options.observations }
 }
--- a/packages/placement/placement_state.ts
+++ b/packages/placement/placement_state.ts
@@ -2,6 +2,7 @@
 import type { Catalog } from './catalog.ts'
 import type { Cell, Holder } from './cell.ts'
 import type { ReceivedDemand } from './demand.ts'
+import { emptyGaps, type Gaps } from './gaps.ts'
 import type { OrderAnswer } from './placement_event.ts'
 import type { Policy } from './policy.ts'
 import type { UpstreamReport } from './upstream_status.ts'
@@ -89,6 +90,8 @@
   readonly sent: HashMap.HashMap<string, OrderAnswer | 'sending'>
   readonly demands: HashMap.HashMap<string, ReceivedDemand>
   readonly usages: HashMap.HashMap<string, Usage>
+  /** Idle periods of all models together. */
+  readonly allGaps: Gaps
   /** Running requests per model and instance. */
   readonly running: HashMap.HashMap<string, number>
   readonly gone: readonly GoneUpstream[]
@@ -145,6 +148,7 @@
     sent: HashMap.empty(),
     demands: HashMap.empty(),
     usages: HashMap.empty(),
+    allGaps: emptyGaps(),
     running: HashMap.empty(),
     gone: [],
     disclaimed: [],
--- a/packages/placement/policy.ts
+++ b/packages/placement/policy.ts
@@ -1,6 +1,7 @@
 import type { Catalog } from './catalog.ts'
 import type { Cell } from './cell.ts'
 import type { ReceivedDemand } from './demand.ts'
+import type { Gaps } from './gaps.ts'
 import type { UpstreamReport } from './upstream_status.ts'
 import type { Usage } from './usage.ts'
 
@@ -12,6 +13,8 @@
   /** The current demand of each model that somebody waits for. */
   readonly demands: ReadonlyMap<string, ReceivedDemand>
   usage (model: string): Usage
+  /** The idle periods of all models together. */
+  readonly allGaps: Gaps
   report (upstream: string): UpstreamReport | undefined
   /** Whether the upstream is known to hold the model's checkpoint near the accelerator. */
   cachedOn (model: string, upstream: string): boolean
--- a/packages/placement/reduce_placement.ts
+++ b/packages/placement/reduce_placement.ts
@@ -8,6 +8,7 @@
 import { disclaimOrders, sendOrders } from './_send_orders.ts'
 import type { Cell, Replica } from './cell.ts'
 import type { Demand } from './demand.ts'
+import { addGap } from './gaps.ts'
 import { isHolder, mayDecide } from './is_holder.ts'
 import { outlookFor, type Outlook } from './outlook.ts'
 import type { PlacementEffect } from './placement_effect.ts'
@@ -198,7 +199,7 @@
 function _absorbDemand (state: PlacementState, demand: Demand, nowMs: number): PlacementState {
   const received = { ...demand, receivedAtMs: nowMs }
   const demands = HashMap.set(state.demands, `${demand.model}@${demand.instance}`, received)
-  return { ...state, demands, usages: _use(state.usages, _withBase(state, demand.model), nowMs) }
+  return _use({ ...state, demands }, _withBase(state, demand.model), nowMs)
 }
 
 function _withBase (state: PlacementState, model: string): readonly string[] {
@@ -206,11 +207,18 @@
   return base === undefined ? [model] : [model, base]
 }
 
-function _use (usages: PlacementState['usages'], models: readonly string[], nowMs: number): PlacementState['usages'] {
+/** Factor by which the idle periods of all models lose weight at each new one. */
+const ALL_GAPS_DECAY = 0.999
+
+function _use (state: PlacementState, models: readonly string[], atMs: number): PlacementState {
   return models.reduce((known, model) => {
-    const usage: Usage = Option.getOrElse(HashMap.get(known, model), () => newUsage(nowMs))
-    return HashMap.set(known, model, recordUse(usage, nowMs))
-  }, usages)
+    const usage: Usage = Option.getOrElse(HashMap.get(known.usages, model), () => newUsage(atMs))
+    const used = recordUse(usage, atMs)
+    const allGaps = used.gaps === usage.gaps
+      ? known.allGaps
+      : addGap(known.allGaps, atMs - usage.lastUsedMs, { decay: ALL_GAPS_DECAY })
+    return { ...known, allGaps, usages: HashMap.set(known.usages, model, used) }
+  }, state)
 }
 
 type _Used = Extract<PlacementEvent, { kind: 'used' }>
@@ -222,10 +230,10 @@
 function _absorbUse (state: PlacementState, event: _Used, use: ModelUse): PlacementState {
   const running = HashMap.set(state.running, `${use.model}@${event.instance}`, use.running)
   const models = _withBase(state, use.model)
-  const used = _use(state.usages, models, event.nowMs - use.idleForMs)
-  const usages = HashMap.modify(used, use.model, (usage) => ({ ...usage, running: _runningOf(running, use.model) }))
+  const used = _use(state, models, event.nowMs - use.idleForMs)
+  const usages = HashMap.modify(used.usages, use.model, (usage) => ({ ...usage, running: _runningOf(running, use.model) }))
   const demands = _settleDemand(state, event, use)
-  return { ...state, running, usages, demands }
+  return { ...used, running, usages, demands }
 }
 
 function _settleDemand (state: PlacementState, event: _Used, use: ModelUse): PlacementState['demands'] {
