--- /dev/null
+++ b/packages/configuration/diff_customers.ts
@@ -0,0 +1,40 @@
+import type { Document } from './document.ts'
+import { resolveCustomer, type ResolvedCustomer } from './resolve_customer.ts'
+
+/** What a change does to one customer. */
+export interface CustomerChange {
+  readonly name: string
+  /** Undefined where the customer is new or could not be resolved. */
+  readonly before: ResolvedCustomer | undefined
+  /** Undefined where the customer goes. */
+  readonly after: ResolvedCustomer | undefined
+}
+
+/**
+ * Lists the customers that a change of the configuration changes.
+ *
+ * @param before The configuration in force.
+ * @param after The changed configuration.
+ * @returns The changed customers with both sides, ordered by name.
+ *
+ * @example
+ * ```ts
+ * for (const change of diffCustomers(before, after)) console.log(change.name)
+ * ```
+ */
+export function diffCustomers (before: Document, after: Document): readonly CustomerChange[] {
+  const old = _resolveAll(before)
+  const next = _resolveAll(after)
+  return [...new Set([...old.keys(), ...next.keys()])]
+    .map((name) => ({ name, before: old.get(name), after: next.get(name) }))
+    .filter((change) => JSON.stringify(change.before) !== JSON.stringify(change.after))
+    .sort((a, b) => a.name < b.name ? -1 : 1)
+}
+
+function _resolveAll (document: Document): ReadonlyMap<string, ResolvedCustomer> {
+  const resolved = document.customers.flatMap((customer) => {
+    const template = document.templates.find((candidate) => candidate.name === customer.template)
+    return template === undefined ? [] : resolveCustomer(customer, template).match((value) => [value], () => [])
+  })
+  return new Map(resolved.map((customer) => [customer.name, customer]))
+}
--- a/packages/configuration/mod.ts
+++ b/packages/configuration/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './diff_customers.ts'
 export * from './document.ts'
 export * from './find_problems.ts'
 export * from './resolve_customer.ts'
--- /dev/null
+++ b/packages/ctl/admin_client.ts
@@ -0,0 +1,59 @@
+import { httpCall, type HttpCall } from '@berylshed/platform'
+import { err, ok, type Result } from 'neverthrow'
+import { EXIT_CODE, type ExitCode } from './exit_code.ts'
+
+const TIMEOUT_MS = 5000
+const CONFLICT = 409
+const UNPROCESSABLE = 422
+const FIRST_ERROR = 400
+
+/** Where operators reach an instance, and with which key. */
+export interface AdminTarget {
+  readonly address: string
+  readonly key: string
+}
+
+/** Why a call has no value to show. */
+export interface AdminFailure {
+  readonly exitCode: ExitCode
+  /** The instance's answer, or a message. */
+  readonly detail: unknown
+}
+
+/**
+ * Calls the operators' interface of an instance.
+ *
+ * @param target The instance and the key.
+ * @param call Method, path and body.
+ * @returns The answer's JSON value, or the failure with the exit code that stands for it.
+ *
+ * @example
+ * ```ts
+ * const status = await callAdmin({ address: 'http://127.0.0.1:8100', key }, { method: 'GET', path: '/status' })
+ * ```
+ */
+export async function callAdmin (target: AdminTarget, call: AdminCall): Promise<Result<unknown, AdminFailure>> {
+  const answer = await httpCall({
+    method: call.method,
+    url: `${target.address}${call.path}`,
+    headers: { authorization: `Bearer ${target.key}` },
+    timeoutMs: TIMEOUT_MS,
+    ...call.body === undefined ? {} : { body: call.body }
+  })
+  if (answer.isErr()) return err({ exitCode: EXIT_CODE.unreachable, detail: `Cannot reach ${target.address}: ${answer.error.message}` })
+  const value: unknown = JSON.parse(answer.value.body)
+  if (answer.value.status < FIRST_ERROR) return ok(value)
+  return err({ exitCode: _exitCode(answer.value.status), detail: value })
+}
+
+/** A call of the operators' interface. */
+export interface AdminCall {
+  readonly method: HttpCall['method']
+  readonly path: string
+  readonly body?: string
+}
+
+function _exitCode (status: number): ExitCode {
+  if (status === CONFLICT) return EXIT_CODE.conflict
+  return status === UNPROCESSABLE ? EXIT_CODE.findings : EXIT_CODE.failed
+}
--- /dev/null
+++ b/packages/ctl/format_table.ts
@@ -0,0 +1,25 @@
+/**
+ * Renders records as a table for people.
+ *
+ * @param rows The records; the first one's keys are the columns.
+ * @returns The table, one line per record below a line of headings.
+ *
+ * @example
+ * ```ts
+ * process.stdout.write(formatTable([{ name: 'toast-7b', decided: 1 }]))
+ * ```
+ */
+export function formatTable (rows: ReadonlyArray<Readonly<Record<string, unknown>>>): string {
+  const first = rows[0]
+  if (first === undefined) return '(none)\n'
+  const columns = Object.keys(first)
+  const cells = [columns, ...rows.map((row) => columns.map((column) => _text(row[column])))]
+  const widths = columns.map((_, i) => Math.max(...cells.map((line) => line[i]?.length ?? 0)))
+  return cells.map((line) => `${line.map((cell, i) => cell.padEnd(widths[i] ?? 0)).join('  ').trimEnd()}\n`).join('')
+}
+
+function _text (value: unknown): string {
+  if (typeof value === 'string') return value
+  if (Array.isArray(value) && value.every((item) => typeof item === 'object')) return value.map((item) => Object.values(item as object).join(':')).join(' ')
+  return JSON.stringify(value) ?? ''
+}
--- /dev/null
+++ b/packages/ctl/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The operators' command line.
+ *
+ * @module
+ */
+export * from './admin_client.ts'
+export * from './exit_code.ts'
+export * from './format_table.ts'
+export * from './replay_command.ts'
--- /dev/null
+++ b/packages/ctl/replay_command.ts
@@ -0,0 +1,81 @@
+import { readFile } from 'node:fs/promises'
+import { dirname, resolve } from 'node:path'
+import { DocumentSchema, findProblems, resolveCustomer, type Document } from '@berylshed/configuration'
+import { createPolicy, generateTrace, readTrace, replayTrace, type PolicyName, type ReplayFigures, type TraceRequest } from '@berylshed/replay'
+import { readDocument, readSettings, type Finding, type Settings } from '@berylshed/settings'
+import { err, ok, type Result } from 'neverthrow'
+
+interface _Loaded {
+  readonly settings: Settings
+  readonly document: Document
+}
+
+/** What a replay is asked for. */
+export interface ReplayCommand {
+  readonly trace: string
+  readonly settings: string
+  readonly policy: PolicyName
+}
+
+/**
+ * Replays a trace file against the deployment that a settings file names.
+ *
+ * @param command The files and the policy.
+ * @returns The figures, or every finding in the files.
+ *
+ * @example
+ * ```ts
+ * const figures = await runReplay({ trace: 'week.jsonl', settings: 'examples/redenwerk.toml', policy: 'expected-cost' })
+ * ```
+ */
+export async function runReplay (command: ReplayCommand): Promise<Result<ReplayFigures, readonly Finding[]>> {
+  const loaded = await _load(command.settings)
+  if (loaded.isErr()) return err(loaded.error)
+  const trace = readTrace(await readFile(command.trace, 'utf8'), { source: command.trace })
+  if (trace.isErr()) return err(trace.error)
+  const { settings, document } = loaded.value
+  const policy = createPolicy(command.policy, trace.value, document)
+  return ok(replayTrace(trace.value, { document, settings, policy }))
+}
+
+/** What a trace is generated for. */
+export interface TraceCommand {
+  readonly settings: string
+  readonly days: number
+  readonly seed: number
+}
+
+/**
+ * Generates a trace for the deployment that a settings file names.
+ *
+ * @param command The file, the length and the seed.
+ * @returns The trace, or every finding in the files.
+ *
+ * @example
+ * ```ts
+ * const trace = await runTrace({ settings: 'examples/plamak.toml', days: 1, seed: 41 })
+ * ```
+ */
+export async function runTrace (command: TraceCommand): Promise<Result<readonly TraceRequest[], readonly Finding[]>> {
+  const loaded = await _load(command.settings)
+  return loaded.map(({ document }) => generateTrace(document, { seed: command.seed, days: command.days, customers: _customers(document) }))
+}
+
+function _customers (document: Document): ReadonlyArray<{ readonly name: string, readonly deadlineMs: number }> {
+  return document.customers.flatMap((customer) => {
+    const template = document.templates.find((candidate) => candidate.name === customer.template)
+    return template === undefined ? [] : resolveCustomer(customer, template).match((resolved) => [resolved], () => [])
+  })
+}
+
+async function _load (file: string): Promise<Result<_Loaded, readonly Finding[]>> {
+  const settings = readSettings(await readFile(file, 'utf8'), { source: file })
+  if (settings.isErr()) return err(settings.error)
+  const deployment = settings.value.stand_ins?.deployment
+  if (deployment === undefined) return err([{ source: file, line: undefined, path: 'stand_ins', message: 'Missing table; name a deployment' }])
+  const path = resolve(dirname(file), deployment)
+  return readDocument(await readFile(path, 'utf8'), DocumentSchema, { source: path }).andThen((document) => {
+    const problems = findProblems(document, path)
+    return problems.length === 0 ? ok({ settings: settings.value, document }) : err(problems)
+  })
+}
--- a/packages/instance/admin_server.ts
+++ b/packages/instance/admin_server.ts
@@ -1,6 +1,6 @@
 import { createHash, timingSafeEqual } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { DocumentSchema, findProblems } from '@berylshed/configuration'
+import { diffCustomers, DocumentSchema, findProblems, type Document } from '@berylshed/configuration'
 import { liveEntries } from '@berylshed/membership'
 import { committedMemory, countReplicas } from '@berylshed/placement'
 import type { Store } from '@berylshed/platform'
@@ -44,6 +44,7 @@
       if (role !== 'operate') return _answer(response, 403, { error: 'Cannot change configuration: the key may only read; use an operator key' })
       return await applyConfiguration(request, response, Number(url.searchParams.get('version')))
     }
+    if (request.method === 'POST' && url.pathname === '/configuration/preview') return await preview(request, response)
     if (request.method !== 'GET') return _answer(response, 405, { error: `Cannot accept call: ${request.method ?? ''} is not supported here; see docs/OPERATING.md` })
     _read(url.pathname, response, options)
   }
@@ -59,6 +60,15 @@
     _answer(response, 409, { error: `Cannot apply configuration: version ${version} was seen, but ${current.version} is current; merge and apply again`, current })
   }
 
+  async function preview (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const text = await _readBody(request)
+    const findings = _check(text)
+    const current = options.state().deployment
+    if (findings.length > 0) return _answer(response, 422, { error: 'Cannot preview configuration: it has findings; correct them', findings })
+    if (current === undefined) return _answer(response, 503, { error: 'Cannot preview configuration: none is in force yet; wait for one' })
+    _answer(response, 200, { version: current.version, customers: diffCustomers(current.document, JSON.parse(text) as Document) })
+  }
+
   return createServer((request, response) => {
     handle(request, response).catch((error: unknown) => _answer(response, 500, { error: String(error) }))
   })
@@ -78,6 +88,9 @@
   if (path === '/status') return _answer(response, 200, _status(state, options))
   if (path === '/models') return _answer(response, 200, _models(state))
   if (path === '/upstreams') return _answer(response, 200, _upstreams(state))
+  if (path === '/customers') return _answer(response, 200, [...state.deployment?.customers.values() ?? []])
+  if (path === '/templates') return _answer(response, 200, state.deployment?.document.templates ?? [])
+  if (path === '/configuration/in-force') return _answer(response, 200, _inForce(state, options))
   if (path === '/configuration') return _answer(response, 200, { version: state.deployment?.version ?? 0, document: state.deployment?.document })
   if (path.startsWith('/explain/')) return _answer(response, 200, explainModel(state, decodeURIComponent(path.slice('/explain/'.length)), options.nowMs()))
   _answer(response, 404, { error: `Cannot find ${path}; see docs/OPERATING.md` })
@@ -95,6 +108,13 @@
   }
 }
 
+function _inForce (state: InstanceState, options: AdminServerOptions): unknown {
+  return liveEntries(state.membership, options.nowMs()).map((entry) => ({
+    instance: entry.name,
+    version: entry.incarnation === state.self.incarnation ? state.deployment?.version ?? 0 : entry.configuration
+  }))
+}
+
 function _models (state: InstanceState): unknown {
   const { cell, catalog } = state.placement
   return [...catalog.models.values()].map((model) => ({
--- a/packages/instance/run_instance_test.ts
+++ b/packages/instance/run_instance_test.ts
@@ -1,98 +1,165 @@
-import { readFile } from 'node:fs/promises'
-import { DocumentSchema } from '@berylshed/configuration'
-import { HttpStore } from '@berylshed/platform'
-import { readDocument, readSettings, type Settings } from '@berylshed/settings'
+import { connect } from 'node:net'
 import test from 'ava'
-import { runInstance, type RunningInstance } from './run_instance.ts'
-import { startStandIns, type StandIns } from './start_stand_ins.ts'
+import { callInstance, EXAMPLE_KEY, startTestSystem, stopTestSystem, sumEngines, until, type TestSystem } from './_test_system.ts'
 
-const KEY = 'example-key-0000000000'
-const EXAMPLES = new URL('../../examples/', import.meta.url)
+const CHAT = '/v1/chat/completions'
+const MODEL = 'keynote-7b'
 
-interface System {
-  readonly standIns: StandIns
-  readonly instances: readonly RunningInstance[]
+interface ErrorBody {
+  readonly error: { readonly code: string, readonly type: string, readonly outcome: string, readonly message: string }
 }
 
-async function settingsFor (name: string): Promise<Settings> {
-  const text = await readFile(new URL('redenwerk.toml', EXAMPLES), 'utf8')
-  const settings = readSettings(text, { source: 'redenwerk.toml' })._unsafeUnwrap()
-  const instance = { ...settings.instance, name, http_port: 0, peer_port: 0, admin_port: 0 }
-  return { ...settings, instance, requests: { ...settings.requests, drain_ms: 1 } }
+async function errorOf (answer: Response): Promise<unknown> {
+  const { error } = await answer.json() as ErrorBody
+  return { status: answer.status, code: error.code, type: error.type, outcome: error.outcome, message: error.message }
 }
 
-async function startSystem (count: number): Promise<System> {
-  const text = await readFile(new URL('redenwerk_deployment.toml', EXAMPLES), 'utf8')
-  const document = readDocument(text, DocumentSchema, { source: 'redenwerk' })._unsafeUnwrap()
-  const standIns = await startStandIns(document, { anyPort: true, speedUp: 100, tokenMs: 1 })
-  const instances: RunningInstance[] = []
-  for (let i = 0; i < count; i += 1) {
-    const seeds = instances.map((instance) => `127.0.0.1:${instance.peerPort}`)
-    instances.push(await runInstance(await settingsFor(`entry-${i + 1}`), { store: new HttpStore(`http://${standIns.store.address}`), seeds }))
-  }
-  await Promise.all(instances.map(untilReady))
-  return { standIns, instances }
-}
-
-async function untilReady (instance: RunningInstance): Promise<void> {
-  while (!instance.isReady() || instance.state().placement.cell?.holder == null) await new Promise((resolve) => setTimeout(resolve, 20))
-}
-
-async function stop (system: System): Promise<void> {
-  await Promise.all(system.instances.map((instance) => instance.close()))
-  await system.standIns.close()
-}
-
-function call (instance: RunningInstance, path: string, body: unknown, headers: Record<string, string> = {}): Promise<Response> {
-  return fetch(`http://127.0.0.1:${instance.httpPort}${path}`, {
-    method: 'POST', body: JSON.stringify(body), headers: { authorization: `Bearer ${KEY}`, ...headers }
-  })
+function portOf (system: TestSystem, index = 0): number {
+  return system.instances[index]?.httpPort ?? 0
 }
 
 test('a model called at four instances at once is loaded once', async (t) => {
-  const system = await startSystem(4)
-  const answers = await Promise.all(system.instances.map((instance) => call(instance, '/v1/chat/completions', { model: 'keynote-7b', stream: true })))
+  const system = await startTestSystem(4)
+  const answers = await Promise.all(system.instances.map((instance) => callInstance(instance.httpPort, CHAT, { body: { model: MODEL, stream: true } })))
   const texts = await Promise.all(answers.map((answer) => answer.text()))
-  const loads = [...system.standIns.engines.values()].reduce((sum, engine) => sum + (engine.loads().get('keynote-7b') ?? 0), 0)
   t.deepEqual(answers.map((answer) => answer.status), [200, 200, 200, 200])
   t.true(texts.every((text) => text.endsWith('data: [DONE]\n\n')))
-  t.is(loads, 1)
-  await stop(system)
+  t.is(sumEngines(system, (engine) => engine.loads().get(MODEL) ?? 0), 1)
+  await stopTestSystem(system)
 })
 
 test('a booking repeated at another instance is told the recorded outcome', async (t) => {
-  const system = await startSystem(2)
-  const [first, second] = system.instances
-  if (first === undefined || second === undefined) return t.fail()
-  const headers = { 'idempotency-key': 'speech-7' }
-  const answer = await call(first, '/services/approvals/approve', { speech: 7 }, headers)
+  const system = await startTestSystem(2)
+  const call = { body: { speech: 7 }, headers: { 'idempotency-key': 'speech-7' } }
+  const answer = await callInstance(portOf(system), '/services/approvals/approve', call)
   const text = await answer.text()
-  const repeated = await call(second, '/services/approvals/approve', { speech: 7 }, headers)
+  const repeated = await callInstance(portOf(system, 1), '/services/approvals/approve', call)
   t.is(answer.status, 200)
   t.is(await repeated.text(), text)
   t.is(repeated.headers.get('x-recorded-outcome'), 'completed')
   const runs = [...system.standIns.services.values()].reduce((sum, service) => sum + (service.runs.get('{"speech":7}') ?? 0), 0)
   t.is(runs, 1)
-  await stop(system)
+  await stopTestSystem(system)
+})
+
+test('a booking whose connection breaks is not run again and its repeat is told that the outcome is unknown', async (t) => {
+  const system = await startTestSystem(2)
+  for (const service of system.standIns.services.values()) service.faults.breakAfterRun = 1
+  const call = { body: { speech: 8 }, headers: { 'idempotency-key': 'speech-8' } }
+  const answer = await callInstance(portOf(system), '/services/approvals/approve', call)
+  const repeated = await callInstance(portOf(system, 1), '/services/approvals/approve', call)
+  t.snapshot([await errorOf(answer), await errorOf(repeated)])
+  const runs = [...system.standIns.services.values()].reduce((sum, service) => sum + (service.runs.get('{"speech":8}') ?? 0), 0)
+  t.is(runs, 1)
+  await stopTestSystem(system)
+})
+
+test('a booking is refused as not run while the store is down, and lookups go on', async (t) => {
+  const system = await startTestSystem(1)
+  system.standIns.store.faults.down = true
+  const headers = { 'idempotency-key': 'speech-9', 'x-deadline-ms': '700' }
+  const booking = await callInstance(portOf(system), '/services/approvals/approve', { body: { speech: 9 }, headers })
+  const lookup = await callInstance(portOf(system), '/services/approvals/state', { body: { speech: 9 } })
+  t.is((await booking.json() as ErrorBody).error.outcome, 'not run')
+  t.is(lookup.status, 200)
+  t.is([...system.standIns.services.values()].reduce((sum, service) => sum + service.runs.size, 0), 1)
+  await stopTestSystem(system)
 })
 
 test('bad input gets an error in the usual form', async (t) => {
-  const system = await startSystem(1)
-  const [instance] = system.instances
-  if (instance === undefined) return t.fail()
-  const url = `http://127.0.0.1:${instance.httpPort}`
-  const authorization = `Bearer ${KEY}`
+  const system = await startTestSystem(1)
+  const url = `http://127.0.0.1:${portOf(system)}`
+  const authorization = `Bearer ${EXAMPLE_KEY}`
   const answers = await Promise.all([
-    fetch(`${url}/v1/chat/completions`, { method: 'POST', body: '{"model"', headers: { authorization } }),
-    fetch(`${url}/v1/chat/completions`, { method: 'POST', body: '{"model":"no-such"}', headers: { authorization } }),
-    fetch(`${url}/v1/chat/completions`, { method: 'POST', body: '{}', headers: { authorization: 'Bearer wrong' } }),
-    fetch(`${url}/v1/chat/completions`, { method: 'POST', body: 'x'.repeat(5_000_000), headers: { authorization } }),
+    fetch(`${url}${CHAT}`, { method: 'POST', body: '{"model"', headers: { authorization } }),
+    fetch(`${url}${CHAT}`, { method: 'POST', body: '{"model":"no-such"}', headers: { authorization } }),
+    fetch(`${url}${CHAT}`, { method: 'POST', body: '{}', headers: { authorization: 'Bearer wrong' } }),
+    fetch(`${url}${CHAT}`, { method: 'POST', body: 'x'.repeat(5_000_000), headers: { authorization } }),
     fetch(`${url}/v1/models`, { headers: { authorization, 'x-large': 'x'.repeat(20_000) } })
   ])
-  const errors = await Promise.all(answers.map(async (answer) => {
-    const { error } = await answer.json() as { error: Record<string, unknown> }
-    return { status: answer.status, code: error.code, type: error.type, outcome: error.outcome, message: error.message }
+  t.snapshot(await Promise.all(answers.map(errorOf)))
+  await stopTestSystem(system)
+})
+
+test('garbage behind a whole request is refused and the process goes on', async (t) => {
+  const system = await startTestSystem(1)
+  const text = await new Promise<string>((resolve) => {
+    const socket = connect(portOf(system), '127.0.0.1', () => socket.write('GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n\u0000\u0001garbage\r\n\r\n'))
+    let received = ''
+    socket.on('data', (chunk) => { received += chunk.toString() })
+    socket.on('close', () => resolve(received))
+  })
+  t.true(text.startsWith('HTTP/1.1 200'))
+  t.true(text.includes('malformed_http'))
+  t.is((await fetch(`http://127.0.0.1:${portOf(system)}/healthz`)).status, 200)
+  await stopTestSystem(system)
+})
+
+test('a truncated stream never looks complete', async (t) => {
+  const system = await startTestSystem(1)
+  for (const engine of system.standIns.engines.values()) engine.faults.truncateAfter = 3
+  const answer = await callInstance(portOf(system), CHAT, { body: { model: MODEL, stream: true } })
+  let received = ''
+  const decoder = new TextDecoder()
+  await t.throwsAsync(async () => {
+    for await (const chunk of answer.body ?? []) received += decoder.decode(chunk as Uint8Array)
+  })
+  t.true(received.includes('event: error'))
+  t.true(received.includes('answer_truncated'))
+  t.false(received.includes('[DONE]'))
+  await stopTestSystem(system)
+})
+
+test('an answer that names another request never reaches the caller', async (t) => {
+  const system = await startTestSystem(1)
+  for (const engine of system.standIns.engines.values()) engine.faults.crossed = true
+  const answer = await callInstance(portOf(system), CHAT, { body: { model: MODEL } })
+  t.snapshot(await errorOf(answer))
+  await stopTestSystem(system)
+})
+
+test('an upstream that accepts a request and falls silent costs a bounded time', async (t) => {
+  const system = await startTestSystem(1, { progress_timeout_ms: 100, max_attempts: 2 })
+  await (await callInstance(portOf(system), CHAT, { body: { model: MODEL } })).text()
+  for (const engine of system.standIns.engines.values()) engine.faults.silent = true
+  const answer = await callInstance(portOf(system), CHAT, { body: { model: MODEL } })
+  t.snapshot(await errorOf(answer))
+  await stopTestSystem(system)
+})
+
+test('the upstream work of a caller that leaves is cancelled', async (t) => {
+  const system = await startTestSystem(1)
+  await (await callInstance(portOf(system), CHAT, { body: { model: MODEL } })).text()
+  const abort = new AbortController()
+  const answer = await callInstance(portOf(system), CHAT, { body: { model: MODEL, stream: true, max_tokens: 100_000 }, signal: abort.signal })
+  const reader = answer.body?.getReader()
+  await reader?.read()
+  abort.abort()
+  await until(() => sumEngines(system, (engine) => engine.running()) === 0)
+  t.is(sumEngines(system, (engine) => engine.runs()), 2)
+  await stopTestSystem(system)
+})
+
+test('a caller that reads slowly holds the upstream back', async (t) => {
+  const system = await startTestSystem(1)
+  const answer = await callInstance(portOf(system), CHAT, { body: { model: MODEL, stream: true, max_tokens: 400 } })
+  await new Promise((resolve) => setTimeout(resolve, 300))
+  const text = await answer.text()
+  t.true(text.endsWith('data: [DONE]\n\n'))
+  await stopTestSystem(system)
+})
+
+test('a graceful shutdown of each instance in turn cuts nothing', async (t) => {
+  const system = await startTestSystem(4)
+  await (await callInstance(portOf(system), CHAT, { body: { model: MODEL } })).text()
+  const answers = system.instances.flatMap((instance) => [1, 2, 3].map(async () => {
+    const answer = await callInstance(instance.httpPort, CHAT, { body: { model: MODEL, stream: true, max_tokens: 150 } })
+    return await answer.text()
   }))
-  t.snapshot(errors)
-  await stop(system)
+  await until(() => sumEngines(system, (engine) => engine.running()) === answers.length)
+  for (const instance of system.instances) await instance.drain()
+  const texts = await Promise.all(answers)
+  t.true(texts.every((text) => text.endsWith('data: [DONE]\n\n')))
+  t.is(texts.length, 12)
+  await system.standIns.close()
 })
--- a/packages/standins/engine_stand_in.ts
+++ b/packages/standins/engine_stand_in.ts
@@ -43,6 +43,8 @@
   readonly faults: EngineFaults
   /** Requests that were run so far. */
   readonly runs: () => number
+  /** Requests that are running. */
+  readonly running: () => number
   readonly holdings: () => ReadonlyMap<string, StandInHolding>
   /** The most memory that was ever in use at once, in MB. */
   readonly peakMb: () => number
@@ -220,7 +222,7 @@
     handle(request, response).catch(() => response.destroy())
   })
   const listener = await listen(server, options.port)
-  return { ...listener, faults, runs: () => runs, holdings: () => holdings, peakMb: () => peakMb, loads: () => loads, crash }
+  return { ...listener, faults, runs: () => runs, running: () => running, holdings: () => holdings, peakMb: () => peakMb, loads: () => loads, crash }
 }
 
 interface _Job {
