--- /dev/null
+++ b/packages/requests/reduce_requests_test.ts
@@ -0,0 +1,124 @@
+import { Option, HashMap } from 'effect'
+import test from 'ava'
+import type { RequestEffect } from './request_effect.ts'
+import type { RequestEvent } from './request_event.ts'
+import type { ReceivedRequest } from './request.ts'
+import { reduceRequests } from './reduce_requests.ts'
+import { refusal, REFUSAL_REASONS } from './refusal.ts'
+import { newRequestsState, type RequestsState } from './requests_state.ts'
+import type { CustomerRules, Rules } from './rules.ts'
+
+function customer (name: string, changes: Partial<CustomerRules> = {}): CustomerRules {
+  return { name, requests: { perSecond: 1000, burst: 1000 }, tokens: { perSecond: 1000, burst: 1000 }, concurrency: 1000, weight: 1, ...changes }
+}
+
+function rules (changes: Partial<Rules> = {}): Rules {
+  return {
+    customers: new Map([['desk', customer('desk')], ['shop', customer('shop')], ['few', customer('few', { concurrency: 4, requests: { perSecond: 4, burst: 8 } })]]),
+    upstreams: new Map(['one', 'two'].map((name) => [name, { name, distanceMs: 0, slots: 2 }])),
+    services: new Map([['orders', { name: 'orders', upstreams: ['one', 'two'] }]]),
+    models: new Set(['toast']),
+    maxWaiting: 4,
+    maxAttempts: 3,
+    maxCrashes: 2,
+    ...changes
+  }
+}
+
+function start (changes: Partial<Rules> = {}, shares = 1): RequestsState {
+  return newRequestsState({ rules: rules(changes), shares, hash: (text) => text.length })
+}
+
+function request (id: string, changes: Partial<ReceivedRequest> = {}): RequestEvent {
+  const target = { kind: 'service', name: 'orders' } as const
+  return {
+    kind: 'received',
+    nowMs: 0,
+    request: { id, customer: 'desk', target, idempotent: true, key: undefined, fingerprint: id, prefix: id, receivedAtMs: 0, deadlineMs: 10_000, priority: 5, coldStartWeight: 1, ...changes }
+  }
+}
+
+interface Run {
+  readonly state: RequestsState
+  readonly effects: readonly RequestEffect[]
+}
+
+function run (state: RequestsState, events: readonly RequestEvent[]): Run {
+  return events.reduce<Run>((known, event) => {
+    const { state: next, effects } = reduceRequests(known.state, event)
+    return { state: next, effects: [...known.effects, ...effects] }
+  }, { state, effects: [] })
+}
+
+function brief (effects: readonly RequestEffect[]): readonly string[] {
+  return effects.flatMap((effect) => {
+    if (effect.kind === 'refuse') return [`${effect.id} refused ${effect.refusal.reason}, ${effect.refusal.outcome}`]
+    if (effect.kind === 'send') return [`${effect.request.id} to ${effect.upstream}`]
+    if (effect.kind === 'deliver') return [`${effect.id} delivered`]
+    return []
+  })
+}
+
+const failed = (id: string, failure: Extract<RequestEvent, { kind: 'attempt_failed' }>['failure'], attempt = 1): RequestEvent => ({ kind: 'attempt_failed', id, attempt, failure, nowMs: 10, random: 0.5 })
+const ended = (id: string, attempt = 1): RequestEvent => ({ kind: 'answer_ended', id, attempt, tokens: 1, outcome: undefined, nowMs: 20 })
+
+test('only a reason that holds a foreign claim or a request that may have run is told as unknown', (t) => {
+  t.snapshot(REFUSAL_REASONS.map((reason) => `${reason}: ${refusal(reason, { mayHaveRun: false }).outcome}, ${refusal(reason, { mayHaveRun: true }).outcome}`))
+})
+
+test('an idempotent request is tried elsewhere after a failure', (t) => {
+  const { effects } = run(start(), [request('a'), failed('a', 'stale'), { kind: 'retry_due', id: 'a', nowMs: 60 }, ended('a', 2)])
+  t.snapshot(brief(effects))
+})
+
+test('an unrepeatable request is tried again only where no byte left', (t) => {
+  const once = { idempotent: false }
+  const { effects } = run(start(), [request('a', once), failed('a', 'not_connected'), { kind: 'retry_due', id: 'a', nowMs: 60 }, failed('a', 'broken', 2), { kind: 'retry_due', id: 'a', nowMs: 90 }])
+  t.snapshot(brief(effects))
+})
+
+test('a late answer of an abandoned attempt changes nothing', (t) => {
+  const { effects } = run(start(), [request('a'), failed('a', 'stale'), { kind: 'retry_due', id: 'a', nowMs: 60 }, ended('a', 1), ended('a', 2)])
+  t.deepEqual(brief(effects).filter((line) => line.endsWith('delivered')), ['a delivered'])
+})
+
+test('a full queue sheds the least urgent request for a more urgent one', (t) => {
+  const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']
+  const { effects } = run(start(), [...ids.map((id, i) => request(id, { priority: i === 5 ? 1 : 5 })), request('urgent', { priority: 9 }), request('low', { priority: 1 })])
+  t.snapshot(brief(effects))
+})
+
+test('among equals the customer that runs least goes first', (t) => {
+  const { effects } = run(start(), ['a', 'b', 'c', 'd', 'e'].map((id) => request(id)).concat([request('shop', { customer: 'shop' }), ended('a')]))
+  t.is(brief(effects).filter((line) => line.includes(' to ')).at(-1)?.split(' ')[0], 'shop')
+})
+
+test('limits are divided among the live instances', (t) => {
+  const calls = Array.from({ length: 6 }, (_, i) => request(`r${i}`, { customer: 'few' }))
+  const refused = (shares: number): number => brief(run(start({ maxWaiting: 100 }, shares), calls).effects).filter((line) => line.includes('refused')).length
+  t.deepEqual([refused(1), refused(2), refused(4)], [2, 4, 5])
+})
+
+test('retries stay within the budget however many attempts fail', (t) => {
+  let state = start({ maxWaiting: 1000, maxAttempts: 10, upstreams: new Map(['one', 'two'].map((name) => [name, { name, distanceMs: 0, slots: 10_000 }])) })
+  let attempts = 0
+  for (let i = 0; i < 500; i += 1) {
+    const id = `r${i}`
+    let step = run(state, [request(id, { deadlineMs: 1e9 })])
+    for (let attempt = 1; Option.isSome(HashMap.get(step.state.requests, id)); attempt += 1) {
+      attempts += step.effects.filter((effect) => effect.kind === 'send').length
+      step = run(step.state, [failed(id, 'refused', attempt), { kind: 'retry_due', id, nowMs: 1000 }])
+    }
+    state = step.state
+  }
+  t.true(attempts <= 500 + 20 + 50)
+})
+
+test('waiters that a load cannot reach before their deadlines are refused at once', (t) => {
+  const model = { target: { kind: 'model', name: 'toast' } } as const
+  const { effects } = run(start(), [
+    request('soon', { ...model, deadlineMs: 1000 }), request('later', { ...model, deadlineMs: 9000 }),
+    { kind: 'outlook_known', model: 'toast', state: 'queued', readyInMs: 5000, nowMs: 10 }
+  ])
+  t.deepEqual(brief(effects), ['soon refused cold_start_too_long, not run'])
+})
