--- a/packages/membership/membership_state.ts
+++ b/packages/membership/membership_state.ts
@@ -14,7 +14,7 @@
 
 /** Heartbeat times whose traffic does not grow with the number of peers. */
 export const DEFAULT_HEARTBEAT_TIMES: HeartbeatTimes = {
-  periodMs: 1000, suspectAfterMs: 5000, deadAfterMs: 20_000, fanout: 2, entriesPerMessage: 8
+  periodMs: 1000, suspectAfterMs: 5000, deadAfterMs: 20_000, fanout: 1, entriesPerMessage: 6
 }
 
 /** What a process knows of its peers. */
@@ -70,8 +70,20 @@
  */
 export function healthOf (state: MembershipState, peer: Peer, nowMs: number): PeerHealth {
   const silentMs = nowMs - peer.heardAtMs
-  if (silentMs >= state.times.deadAfterMs) return 'dead'
-  return silentMs >= state.times.suspectAfterMs ? 'suspect' : 'live'
+  const patience = _patience(state)
+  if (silentMs >= state.times.deadAfterMs * patience) return 'dead'
+  return silentMs >= state.times.suspectAfterMs * patience ? 'suspect' : 'live'
+}
+
+/** Periods without news of a peer that are ordinary, as a multiple of the mean. */
+const ORDINARY_SILENCE = 4
+
+// News of one peer comes the more seldom, the more peers share the messages.
+function _patience (state: MembershipState): number {
+  const { periodMs, fanout, entriesPerMessage, suspectAfterMs } = state.times
+  const messagesPerPeriod = 2 * fanout
+  const meanSilenceMs = HashMap.size(state.peers) * periodMs / (messagesPerPeriod * entriesPerMessage)
+  return Math.max(1, ORDINARY_SILENCE * meanSilenceMs / suspectAfterMs)
 }
 
 /**
--- a/packages/membership/reduce_membership.ts
+++ b/packages/membership/reduce_membership.ts
@@ -92,7 +92,7 @@
 
 function _tick (state: MembershipState, nowMs: number, random: number): _Step {
   if (nowMs - state.lastBeatMs < state.times.periodMs) return step(state)
-  const kept = HashMap.filter(state.peers, (peer) => nowMs - peer.heardAtMs < 2 * state.times.deadAfterMs)
+  const kept = HashMap.filter(state.peers, (peer) => healthOf(state, peer, (nowMs + peer.heardAtMs) / 2) !== 'dead')
   return _beat({ ...state, peers: kept }, nowMs, random)
 }
 
--- a/packages/placement/_evolve_cell.ts
+++ b/packages/placement/_evolve_cell.ts
@@ -8,6 +8,7 @@
 import type { PlacementState } from './placement_state.ts'
 import { planDecisions } from './plan_decisions.ts'
 import { reconcileReplica } from './reconcile_replica.ts'
+import { cellIndex } from './_cell_index.ts'
 import { sceneOf } from './_scene_of.ts'
 import { replicaKey } from './_replica_key.ts'
 import type { UpstreamReport } from './upstream_status.ts'
@@ -30,13 +31,19 @@
 
 function _settleAnswers (state: PlacementState, cell: Cell): Cell {
   const replicas = cell.replicas.flatMap((replica) => {
+    if (replica.orders.length === 0) return [replica]
     const orders = replica.orders.filter((order) => !_isSettled(state, cell, order))
     if (orders.length === replica.orders.length) return [replica]
     const mayHaveRun = replica.mayHaveRun || !replica.orders.every((order) => orders.includes(order) || _neverRan(state, cell, order))
     const loadNeverRan = replica.phase === 'loading' && orders.length === 0 && !mayHaveRun
     return loadNeverRan ? [] : [{ ...replica, orders, mayHaveRun }]
   })
-  return { ...cell, replicas }
+  return _isUnchanged(cell, replicas) ? cell : { ...cell, replicas }
+}
+
+// The same object is kept where nothing changed, with the look-ups that were made for it.
+function _isUnchanged (cell: Cell, replicas: readonly Replica[]): boolean {
+  return replicas.length === cell.replicas.length && replicas.every((replica, i) => replica === cell.replicas[i])
 }
 
 function _isSettled (state: PlacementState, cell: Cell, order: Order): boolean {
@@ -65,7 +72,7 @@
     const next = reconcileReplica(replica, report.status, upstream)
     return next === undefined ? [] : [next]
   })
-  return { ...cell, replicas }
+  return _isUnchanged(cell, replicas) ? cell : { ...cell, replicas }
 }
 
 function _isGone (state: PlacementState, upstream: string, report: UpstreamReport | undefined): boolean {
@@ -81,12 +88,13 @@
 
 // Counts what an engine holds without a record, so that its memory is never given away twice.
 function _adopt (state: PlacementState, cell: Cell): Cell {
+  const { byKey } = cellIndex(cell, state.catalog)
   const strangers = [...state.catalog.upstreams.values()].flatMap((upstream) => {
     const report = Option.getOrUndefined(HashMap.get(state.reports, upstream.name))
     if (report === undefined) return []
     return report.status.holdings
+      .filter((holding) => !byKey.has(replicaKey({ model: holding.model, upstream: upstream.name })))
       .filter((holding) => _freshReport(state, { model: holding.model, upstream: upstream.name }) !== undefined)
-      .filter((holding) => !cell.replicas.some((r) => r.model === holding.model && r.upstream === upstream.name))
       .map((holding): Replica => ({
         model: holding.model,
         upstream: upstream.name,
--- a/packages/placement/_probe_upstreams.ts
+++ b/packages/placement/_probe_upstreams.ts
@@ -9,8 +9,9 @@
   if (!isHolder(state)) return step(state)
   let next = state
   const effects: PlacementEffect[] = []
+  const busy = _busyUpstreams(state)
   for (const upstream of state.catalog.upstreams.keys()) {
-    if (!_isDue(next, upstream, nowMs)) continue
+    if (!_isDue(next, upstream, { nowMs, busy: busy.has(upstream) })) continue
     const probe = next.probes + 1
     next = { ...next, probes: probe, lastProbes: HashMap.set(next.lastProbes, upstream, { probe, sentAtMs: nowMs, answered: false }) }
     effects.push({ kind: 'probe', upstream, probe, fence: next.cell?.fence ?? 0 })
@@ -19,12 +20,22 @@
 }
 
 // One probe at a time: of two on their way at once, the later one may have looked at the engine first.
-function _isDue (state: PlacementState, upstream: string, nowMs: number): boolean {
+function _isDue (state: PlacementState, upstream: string, due: _Due): boolean {
   const last = Option.getOrUndefined(HashMap.get(state.lastProbes, upstream))
   if (last === undefined) return true
-  const ageMs = nowMs - last.sentAtMs
+  const ageMs = due.nowMs - last.sentAtMs
   if (!last.answered && ageMs < state.times.probeTimeoutMs) return false
-  return ageMs >= (isBusy(state, upstream) ? state.times.busyProbeMs : state.times.probeMs)
+  return ageMs >= (due.busy ? state.times.busyProbeMs : state.times.probeMs)
+}
+
+interface _Due {
+  readonly nowMs: number
+  readonly busy: boolean
+}
+
+function _busyUpstreams (state: PlacementState): ReadonlySet<string> {
+  const busy = (state.cell?.replicas ?? []).filter((replica) => replica.phase !== 'loaded' || replica.orders.length > 0)
+  return new Set(busy.map((replica) => replica.upstream))
 }
 
 /** Tells whether a load, an unload or an unresolved order is under way on an upstream. */
--- a/packages/placement/accelerator_share.ts
+++ b/packages/placement/accelerator_share.ts
@@ -13,6 +13,17 @@
  * ```
  */
 export function acceleratorShare (catalog: Catalog, model: string): number {
+  const shares = sharesOf.get(catalog) ?? new Map<string, number>()
+  sharesOf.set(catalog, shares)
+  const share = shares.get(model) ?? _computeShare(catalog, model)
+  shares.set(model, share)
+  return share
+}
+
+// A catalog never changes, so that each share is computed once.
+const sharesOf = new WeakMap<Catalog, Map<string, number>>()
+
+function _computeShare (catalog: Catalog, model: string): number {
   const needMb = catalog.models.get(model)?.memoryMb ?? 0
   const shares = [...catalog.upstreams.values()]
     .filter((upstream) => upstream.memoryMb >= needMb && upstream.memoryMb > 0)
--- a/packages/placement/plan_decisions.ts
+++ b/packages/placement/plan_decisions.ts
@@ -1,10 +1,11 @@
 import type { LoadSlots } from './weight_queue.ts'
-import type { Cell, Replica } from './cell.ts'
-import { committedMemory } from './committed_memory.ts'
+import type { Replica } from './cell.ts'
 import type { Decision } from './decision.ts'
 import type { ReceivedDemand } from './demand.ts'
 import type { Policy, Scene } from './policy.ts'
+import { cellIndex } from './_cell_index.ts'
 import { mayRepeat } from './_may_repeat.ts'
+import { replicaKey } from './_replica_key.ts'
 
 /**
  * Plans the loads and unloads that are due.
@@ -94,11 +95,12 @@
 
 // The model itself, or the base that an adapter lacks, or undefined where nothing is to be loaded.
 function _loadTarget (scene: Scene, model: string): string | undefined {
-  const placed = scene.cell.replicas.filter((r) => r.model === model && r.phase !== 'vacated')
+  const { byModel } = cellIndex(scene.cell, scene.catalog)
+  const placed = (byModel.get(model) ?? []).filter((r) => r.phase !== 'vacated')
   if (placed.some((r) => r.phase !== 'loading' || !mayRepeat(scene.cell, r))) return undefined
   const base = scene.catalog.models.get(model)?.base
   if (base === undefined) return model
-  const bases = scene.cell.replicas.filter((r) => r.model === base && r.phase !== 'vacated')
+  const bases = (byModel.get(base) ?? []).filter((r) => r.phase !== 'vacated')
   if (bases.some((r) => r.phase === 'loaded')) return model
   return bases.length > 0 ? undefined : base
 }
@@ -113,7 +115,7 @@
 function _placeLoad (scene: Scene, policy: Policy, placement: _Placement): readonly Decision[] {
   const entry = scene.catalog.models.get(placement.model)
   if (entry === undefined) return []
-  const again = scene.cell.replicas.find((r) => r.model === placement.model && r.phase === 'loading')
+  const again = cellIndex(scene.cell, scene.catalog).byModel.get(placement.model)?.find((r) => r.phase === 'loading')
   if (again !== undefined) return [{ kind: 'load', model: entry.name, upstream: again.upstream, reason: placement.reason }]
   const candidates = _candidates(scene, placement.model)
   const room = candidates
@@ -129,9 +131,9 @@
   return [...scene.catalog.upstreams.keys()].filter((name) => {
     const report = scene.report(name)
     if (report === undefined || report.status.leaving) return false
-    if (scene.cell.replicas.some((r) => r.upstream === name && r.model === model)) return false
-    if (base === undefined) return true
-    return scene.cell.replicas.some((r) => r.upstream === name && r.model === base && r.phase === 'loaded')
+    const { byKey } = cellIndex(scene.cell, scene.catalog)
+    if (byKey.has(replicaKey({ model, upstream: name }))) return false
+    return base === undefined || byKey.get(replicaKey({ model: base, upstream: name }))?.phase === 'loaded'
   })
 }
 
@@ -145,10 +147,12 @@
 
 function _freeMb (scene: Scene, upstream: string, taken: readonly Decision[]): number {
   const total = scene.catalog.upstreams.get(upstream)?.memoryMb ?? 0
+  const committed = (cellIndex(scene.cell, scene.catalog).byUpstream.get(upstream) ?? [])
+    .reduce((sum, replica) => sum + (replica.phase === 'vacated' ? 0 : replica.memoryMb), 0)
   const planned = taken
     .filter((decision) => decision.kind === 'load' && decision.upstream === upstream)
     .reduce((sum, decision) => sum + (scene.catalog.models.get(decision.model)?.memoryMb ?? 0), 0)
-  return total - committedMemory(scene.cell, upstream) - planned
+  return total - committed - planned
 }
 
 interface _Eviction extends _Placement {
@@ -178,10 +182,10 @@
 }
 
 function _evictionSet (scene: Scene, policy: Policy, room: _Room): _EvictionSet | undefined {
-  let freeMb = _freeMb(scene, room.upstream, room.taken) + _unloadingMb(scene.cell, room)
+  let freeMb = _freeMb(scene, room.upstream, room.taken) + _unloadingMb(scene, room)
   if (freeMb >= room.needMb) return { replicas: [], worth: -1 }
-  const idle = scene.cell.replicas
-    .filter((replica) => replica.upstream === room.upstream && _isIdle(scene, replica))
+  const idle = (cellIndex(scene.cell, scene.catalog).byUpstream.get(room.upstream) ?? [])
+    .filter((replica) => _isIdle(scene, replica))
     .filter((replica) => policy.mayEvict(replica.model, scene))
     .filter((replica) => !room.taken.some((d) => d.kind === 'unload' && d.model === replica.model && d.upstream === room.upstream))
     .map((replica) => ({ replica, worth: policy.worth(replica.model, scene) }))
@@ -197,9 +201,9 @@
   return freeMb >= room.needMb ? { replicas, worth } : undefined
 }
 
-function _unloadingMb (cell: Cell, room: _Room): number {
-  return cell.replicas
-    .filter((replica) => replica.upstream === room.upstream && replica.phase === 'unloading')
+function _unloadingMb (scene: Scene, room: _Room): number {
+  return (cellIndex(scene.cell, scene.catalog).byUpstream.get(room.upstream) ?? [])
+    .filter((replica) => replica.phase === 'unloading')
     .reduce((sum, replica) => sum + replica.memoryMb, 0)
 }
 
@@ -211,21 +215,17 @@
 }
 
 function _hasAdapters (scene: Scene, replica: Replica): boolean {
-  return scene.cell.replicas.some((r) => r.upstream === replica.upstream && r.phase !== 'vacated' &&
-    scene.catalog.models.get(r.model)?.base === replica.model)
+  return cellIndex(scene.cell, scene.catalog).neededBases.has(replicaKey(replica))
 }
 
 function _planIdling (scene: Scene, policy: Policy): readonly Decision[] {
+  const awaited = new Set([...scene.demands.keys()].map((name) => scene.catalog.models.get(name)?.base))
   return scene.cell.replicas
-    .filter((replica) => _isIdle(scene, replica) && !_isAwaitedBase(scene, replica.model))
+    .filter((replica) => _isIdle(scene, replica) && !awaited.has(replica.model))
     .filter((replica) => scene.nowMs - scene.usage(replica.model).lastUsedMs >= policy.keepAliveMs(replica.model, scene))
     .map((replica) => _unload(replica, 'idle'))
 }
 
-function _isAwaitedBase (scene: Scene, model: string): boolean {
-  return [...scene.demands.keys()].some((name) => scene.catalog.models.get(name)?.base === model)
-}
-
 function _unload (replica: Replica, reason: string): Decision {
   return { kind: 'unload', model: replica.model, upstream: replica.upstream, reason }
 }
--- a/packages/placement/reduce_placement.ts
+++ b/packages/placement/reduce_placement.ts
@@ -306,6 +306,7 @@
 }
 
 function _isSame (a: Cell, b: Cell): boolean {
+  if (a === b) return true
   if (a.fence !== b.fence || a.replicas.length !== b.replicas.length) return false
   return a.replicas.every((replica, i) => {
     const other = b.replicas[i]
