--- a/packages/claims/claims_state.ts
+++ b/packages/claims/claims_state.ts
@@ -44,6 +44,21 @@
 /** Limits that the examples use. */
 export const DEFAULT_SHARD_LIMITS: ShardLimits = { maxClaims: 1500, retentionMs: 3_600_000, maxCrashes: 2 }
 
+/**
+ * Tells whether operations wait to be read or written.
+ *
+ * @param state The claims state.
+ * @returns Whether the claims need ticks soon.
+ *
+ * @example
+ * ```ts
+ * console.log(hasClaimsWork(newClaimsState('a'))) // false
+ * ```
+ */
+export function hasClaimsWork (state: ClaimsState): boolean {
+  return HashMap.some(state.shards, (shard) => shard.queue.length > 0 || shard.write !== undefined)
+}
+
 /** What a claims state is built from. */
 export interface ClaimsOptions {
   readonly limits?: ShardLimits
--- a/packages/history/request_world.ts
+++ b/packages/history/request_world.ts
@@ -98,6 +98,7 @@
 const PROGRESS_TIMEOUT_MS = 4000
 const DEADLINE_MS = 12_000
 const QUIET_MS = 30_000
+const END_MARGIN_MS = 1000
 const SECRET = 'world-secret-0000'
 
 const SETTINGS: Settings = {
@@ -511,6 +512,8 @@
   function arrive (call: _Call): void {
     const listed = nodes.filter((node) => node.alive && node.listed)
     const node = listed[int(0, Math.max(0, listed.length - 1))]
+    // A request whose deadline lies beyond the end of the run has no outcome to check.
+    if (clock.nowMs() + DEADLINE_MS + END_MARGIN_MS > activeMs + QUIET_MS) return
     if (node === undefined || clock.nowMs() < node.pausedUntilMs) return
     calls += 1
     const id = `r${calls}`
--- a/packages/instance/reduce_instance.ts
+++ b/packages/instance/reduce_instance.ts
@@ -14,7 +14,7 @@
 /** Time between two exchanges with the lease holder, in ms. */
 const EXCHANGE_MS = 1000
 /** Time between two ticks of placement and requests; claims are ticked each time. */
-const SLOW_TICK_MS = 100
+const SLOW_TICK_MS = 90
 
 type _Step = Step<InstanceState, InstanceEffect>
 
--- a/packages/instance/run_instance.ts
+++ b/packages/instance/run_instance.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Server } from 'node:http'
 import { connect, type AddressInfo } from 'node:net'
-import { EMPTY_SHARD, type Operation, type OperationAnswer, type Shard } from '@berylshed/claims'
+import { EMPTY_SHARD, hasClaimsWork, type Operation, type OperationAnswer, type Shard } from '@berylshed/claims'
 import { DocumentSchema, findProblems } from '@berylshed/configuration'
 import { gossipEntries, liveEntries } from '@berylshed/membership'
 import { emptyCell, ExpectedCostPolicy, type Cell, type Demand, type Outlook, type PlacementEffect, type Policy } from '@berylshed/placement'
@@ -26,7 +26,10 @@
 
 /** Key of the configuration in the platform's store. */
 export const CONFIGURATION_KEY = 'configuration'
-const TICK_MS = 20
+/** Time between ticks while claims wait to be written, in ms. */
+const CLAIMS_TICK_MS = 20
+/** Time between ticks otherwise, in ms. */
+const TICK_MS = 100
 const SUSPICION_MS = 5000
 const POLL_DRAIN_MS = 50
 
@@ -377,7 +380,7 @@
 
   const ticks = Effect.gen(function * () {
     while (true) {
-      yield * Effect.sleep(TICK_MS)
+      yield * Effect.sleep(hasClaimsWork(state.claims) ? CLAIMS_TICK_MS : TICK_MS)
       dispatch({ subject: 'tick', nowMs: nowMs(), clockMs: Date.now(), random: random() })
     }
   })
--- a/packages/requests/_admit_request.ts
+++ b/packages/requests/_admit_request.ts
@@ -80,7 +80,7 @@
   const slots = candidates.reduce((sum, name) => sum + (state.rules.upstreams.get(name)?.slots ?? 0), 0)
   if (slots === 0) return undefined
   const durationMs = Math.max(...loads.map((load) => load.durationMs))
-  const waitMs = _ahead(state, request) / slots * durationMs
+  const waitMs = _ahead(state, request) / (slots / state.shares) * durationMs
   if (nowMs + waitMs + durationMs <= request.deadlineMs) return undefined
   return waitMs === 0 ? undefined : { reason: 'overloaded', retryAfterMs: waitMs }
 }
--- a/packages/requests/_dispatch_requests.ts
+++ b/packages/requests/_dispatch_requests.ts
@@ -1,7 +1,7 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { changeCustomer } from './_customer_load.ts'
-import { leaveQueue, targetKey } from './_settle_request.ts'
+import { leaveQueue, refuseRequest, targetKey } from './_settle_request.ts'
 import { chooseUpstream } from './choose_upstream.ts'
 import type { Attempt, Request } from './request.ts'
 import type { RequestEffect } from './request_effect.ts'
@@ -41,6 +41,12 @@
   let next = state
   const effects: RequestEffect[] = []
   for (const request of _waitingInOrder(state, key)) {
+    if (_isTooLate(next, request, { candidates, nowMs })) {
+      const refused = refuseRequest(next, request, { reason: 'deadline_waiting', nowMs })
+      next = refused.state
+      effects.push(...refused.effects)
+      continue
+    }
     const upstream = _choose(next, request, { candidates, nowMs })
     if (upstream === undefined) continue
     const sent = _send(next, request, { upstream, nowMs })
@@ -75,6 +81,12 @@
   return running / (state.rules.customers.get(request.customer)?.weight ?? 1)
 }
 
+// What can't end before its deadline would only take a slot from another request.
+function _isTooLate (state: RequestsState, request: Request, choice: _Choice): boolean {
+  const durations = choice.candidates.map((name) => loadOf(state, name).durationMs).filter((durationMs) => durationMs > 0)
+  return durations.length > 0 && choice.nowMs + Math.min(...durations) > request.deadlineMs
+}
+
 interface _Choice {
   readonly candidates: readonly string[]
   readonly nowMs: number
@@ -87,6 +99,7 @@
   const context = {
     rules: state.rules,
     nowMs: choice.nowMs,
+    shares: state.shares,
     affinity: request.prefix,
     load: (upstream: string) => loadOf(state, upstream),
     hash: state.hash
--- a/packages/requests/choose_upstream.ts
+++ b/packages/requests/choose_upstream.ts
@@ -10,6 +10,8 @@
 export interface ChoiceContext {
   readonly rules: Rules
   readonly nowMs: number
+  /** Live instances that share the upstreams. */
+  readonly shares: number
   /** Upstreams that were tried already. */
   readonly tried: readonly string[]
   /** Digest that decides which upstream is likely to have the prefix, or that keeps repeats together. */
@@ -49,13 +51,24 @@
   const load = context.load(name)
   const slots = context.rules.upstreams.get(name)?.slots ?? 0
   if (load.leaving || load.suspectedUntilMs > context.nowMs) return false
-  return load.own + load.others < slots && !context.tried.includes(name)
+  if (context.tried.includes(name)) return false
+  // An instance may always use its share, however old the news of the others is.
+  return load.own < Math.ceil(slots / context.shares) || load.own + _othersNow(load, context) < slots
+}
+
+/** Shortest time over which a report of the others' load loses its weight, in ms. */
+const MIN_REPORT_LIFE_MS = 1000
+
+// Of the requests that others had running, the fewer are left, the older the report is.
+function _othersNow (load: UpstreamLoad, context: ChoiceContext): number {
+  const ageMs = Math.max(0, context.nowMs - load.reportedAtMs)
+  return load.others * Math.exp(-ageMs / Math.max(MIN_REPORT_LIFE_MS, load.durationMs))
 }
 
 function _score (name: string, preferred: string, context: ChoiceContext): number {
   const load = context.load(name)
   const rules = context.rules.upstreams.get(name)
-  const busy = (load.own + load.others) / Math.max(1, rules?.slots ?? 1)
+  const busy = (load.own + _othersNow(load, context)) / Math.max(1, rules?.slots ?? 1)
   const advantage = name === preferred ? PREFIX_ADVANTAGE : 0
   return busy - advantage + DISTANCE_WEIGHT * (rules?.distanceMs ?? 0)
 }
--- a/packages/requests/reduce_requests.ts
+++ b/packages/requests/reduce_requests.ts
@@ -166,7 +166,7 @@
 
 function _applyReport (state: RequestsState, event: _Report): _Step {
   const changed = _changeLoad(state, event.upstream, (load) => ({
-    ...load, others: Math.max(0, event.running - load.own), leaving: event.leaving
+    ...load, others: Math.max(0, event.running - load.own), reportedAtMs: event.nowMs, leaving: event.leaving
   }))
   return dispatchAll(changed, event.nowMs)
 }
--- a/packages/requests/retry_budget.ts
+++ b/packages/requests/retry_budget.ts
@@ -1,5 +1,5 @@
 /** Retries that each first attempt pays for. */
-const RETRIES_PER_REQUEST = 0.1
+const RETRIES_PER_REQUEST = 0.2
 /** Most retries that can be saved up. */
 const MAX_SAVED_RETRIES = 20
 const BASE_BACKOFF_MS = 50
@@ -32,7 +32,7 @@
  *
  * @example
  * ```ts
- * console.log(depositRetry({ retries: 0 }).retries) // 0.1
+ * console.log(depositRetry({ retries: 0 }).retries) // 0.2
  * ```
  */
 export function depositRetry (budget: RetryBudget): RetryBudget {
--- a/packages/requests/upstream_load.ts
+++ b/packages/requests/upstream_load.ts
@@ -4,6 +4,8 @@
   readonly own: number
   /** Requests that other instances had running there by the last report. */
   readonly others: number
+  /** Local time of that report, in ms. */
+  readonly reportedAtMs: number
   readonly leaving: boolean
   /** Until when the upstream is avoided, in ms. */
   readonly suspectedUntilMs: number
@@ -13,5 +15,5 @@
 
 /** An upstream of which nothing is known. */
 export const UNKNOWN_LOAD: UpstreamLoad = {
-  own: 0, others: 0, leaving: false, suspectedUntilMs: -Infinity, durationMs: 0
+  own: 0, others: 0, reportedAtMs: 0, leaving: false, suspectedUntilMs: -Infinity, durationMs: 0
 }
