Split the interpreter by subject; test leaving upstreams and late starters

Change: one file per subject's effects; behaviour is as before. Two tests over sockets: a leaving upstream gets no new work once its status was told, and an instance started during a store outage learns the configuration from a peer and is not ready before it has seen the cell. Conclusion: no fault found.

--- /dev/null
+++ b/packages/instance/_claims_effects.ts
@@ -0,0 +1,88 @@
+import { EMPTY_SHARD, type ClaimsEffect, type ClaimsEvent, type Operation, type OperationAnswer, type Shard } from '@berylshed/claims'
+import { liveEntries } from '@berylshed/membership'
+import type { StoredObject } from '@berylshed/platform'
+import type { InterpreterContext } from './_interpreter_context.ts'
+import { operationEvent } from './reduce_instance.ts'
+
+/** Carries out what the claims ask for. */
+export interface ClaimsEffects {
+  perform (effect: ClaimsEffect): Promise<void>
+  /** Has an operation done by the peer at an address, or here where the address is empty or the peer silent. */
+  operate (to: string, operation: Operation): Promise<void>
+  /** Works on an operation that a peer sent. */
+  operateFor (operation: Operation): Promise<OperationAnswer>
+}
+
+function _shardKey (shard: number): string {
+  return `claims/${shard}`
+}
+
+function _parseShard (object: StoredObject): Shard {
+  return object.version === 0 ? EMPTY_SHARD : JSON.parse(object.value) as Shard
+}
+
+/** Creates the interpreter of the claims' effects. */
+export function createClaimsEffects (context: InterpreterContext): ClaimsEffects {
+  const { store, peers, nowMs } = context
+  const askedByPeers = new Map<string, (answer: OperationAnswer) => void>()
+
+  function dispatch (event: ClaimsEvent): void {
+    context.dispatch({ subject: 'claims', event })
+  }
+
+  function times (): { readonly nowMs: number, readonly clockMs: number } {
+    return { nowMs: nowMs(), clockMs: Date.now() }
+  }
+
+  async function readShard (shard: number): Promise<void> {
+    const answer = await store.read(_shardKey(shard))
+    dispatch(answer.match(
+      (object) => ({ kind: 'shard_read', shard, version: object.version, value: _parseShard(object), ...times() }),
+      () => ({ kind: 'read_failed', shard, ...times() })))
+  }
+
+  async function writeShard (effect: Extract<ClaimsEffect, { kind: 'write_shard' }>): Promise<void> {
+    const { shard, expectedVersion, value } = effect
+    const { writeId } = value
+    const answer = await store.update(_shardKey(shard), { value: JSON.stringify(value), expectedVersion })
+    dispatch(answer.match(
+      (version) => ({ kind: 'write_done', shard, writeId, version, ...times() }),
+      (failure) => failure.kind === 'conflict'
+        ? { kind: 'write_conflicted', shard, writeId, version: failure.current.version, value: _parseShard(failure.current), ...times() }
+        : { kind: 'write_lost', shard, writeId, ...times() }))
+  }
+
+  function tell (operation: Operation, answer: OperationAnswer): void {
+    const peer = askedByPeers.get(operation.id)
+    askedByPeers.delete(operation.id)
+    if (peer !== undefined) return peer(answer)
+    const live = liveEntries(context.state().membership, nowMs())
+    const event = operationEvent(operation, answer, {
+      nowMs: nowMs(), random: context.random(), isLive: (holder) => live.some((entry) => entry.incarnation === holder)
+    })
+    if (event !== undefined) context.dispatch({ subject: 'requests', event })
+  }
+
+  async function operate (to: string, operation: Operation): Promise<void> {
+    const answer = to === '' ? undefined : await peers.operate(to, operation)
+    if (answer?.isOk() === true) return tell(operation, answer.value)
+    dispatch({ kind: 'operation_asked', operation, ...times() })
+  }
+
+  function operateFor (operation: Operation): Promise<OperationAnswer> {
+    return new Promise((resolve) => {
+      askedByPeers.set(operation.id, resolve)
+      dispatch({ kind: 'operation_asked', operation, ...times() })
+    })
+  }
+
+  async function perform (effect: ClaimsEffect): Promise<void> {
+    switch (effect.kind) {
+      case 'read_shard': return await readShard(effect.shard)
+      case 'write_shard': return await writeShard(effect)
+      case 'answer': return tell(effect.operation, effect.answer)
+    }
+  }
+
+  return { perform, operate, operateFor }
+}
--- /dev/null
+++ b/packages/instance/_placement_effects.ts
@@ -0,0 +1,92 @@
+import { emptyCell, type Cell, type Outlook, type PlacementEffect, type PlacementEvent } from '@berylshed/placement'
+import { HttpEngine, type Engine, type StoredObject } from '@berylshed/platform'
+import type { InterpreterContext } from './_interpreter_context.ts'
+
+/** Carries out what the placement asks for. */
+export interface PlacementEffects {
+  perform (effect: PlacementEffect): Promise<void>
+  /** Passes the answer to a demand on to the peer that made it. */
+  awaitOutlook (call: string, resolve: (outlook: Outlook) => void): void
+}
+
+/** Where engines come from. */
+export interface PlacementEffectsOptions {
+  engine (address: string): Engine
+}
+
+/** Names the store object of a cell. */
+export function cellKey (name: string): string {
+  return `cells/${name}`
+}
+
+/** Reads a cell out of its store object; a missing object stands for an empty cell. */
+export function parseCell (object: StoredObject, name: string): Cell {
+  return object.version === 0 ? emptyCell(name) : JSON.parse(object.value) as Cell
+}
+
+/** Makes engines that are reached over HTTP. */
+export const HTTP_ENGINES: PlacementEffectsOptions = { engine: (address) => new HttpEngine(address) }
+
+/** Creates the interpreter of the placement's effects. */
+export function createPlacementEffects (context: InterpreterContext, options: PlacementEffectsOptions): PlacementEffects {
+  const { store, peers, metrics, log, nowMs } = context
+  const engines = new Map<string, Engine>()
+  const outlooks = new Map<string, (outlook: Outlook) => void>()
+
+  function dispatch (event: PlacementEvent): void {
+    context.dispatch({ subject: 'placement', event })
+  }
+
+  function engineFor (upstream: string): Engine | undefined {
+    const address = context.state().deployment?.addresses.get(upstream)
+    if (address === undefined) return undefined
+    const engine = engines.get(address) ?? options.engine(address)
+    engines.set(address, engine)
+    return engine
+  }
+
+  async function writeCell (effect: Extract<PlacementEffect, { kind: 'write_cell' }>): Promise<void> {
+    const { writeId, name } = effect.cell
+    const answer = await store.update(cellKey(name), { value: JSON.stringify(effect.cell), expectedVersion: effect.expectedVersion })
+    dispatch(answer.match(
+      (version) => ({ kind: 'write_done', writeId, version, nowMs: nowMs() }),
+      (failure) => failure.kind === 'conflict'
+        ? { kind: 'write_conflicted', writeId, version: failure.current.version, cell: parseCell(failure.current, name), nowMs: nowMs() }
+        : { kind: 'write_lost', writeId, nowMs: nowMs(), random: context.random() }))
+  }
+
+  async function sendOrder (effect: Extract<PlacementEffect, { kind: 'send_order' }>): Promise<void> {
+    const { order, model, memoryMb, upstream, notAfterMs } = effect
+    const engine = engineFor(upstream)
+    const answer = engine === undefined ? 'not_sent' : await engine.send({ order, model, memoryMb, mayLeave: () => nowMs() < notAfterMs })
+    log(`order ${answer}`, { model, upstream, fence: order.fence, reason: order.kind })
+    dispatch({ kind: 'order_answered', orderId: order.id, answer, nowMs: nowMs() })
+  }
+
+  async function probe (effect: Extract<PlacementEffect, { kind: 'probe' }>): Promise<void> {
+    const status = await engineFor(effect.upstream)?.probe(effect.fence)
+    if (status === undefined || status.isErr()) return
+    dispatch({ kind: 'status_reported', upstream: effect.upstream, probe: effect.probe, status: status.value, nowMs: nowMs() })
+  }
+
+  async function perform (effect: PlacementEffect): Promise<void> {
+    switch (effect.kind) {
+      case 'write_cell': return await writeCell(effect)
+      case 'send_order': return await sendOrder(effect)
+      case 'probe': return await probe(effect)
+      case 'disclaim_orders':
+        await peers.disclaim(effect.to.address, effect.orderIds)
+        return
+      case 'answer_demand':
+        outlooks.get(effect.call)?.(effect.outlook)
+        outlooks.delete(effect.call)
+        return
+      case 'count':
+        log(effect.metric, effect.model === undefined ? {} : { model: effect.model })
+        return metrics.count(`placement.${effect.metric}`)
+      default:
+    }
+  }
+
+  return { perform, awaitOutlook: (call, resolve) => { outlooks.set(call, resolve) } }
+}
--- a/packages/instance/run_instance_test.ts
+++ b/packages/instance/run_instance_test.ts
@@ -1,6 +1,9 @@
 import { connect } from 'node:net'
+import { HttpStore } from '@berylshed/platform'
 import test from 'ava'
-import { callInstance, EXAMPLE_KEY, startTestSystem, stopTestSystem, sumEngines, until, type TestSystem } from './_test_system.ts'
+import { HashMap } from 'effect'
+import { callInstance, EXAMPLE_KEY, startTestSystem, stopTestSystem, sumEngines, testSettings, until, type TestSystem } from './_test_system.ts'
+import { runInstance } from './run_instance.ts'
 
 const CHAT = '/v1/chat/completions'
 const MODEL = 'keynote-7b'
@@ -163,3 +166,32 @@
   t.is(texts.length, 12)
   await system.standIns.close()
 })
+
+test('a leaving upstream gets no new work once its status has been told', async (t) => {
+  const system = await startTestSystem(2)
+  await (await callInstance(portOf(system), CHAT, { body: { model: MODEL } })).text()
+  for (const engine of system.standIns.engines.values()) engine.faults.leaving = engine.holdings().has(MODEL)
+  await until(() => system.instances.every((instance) => {
+    return [...HashMap.values(instance.state().requests.upstreams)].some((load) => load.leaving)
+  }))
+  const before = sumEngines(system, (engine) => engine.faults.leaving ? engine.runs() : 0)
+  const answers = await Promise.all([0, 1].map((index) => callInstance(portOf(system, index), CHAT, { body: { model: MODEL } })))
+  t.deepEqual(answers.map((answer) => answer.status), [200, 200])
+  t.is(sumEngines(system, (engine) => engine.faults.leaving ? engine.runs() : 0), before)
+  await stopTestSystem(system)
+})
+
+test('an instance that starts while the store is down learns the configuration from a peer', async (t) => {
+  const system = await startTestSystem(1)
+  system.standIns.store.faults.down = true
+  const seeds = [`127.0.0.1:${system.instances[0]?.peerPort ?? 0}`]
+  const late = await runInstance(await testSettings('entry-9'), { store: new HttpStore(`http://${system.standIns.store.address}`), seeds })
+  await until(() => late.state().deployment !== undefined)
+  t.is(late.state().deployment?.version, 1)
+  t.false(late.isReady())
+  system.standIns.store.faults.down = false
+  await until(() => late.isReady())
+  t.pass()
+  await late.close()
+  await stopTestSystem(system)
+})
--- a/packages/standins/engine_stand_in.ts
+++ b/packages/standins/engine_stand_in.ts
@@ -36,6 +36,8 @@
   truncateAfter: number
   /** Answers with the id of another request. */
   crossed: boolean
+  /** Announces that the engine is leaving. */
+  leaving: boolean
 }
 
 /** An engine stand-in that is listening. */
@@ -87,7 +89,7 @@
  * ```
  */
 export async function startEngineStandIn (options: EngineOptions): Promise<EngineStandIn> {
-  const faults: EngineFaults = { crashOn: '', silent: false, truncateAfter: 0, crossed: false }
+  const faults: EngineFaults = { crashOn: '', silent: false, truncateAfter: 0, crossed: false, leaving: false }
   let holdings = new Map<string, StandInHolding>()
   let cancels = new Map<string, () => void>()
   let incarnation = randomUUID()
@@ -110,7 +112,7 @@
       holdings: [...holdings].map(([model, holding]) => ({ model, ...holding, running: runningOn.get(model) ?? 0 })),
       running,
       ran,
-      leaving: false
+      leaving: faults.leaving
     }
   }
 
