Follow the platform's instance list

Cause: an upstream that the platform takes away was learnt from its own status only, and one that was gone kept its replicas counted for good. Change: the list is read every second from the store's object 'instances'; leaving upstreams get no new work, dropped ones free their replicas. Found by the test: the last status of a dropped upstream was taken for what it holds, so that its replicas were recorded again at once; the status now goes with the upstream. After: the test over sockets passes; a model of a dropped upstream is loaded on another one.

--- a/packages/instance/run_instance.ts
+++ b/packages/instance/run_instance.ts
@@ -3,11 +3,12 @@
 import { DocumentSchema, findProblems } from '@berylshed/configuration'
 import { gossipEntries, type PeerEntry } from '@berylshed/membership'
 import { ExpectedCostPolicy, type Policy } from '@berylshed/placement'
-import type { Engine, Store, StoredObject } from '@berylshed/platform'
+import { StoreInstanceList, type Engine, type InstanceList, type Store, type StoredObject } from '@berylshed/platform'
 import { checkDocument, formatFinding, type Settings } from '@berylshed/settings'
 import { Effect, Fiber, Queue } from 'effect'
 import xxhash from 'xxhash-wasm'
 import { createClaimsEffects } from './_claims_effects.ts'
+import { followList } from './_follow_list.ts'
 import type { InterpreterContext } from './_interpreter_context.ts'
 import { cellKey, createPlacementEffects, HTTP_ENGINES, parseCell } from './_placement_effects.ts'
 import { createRequestEffects } from './_request_effects.ts'
@@ -39,6 +40,8 @@
   /** Peer addresses that are tried before any peer is known. */
   readonly seeds?: readonly string[]
   readonly policy?: Policy
+  /** The platform's list of instances; an object of the store where it is left out. */
+  readonly list?: InstanceList
   engine? (address: string): Engine
 }
 
@@ -242,6 +245,7 @@
   follow(CONFIGURATION_KEY, learn, () => {
     for (const address of options.seeds ?? []) learnFrom(address, Infinity).catch(() => {})
   })
+  fibers.push(Effect.runFork(followList(context, options.list ?? new StoreInstanceList(store))))
   log('instance started', { count: httpPort })
 
   async function close (): Promise<void> {
--- a/packages/instance/run_instance_test.ts
+++ b/packages/instance/run_instance_test.ts
@@ -3,6 +3,7 @@
 import test from 'ava'
 import { HashMap } from 'effect'
 import { callInstance, EXAMPLE_KEY, startTestSystem, stopTestSystem, sumEngines, testSettings, until, type TestSystem } from './_test_system.ts'
+import type { InstanceState } from './instance_state.ts'
 import { runInstance } from './run_instance.ts'
 
 const CHAT = '/v1/chat/completions'
@@ -181,6 +182,25 @@
   await stopTestSystem(system)
 })
 
+test('an upstream that the list says is leaving gets no new work, and one that is dropped frees its replicas', async (t) => {
+  const system = await startTestSystem(1)
+  await (await callInstance(portOf(system), CHAT, { body: { model: MODEL } })).text()
+  const [holding] = [...system.standIns.engines].filter(([, engine]) => engine.holdings().has(MODEL))
+  if (holding === undefined) return t.fail()
+  const [name, engine] = holding
+  const listed = [...system.standIns.engines.keys()].map((upstream) => ({ name: upstream, role: 'upstream', address: upstream, state: 'live' }))
+  const state = (): InstanceState | undefined => system.instances[0]?.state()
+  system.standIns.store.put('instances', JSON.stringify(listed.map((entry) => entry.name === name ? { ...entry, state: 'leaving' } : entry)))
+  await until(() => HashMap.some(state()?.requests.upstreams ?? HashMap.empty(), (load) => load.withdrawn))
+  const runs = engine.runs()
+  await engine.close()
+  system.standIns.store.put('instances', JSON.stringify(listed.filter((entry) => entry.name !== name)))
+  await until(() => state()?.placement.cell?.replicas.every((replica) => replica.upstream !== name) === true)
+  t.is((await callInstance(portOf(system), CHAT, { body: { model: MODEL } })).status, 200)
+  t.is(engine.runs(), runs)
+  await stopTestSystem(system)
+})
+
 test('an instance that starts while the store is down learns the configuration from a peer', async (t) => {
   const system = await startTestSystem(1)
   system.standIns.store.faults.down = true
--- a/packages/placement/reduce_placement.ts
+++ b/packages/placement/reduce_placement.ts
@@ -253,7 +253,14 @@
 
 // Only a holder acts on it, and at once: kept for later it could be applied to the upstream's next incarnation.
 function _absorbGone (state: PlacementState, upstream: string): PlacementState {
-  return isHolder(state) ? { ...state, gone: [...state.gone, { upstream, probe: state.probes }] } : state
+  if (!isHolder(state)) return state
+  return {
+    ...state,
+    gone: [...state.gone, { upstream, probe: state.probes }],
+    // What it last told would otherwise be taken for what it holds.
+    reports: HashMap.remove(state.reports, upstream),
+    lastProbes: HashMap.remove(state.lastProbes, upstream)
+  }
 }
 
 type _CatalogChanged = Extract<PlacementEvent, { kind: 'catalog_changed' }>
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+export * from './compare_lists.ts'
 export * from './engine.ts'
 export * from './http_call.ts'
 export * from './http_engine.ts'
 export * from './http_store.ts'
 export * from './instance_list.ts'
 export * from './store.ts'
+export * from './store_instance_list.ts'
--- a/packages/requests/choose_upstream.ts
+++ b/packages/requests/choose_upstream.ts
@@ -50,7 +50,7 @@
 function _isUsable (name: string, context: ChoiceContext): boolean {
   const load = context.load(name)
   const slots = context.rules.upstreams.get(name)?.slots ?? 0
-  if (load.leaving || load.suspectedUntilMs > context.nowMs) return false
+  if (load.leaving || load.withdrawn || load.suspectedUntilMs > context.nowMs) return false
   if (context.tried.includes(name)) return false
   // An instance may always use its share, however old the news of the others is.
   return load.own < Math.ceil(slots / context.shares) || load.own + _othersNow(load, context) < slots
--- a/packages/requests/reduce_requests.ts
+++ b/packages/requests/reduce_requests.ts
@@ -35,6 +35,7 @@
     case 'residency_changed': return _changeResidencies(state, event)
     case 'outlook_known': return _applyOutlook(state, event)
     case 'upstream_reported': return _applyReport(state, event)
+    case 'upstream_listed': return step(_changeLoad(state, event.upstream, (load) => ({ ...load, withdrawn: event.withdrawn })))
     case 'upstream_suspected': return step(_changeLoad(state, event.upstream, (load) => ({
       ...load, suspectedUntilMs: Math.max(load.suspectedUntilMs, event.nowMs + event.forMs)
     })))
--- a/packages/requests/upstream_load.ts
+++ b/packages/requests/upstream_load.ts
@@ -6,7 +6,10 @@
   readonly others: number
   /** Local time of that report, in ms. */
   readonly reportedAtMs: number
+  /** Whether its own status says that it is leaving. */
   readonly leaving: boolean
+  /** Whether the platform's list says that it is leaving or gone. */
+  readonly withdrawn: boolean
   /** Until when the upstream is avoided, in ms. */
   readonly suspectedUntilMs: number
   /** Average duration of a request, in ms. */
@@ -15,5 +18,5 @@
 
 /** An upstream of which nothing is known. */
 export const UNKNOWN_LOAD: UpstreamLoad = {
-  own: 0, others: 0, reportedAtMs: 0, leaving: false, suspectedUntilMs: -Infinity, durationMs: 0
+  own: 0, others: 0, reportedAtMs: 0, leaving: false, withdrawn: false, suspectedUntilMs: -Infinity, durationMs: 0
 }
