Report gauges of idle accelerators and the wait of each request

Cause: what the users measure, tail cold start and idle accelerator hours, had no metric of a running system. Change: the timing wait.ms, and gauges of open requests, loaded and idle replicas and idle accelerators; a base counts as in use while an adapter of it is. Conclusion: operators can watch both measures.

--- a/packages/instance/_request_effects.ts
+++ b/packages/instance/_request_effects.ts
@@ -54,6 +54,8 @@
     const { request, metric } = effect
     metrics.count(metric)
     metrics.time('request.ms', nowMs() - request.receivedAtMs)
+    const [first] = request.attempts
+    if (first !== undefined) metrics.time('wait.ms', first.sentAtMs - request.receivedAtMs)
     log(metric, { request: request.id, customer: request.customer, model: request.target.name })
   }
 
--- a/packages/instance/run_instance.ts
+++ b/packages/instance/run_instance.ts
@@ -12,6 +12,7 @@
 import type { InterpreterContext } from './_interpreter_context.ts'
 import { cellKey, createPlacementEffects, HTTP_ENGINES, parseCell } from './_placement_effects.ts'
 import { createRequestEffects } from './_request_effects.ts'
+import { reportGauges } from './report_gauges.ts'
 import { close as closeServer, listen } from './_servers.ts'
 import { watchObject } from './_watch_object.ts'
 import { createAdminServer } from './admin_server.ts'
@@ -33,6 +34,8 @@
 /** Time between ticks otherwise, in ms. */
 const TICK_MS = 100
 const POLL_DRAIN_MS = 50
+/** Time between two reports of gauges, in ms. */
+const GAUGE_MS = 10_000
 
 /** What an instance runs with besides its settings. */
 export interface RunOptions {
@@ -234,6 +237,13 @@
     }
   })
 
+  const gauges = Effect.gen(function * () {
+    while (true) {
+      yield * Effect.sleep(GAUGE_MS)
+      reportGauges(state, metrics)
+    }
+  })
+
   const [httpPort, peerPort, adminPort] = await Promise.all([
     listen(callerServer, settings.instance.http_port, settings.instance.address),
     listen(peerServer, settings.instance.peer_port, settings.instance.address),
@@ -241,7 +251,7 @@
   ])
   // Nothing is reduced before the loop starts, so that the state may still take its peer address.
   state = _stateFor(peerPort)
-  fibers.push(Effect.runFork(loop), Effect.runFork(ticks))
+  fibers.push(Effect.runFork(loop), Effect.runFork(ticks), Effect.runFork(gauges))
   follow(CONFIGURATION_KEY, learn, () => {
     for (const address of options.seeds ?? []) learnFrom(address, Infinity).catch(() => {})
   })
