--- a/packages/ctl/berylctl.ts
+++ b/packages/ctl/berylctl.ts
@@ -7,6 +7,7 @@
 import { hideBin } from 'yargs/helpers'
 import { callAdmin, type AdminCall, type AdminTarget } from './admin_client.ts'
 import { EXIT_CODE, type ExitCode } from './exit_code.ts'
+import { formatFailure } from './format_failure.ts'
 import { formatTable } from './format_table.ts'
 import { runReplay, runTrace } from './replay_command.ts'
 
@@ -34,7 +35,7 @@
 async function ask (output: Output, call: AdminCall): Promise<void> {
   const answer = await callAdmin(output, call)
   if (answer.isOk()) return show(answer.value, output.json)
-  process.stderr.write(`${typeof answer.error.detail === 'string' ? answer.error.detail : JSON.stringify(answer.error.detail)}\n`)
+  process.stderr.write(formatFailure(answer.error, output.json))
   leave(answer.error.exitCode)
 }
 
--- /dev/null
+++ b/packages/ctl/format_failure.ts
@@ -0,0 +1,27 @@
+import { formatFinding, type Finding } from '@berylshed/settings'
+import type { AdminFailure } from './admin_client.ts'
+
+interface _Detail {
+  readonly error?: string
+  readonly findings?: readonly Finding[]
+}
+
+/**
+ * Renders a failed call: the message and its findings for people, the whole answer as JSON.
+ *
+ * @param failure The failure.
+ * @param json Whether to render JSON.
+ * @returns The lines to print.
+ *
+ * @example
+ * ```ts
+ * process.stderr.write(formatFailure({ exitCode: 4, detail: 'Cannot reach 127.0.0.1:8100' }, false))
+ * ```
+ */
+export function formatFailure (failure: AdminFailure, json: boolean): string {
+  if (json) return `${JSON.stringify(failure.detail)}\n`
+  if (typeof failure.detail === 'string') return `${failure.detail}\n`
+  const detail = failure.detail as _Detail
+  const findings = (detail.findings ?? []).map((finding) => `${formatFinding(finding)}\n`)
+  return [`${detail.error ?? JSON.stringify(failure.detail)}\n`, ...findings].join('')
+}
