--- /dev/null
+++ b/packages/edge/_caller_server.ts
@@ -0,0 +1,146 @@
+import { createHash } from 'node:crypto'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { chooseService, matchRoute, type Configuration, type Route } from '@berylshed/fleet'
+import { ownHeaders, readCaller, type CallerFacts } from '@berylshed/platform'
+import { refusal, type ReceivedRequest } from '@berylshed/serving'
+import { answerRefusal, type CallerExchange } from './_exchanges.ts'
+import type { EdgeState } from './edge_state.ts'
+
+/** Longest headers that are taken, in bytes: twice what today's configurations allow. */
+const MAX_HEADER_BYTES = 32 * 1024
+/** Time for which an idle connection is kept beyond the time in which callers may reuse it, in ms. */
+const IDLE_SLACK_MS = 2000
+const DEFAULT_IDLE_MS = 30_000
+/** When a caller may come back to an instance that knows no configuration yet, in ms. */
+const NOT_CONFIGURED_RETRY_MS = 500
+/** Factor beyond the configured header time-out after which a slow sender is cut, so that a short pause is no cause. */
+const HEADER_TIMEOUT_SLACK = 2
+/** Longest time in which a whole request must arrive, in ms; longer than any route's time-out today. */
+const REQUEST_TIMEOUT_MS = 60_000
+
+/** What the callers' server works with. */
+export interface CallerServerOptions {
+  nowMs (): number
+  random (): number
+  state (): EdgeState
+  receive (request: ReceivedRequest, exchange: CallerExchange): void
+  /** Told of each request that is turned away before it is routed. */
+  rejected (callerId: string, status: number, reason: string): void
+}
+
+/** The callers' server. */
+export interface CallerServer {
+  readonly server: Server
+  /** Takes over the limits of a configuration. */
+  configure (configuration: Configuration): void
+}
+
+interface _Call {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly facts: CallerFacts
+  readonly arrivedAtMs: number
+}
+
+/** Creates the server that callers reach, not listening yet. */
+export function createCallerServer (options: CallerServerOptions): CallerServer {
+  let count = 0
+
+  function reject (call: _Call, status: number, reason: string): void {
+    options.rejected(call.facts.id, status, reason)
+    if (call.response.headersSent || call.response.destroyed) return
+    const body = JSON.stringify({ error: { reason, outcome: 'not run' } })
+    call.response.writeHead(status, { ...ownHeaders(call.facts.id, undefined), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
+  }
+
+  async function handle (call: _Call): Promise<void> {
+    const { request, response, facts } = call
+    const state = options.state()
+    if (state.configuration === undefined) {
+      options.rejected(facts.id, 503, 'not_configured')
+      await _discard(request)
+      return answerRefusal(response, refusal('not_configured', { mayHaveRun: false, retryAfterMs: NOT_CONFIGURED_RETRY_MS }), { callerId: facts.id, close: state.draining })
+    }
+    const body = await _readBody(request, state.configuration.limits.maxBodyBytes)
+    if (body === undefined) return reject(call, 413, 'body_too_large')
+    // The newest configuration decides, also for a request that arrived slowly.
+    const path = request.url ?? '/'
+    const route = matchRoute(options.state().routes, request.headers.host ?? '', { path })
+    if (route === undefined) return reject(call, 404, 'no_route')
+    if (facts.id === '') return reject(call, 400, 'no_request_id')
+    count += 1
+    const id = `${count.toString(36)}.${facts.id}`
+    options.receive(received(call, route, { id, body }), {
+      id, callerId: facts.id, method: request.method ?? 'GET', path, headers: request.rawHeaders, body, response
+    })
+  }
+
+  function received (call: _Call, route: Route, made: { readonly id: string, readonly body: Buffer }): ReceivedRequest {
+    const { facts, request, arrivedAtMs } = call
+    const resumable = route.repetition === 'streaming' && route.resumable
+    return {
+      id: made.id,
+      callerId: facts.id,
+      fingerprint: _fingerprint(request, made.body),
+      route: route.name,
+      service: chooseService(route, options.random()),
+      model: facts.model,
+      adapter: facts.adapter,
+      stream: route.repetition === 'streaming',
+      repeatable: route.repetition === 'idempotent' || resumable,
+      maxRuns: Math.max(1, route.maxAttempts),
+      rank: route.rank,
+      objectiveMs: route.objectiveMs,
+      arrivedAtMs,
+      deadlineMs: arrivedAtMs + Math.min(route.timeoutMs, facts.budgetMs ?? Infinity)
+    }
+  }
+
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_SLACK_MS }, (request, response) => {
+    const call = { request, response, facts: readCaller(request.headers), arrivedAtMs: options.nowMs() }
+    handle(call).catch((error: unknown) => {
+      options.rejected(call.facts.id, 400, error instanceof Error ? error.message : String(error))
+      response.destroy()
+    })
+  })
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if (!socket.writable) return
+    const status = _transportStatus(error.code)
+    options.rejected('', status, error.code ?? error.message)
+    socket.end(`HTTP/1.1 ${status} Rejected\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+  })
+
+  function configure (configuration: Configuration): void {
+    server.keepAliveTimeout = configuration.limits.idleTimeoutMs + IDLE_SLACK_MS
+    server.headersTimeout = configuration.limits.headerTimeoutMs * HEADER_TIMEOUT_SLACK
+  }
+
+  return { server, configure }
+}
+
+function _transportStatus (code: string | undefined): number {
+  if (code === 'HPE_HEADER_OVERFLOW') return 431
+  return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
+}
+
+async function _readBody (request: IncomingMessage, limitBytes: number): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of request) {
+    bytes += (chunk as Buffer).length
+    if (bytes > limitBytes) return undefined
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks)
+}
+
+async function _discard (request: IncomingMessage): Promise<void> {
+  request.resume()
+  await new Promise((resolve) => request.once('end', resolve).once('close', resolve))
+}
+
+// Callers arrive through the balancer, so that the address is the caller's own.
+function _fingerprint (request: IncomingMessage, body: Buffer): string {
+  const name = `${request.headers.host ?? ''}\n${request.url ?? ''}\n${request.socket.remoteAddress ?? ''}\n`
+  return createHash('sha256').update(name).update(body).digest('base64url').slice(0, 22)
+}
--- /dev/null
+++ b/packages/edge/_edge_metrics.ts
@@ -0,0 +1,102 @@
+import { createServer, type Server } from 'node:http'
+import type { SchedulerRecord } from '@berylshed/scheduler'
+import type { ServingRecord } from '@berylshed/serving'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Bounds of the latency histograms, in seconds: today's objectives lie between 0.1 and 2 s, deadlines up to 20 s. */
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 1.5, 2, 4, 8, 16]
+const MS_PER_SECOND = 1000
+
+/** Values that are read when the metrics are asked for. */
+export interface GaugeValues {
+  readonly waiting: number
+  readonly open: number
+  readonly configurationVersion: number
+  readonly listRevision: number
+  readonly holdsLease: boolean
+  readonly fence: number
+  readonly viewAgeMs: number
+  readonly droppedLines: number
+}
+
+/** Counters and histograms of an instance, in the text form that Prometheus reads. */
+export interface EdgeMetrics {
+  readonly server: Server
+  countRequest (record: ServingRecord): void
+  countRejected (status: number, reason: string): void
+  countOrder (record: SchedulerRecord): void
+  countDependency (name: string, change: 'lost' | 'regained'): void
+}
+
+/** Creates the metrics of an instance with the server that shows them, not listening yet. */
+export function createEdgeMetrics (gauges: () => GaugeValues): EdgeMetrics {
+  const registry = new Registry()
+  const registers = [registry]
+  const answered = new Counter({ name: 'berylshed_answered_total', help: 'Requests that were answered by an upstream', labelNames: ['route', 'status'], registers })
+  const refused = new Counter({ name: 'berylshed_refused_total', help: 'Requests that were refused, by reason', labelNames: ['reason', 'status'], registers })
+  const brokenOff = new Counter({ name: 'berylshed_broken_off_total', help: 'Answers that were broken off, by reason', labelNames: ['reason'], registers })
+  const left = new Counter({ name: 'berylshed_left_total', help: 'Requests whose caller left', registers })
+  const rejected = new Counter({ name: 'berylshed_rejected_total', help: 'Requests turned away before they were routed', labelNames: ['status', 'reason'], registers })
+  const sendings = new Counter({ name: 'berylshed_sendings_total', help: 'Sendings to upstreams, first ones and repeats', labelNames: ['kind'], registers })
+  const failed = new Counter({ name: 'berylshed_failed_sendings_total', help: 'Sendings that failed, by reason', labelNames: ['reason'], registers })
+  const avoided = new Counter({ name: 'berylshed_upstreams_avoided_total', help: 'Times that an upstream was avoided, by reason', labelNames: ['reason'], registers })
+  const orders = new Counter({ name: 'berylshed_orders_total', help: 'Orders to engines, by operation and outcome', labelNames: ['operation', 'outcome'], registers })
+  const leases = new Counter({ name: 'berylshed_lease_changes_total', help: 'Changes of the lease at this instance', labelNames: ['change'], registers })
+  const dependencies = new Counter({ name: 'berylshed_dependency_changes_total', help: 'Dependencies lost and regained', labelNames: ['name', 'change'], registers })
+  const waited = new Histogram({ name: 'berylshed_wait_seconds', help: 'Time from arrival to the first sending', labelNames: ['route'], buckets: LATENCY_BUCKETS_S, registers })
+  const lasted = new Histogram({ name: 'berylshed_request_seconds', help: 'Time from arrival to the outcome', labelNames: ['route', 'outcome'], buckets: LATENCY_BUCKETS_S, registers })
+  _registerGauges(gauges, registers)
+
+  function countRequest (record: ServingRecord): void {
+    const { route = '', reason = '', elapsedMs = 0, status = 0 } = record
+    switch (record.what) {
+      case 'sent':
+        sendings.inc({ kind: record.sending === 1 ? 'first' : 'repeat' })
+        if (record.sending === 1) waited.observe({ route }, elapsedMs / MS_PER_SECOND)
+        return
+      case 'failed': return failed.inc({ reason })
+      case 'answered': answered.inc({ route, status }); return lasted.observe({ route, outcome: 'answered' }, elapsedMs / MS_PER_SECOND)
+      case 'refused': refused.inc({ reason, status }); return lasted.observe({ route, outcome: 'refused' }, elapsedMs / MS_PER_SECOND)
+      case 'broken_off': return brokenOff.inc({ reason })
+      case 'left': return left.inc()
+      case 'upstream_avoided': return avoided.inc({ reason })
+      default:
+    }
+  }
+
+  function countOrder (record: SchedulerRecord): void {
+    const { operation = '', outcome = '' } = record
+    if (record.what === 'order_ended') orders.inc({ operation, outcome })
+    else if (record.what.startsWith('lease_')) leases.inc({ change: record.what.slice('lease_'.length) })
+  }
+
+  const server = createServer((_request, response) => {
+    registry.metrics().then((text) => {
+      response.writeHead(200, { 'Content-Type': registry.contentType }).end(text)
+    }, (error: unknown) => {
+      response.writeHead(500, { 'Content-Type': 'text/plain' }).end(error instanceof Error ? error.message : String(error))
+    })
+  })
+
+  return {
+    server,
+    countRequest,
+    countOrder,
+    countRejected: (status, reason) => rejected.inc({ status, reason }),
+    countDependency: (name, change) => dependencies.inc({ name, change })
+  }
+}
+
+function _registerGauges (values: () => GaugeValues, registers: Registry[]): void {
+  const gauge = (name: string, help: string, read: (values: GaugeValues) => number): void => {
+    registers[0]?.registerMetric(new Gauge({ name, help, registers: [], collect () { this.set(read(values())) } }))
+  }
+  gauge('berylshed_waiting_requests', 'Requests that wait for an upstream', ({ waiting }) => waiting)
+  gauge('berylshed_open_requests', 'Requests without an outcome', ({ open }) => open)
+  gauge('berylshed_configuration_version', 'Version of the configuration in force', ({ configurationVersion }) => configurationVersion)
+  gauge('berylshed_registrations_revision', 'Store revision of the list of upstreams', ({ listRevision }) => listRevision)
+  gauge('berylshed_holds_lease', 'Whether this instance holds the lease', ({ holdsLease }) => Number(holdsLease))
+  gauge('berylshed_fence', 'Newest fencing token heard of', ({ fence }) => fence)
+  gauge('berylshed_view_age_seconds', 'Age of the newest news from the holder of the lease', ({ viewAgeMs }) => viewAgeMs / MS_PER_SECOND)
+  gauge('berylshed_dropped_lines', 'Log lines that were dropped', ({ droppedLines }) => droppedLines)
+}
--- /dev/null
+++ b/packages/edge/edge_effect.ts
@@ -0,0 +1,21 @@
+import type { SchedulerEffect } from '@berylshed/scheduler'
+import type { ServingEffect } from '@berylshed/serving'
+import type { ExchangeRequest } from './exchange.ts'
+
+/** A change of what the whole instance believes, for logs. */
+export interface EdgeRecord {
+  readonly what: 'configuration_in_force' | 'upstreams_listed' | 'holder_lost' | 'holder_found'
+  readonly version?: number
+  readonly from?: string
+  readonly count?: number
+  readonly fence?: number
+  readonly holder?: string
+  readonly ageMs?: number
+}
+
+/** Everything that an instance asks the outside to do. */
+export type EdgeEffect =
+  | { readonly subject: 'serving', readonly effect: ServingEffect }
+  | { readonly subject: 'scheduler', readonly effect: SchedulerEffect }
+  | { readonly subject: 'exchange', readonly to: string, readonly request: ExchangeRequest }
+  | { readonly subject: 'record', readonly record: EdgeRecord }
--- /dev/null
+++ b/packages/edge/serve.ts
@@ -0,0 +1,69 @@
+import { readFile, stat } from 'node:fs/promises'
+import { PlatformEngines, PlatformStore, readHostSettings, type HostSettings } from '@berylshed/platform'
+import { formatFinding } from '@berylshed/settings'
+import { createJournal } from './journal.ts'
+import { runEdge } from './run_edge.ts'
+
+const EXIT_FINDINGS = 2
+const EXIT_STOPPED = 0
+const EXIT_FAILED = 1
+/** Variable that names the platform's settings file. */
+const SETTINGS_VARIABLE = 'BERYLSHED_SETTINGS'
+/** Time between two looks at the settings file, in ms; the platform may change it without a signal. */
+const SETTINGS_POLL_MS = 2000
+
+async function loadSettings (file: string): Promise<HostSettings> {
+  const settings = readHostSettings(await readFile(file, 'utf8'), file)
+  if (settings.isOk()) return settings.value
+  for (const finding of settings.error) process.stderr.write(`${formatFinding(finding)}\n`)
+  return process.exit(EXIT_FINDINGS)
+}
+
+const file = process.env[SETTINGS_VARIABLE] ?? ''
+if (file === '') {
+  process.stderr.write(`Cannot start: ${SETTINGS_VARIABLE} is not set; name the platform's settings file\n`)
+  process.exit(EXIT_FINDINGS)
+}
+const settings = await loadSettings(file)
+const journal = createJournal(settings.instance)
+const store = new PlatformStore(settings.storeAddress, {
+  unreadable: (findings) => journal.write('registry', { what: 'entry_skipped', reason: findings.join('; ') })
+})
+const edge = await runEdge(settings, { store, registry: store.registry, engines: new PlatformEngines(), journal })
+
+let stopping = false
+function stop (): void {
+  if (stopping) return
+  stopping = true
+  edge.drain().then(() => {
+    journal.flush()
+    process.exit(EXIT_STOPPED)
+  }, (error: unknown) => {
+    journal.write('process', { what: 'drain_failed', reason: String(error) })
+    journal.flush()
+    process.exit(EXIT_FAILED)
+  })
+}
+process.on('SIGTERM', stop)
+process.on('SIGINT', stop)
+
+// The settings name the process's place, which does not change while it runs; a change is noted and read at the next start.
+async function noteSettings (): Promise<void> {
+  const text = await readFile(file, 'utf8')
+  const read = readHostSettings(text, file)
+  journal.write('process', { what: 'settings_changed', findings: read.isErr() ? read.error.map(formatFinding).join('; ') : '' })
+}
+
+let knownChangeMs = (await stat(file)).mtimeMs
+async function pollSettings (): Promise<void> {
+  const { mtimeMs } = await stat(file)
+  if (mtimeMs === knownChangeMs) return
+  knownChangeMs = mtimeMs
+  await noteSettings()
+}
+
+function report (error: unknown): void {
+  journal.write('process', { what: 'settings_unread', reason: String(error) })
+}
+process.on('SIGHUP', () => { noteSettings().catch(report) })
+setInterval(() => { pollSettings().catch(report) }, SETTINGS_POLL_MS).unref()
--- /dev/null
+++ b/packages/platform/_decode_configuration.ts
@@ -0,0 +1,126 @@
+import type { Configuration, Engine, Repetition, Route, Service } from '@berylshed/fleet'
+import { checkDocument, type Finding } from '@berylshed/settings'
+import { Schema } from 'effect'
+import type { Result } from 'neverthrow'
+
+const MS_PER_SECOND = 1000
+/** Longest wait for a request's headers where the configuration sets none, in ms; Node's own default. */
+const DEFAULT_HEADER_TIMEOUT_MS = 60_000
+
+const WireRoute = Schema.Struct({
+  Name: Schema.String,
+  Hostname: Schema.String,
+  PathPrefix: Schema.String,
+  RouteKind: Schema.Literals(['streaming', 'idempotent', 'non_idempotent']),
+  TimeoutMs: Schema.optionalKey(Schema.Number),
+  // The latency objective.
+  GoalMs: Schema.optionalKey(Schema.Number),
+  // A rank: 0 is the most urgent.
+  Priority: Schema.optionalKey(Schema.Number),
+  Service: Schema.optionalKey(Schema.String),
+  Split: Schema.optionalKey(Schema.Array(Schema.Struct({ Service: Schema.String, Weight: Schema.Number }))),
+  // The number of upstreams that may run one request, not the number of sendings.
+  Attempts: Schema.optionalKey(Schema.Number),
+  Resumable: Schema.optionalKey(Schema.Boolean)
+})
+
+const WireModel = Schema.Struct({
+  Name: Schema.String,
+  WeightsMb: Schema.Number,
+  LoadTimeS: Schema.Number,
+  DiskS: Schema.optionalKey(Schema.Number),
+  // From the upstream's own memory, not a warmed-up engine.
+  WarmS: Schema.optionalKey(Schema.Number),
+  AdapterSizeMb: Schema.optionalKey(Schema.Number)
+})
+
+const WireEngine = Schema.Struct({
+  Slots: Schema.Number,
+  // Room for the weights and adapters of all models, unlike the field of the same name in a model.
+  WeightsMb: Schema.Number,
+  AdapterSlots: Schema.optionalKey(Schema.Number),
+  LoadsPerS: Schema.optionalKey(Schema.Number),
+  Models: Schema.Array(WireModel)
+})
+
+const WireConfiguration = Schema.Struct({
+  Version: Schema.Number,
+  Routes: Schema.Array(WireRoute),
+  Services: Schema.Array(Schema.Struct({
+    Name: Schema.String,
+    HealthPath: Schema.optionalKey(Schema.String),
+    MaxConnections: Schema.optionalKey(Schema.Number),
+    Engine: Schema.optionalKey(WireEngine)
+  })),
+  Limits: Schema.optionalKey(Schema.Struct({
+    MaxBodyBytes: Schema.optionalKey(Schema.Number),
+    HeaderTimeoutMs: Schema.optionalKey(Schema.Number),
+    IdleTimeoutMs: Schema.optionalKey(Schema.Number)
+  }))
+})
+
+/** Longest wait for an answer where a route sets none, in ms; the longest that the deployments use. */
+const DEFAULT_TIMEOUT_MS = 30_000
+const DEFAULT_OBJECTIVE_MS = 1000
+/** Rank of a route that sets none: behind all that do on today's deployments. */
+const DEFAULT_RANK = 5
+const DEFAULT_MAX_CONNECTIONS = 100
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+const DEFAULT_IDLE_MS = 15_000
+
+/** Decodes the operator's configuration. */
+export function decodeConfiguration (value: unknown, source: string): Result<Configuration, readonly Finding[]> {
+  return checkDocument(value, WireConfiguration, { source, unknownKeys: 'ignored' }).map((wire): Configuration => ({
+    version: wire.Version,
+    routes: wire.Routes.map(_route),
+    services: new Map(wire.Services.map((service): [string, Service] => [service.Name, {
+      name: service.Name,
+      maxConnections: service.MaxConnections ?? DEFAULT_MAX_CONNECTIONS,
+      healthPath: service.HealthPath ?? '/',
+      engine: service.Engine === undefined ? undefined : _engine(service.Engine)
+    }])),
+    limits: {
+      maxBodyBytes: wire.Limits?.MaxBodyBytes ?? DEFAULT_BODY_BYTES,
+      headerTimeoutMs: wire.Limits?.HeaderTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS,
+      idleTimeoutMs: wire.Limits?.IdleTimeoutMs ?? DEFAULT_IDLE_MS
+    }
+  }))
+}
+
+function _route (wire: typeof WireRoute.Type): Route {
+  const repetition: Repetition = wire.RouteKind
+  const single = wire.Service === undefined ? [] : [{ service: wire.Service, weight: 1 }]
+  return {
+    name: wire.Name,
+    host: wire.Hostname,
+    pathPrefix: wire.PathPrefix,
+    repetition,
+    timeoutMs: wire.TimeoutMs ?? DEFAULT_TIMEOUT_MS,
+    objectiveMs: wire.GoalMs ?? DEFAULT_OBJECTIVE_MS,
+    rank: wire.Priority ?? DEFAULT_RANK,
+    maxAttempts: wire.Attempts ?? 1,
+    resumable: wire.Resumable ?? false,
+    services: wire.Split?.map(({ Service: service, Weight: weight }) => ({ service, weight })) ?? single
+  }
+}
+
+function _engine (wire: typeof WireEngine.Type): Engine {
+  return {
+    slots: wire.Slots,
+    memoryMb: wire.WeightsMb,
+    adapterPlaces: wire.AdapterSlots ?? 0,
+    loadsPerSecond: wire.LoadsPerS ?? 1,
+    models: new Map(wire.Models.map((model) => {
+      const storeLoadMs = model.LoadTimeS * MS_PER_SECOND
+      const diskLoadMs = model.DiskS === undefined ? storeLoadMs : model.DiskS * MS_PER_SECOND
+      return [model.Name, {
+        name: model.Name,
+        memoryMb: model.WeightsMb,
+        storeLoadMs,
+        diskLoadMs,
+        memoryLoadMs: model.WarmS === undefined ? diskLoadMs : model.WarmS * MS_PER_SECOND,
+        adapterMb: model.AdapterSizeMb ?? 0
+      }]
+    }))
+  }
+}
--- /dev/null
+++ b/packages/platform/_decode_upstream.ts
@@ -0,0 +1,81 @@
+import type { Copies, EngineReport, Resident, Upstream } from '@berylshed/fleet'
+import { checkDocument, type Finding } from '@berylshed/settings'
+import { Schema } from 'effect'
+import type { Result } from 'neverthrow'
+
+const WireResidents = Schema.Array(Schema.Struct({
+  Name: Schema.String,
+  Adapters: Schema.optionalKey(Schema.Array(Schema.String))
+}))
+
+// Copies that can be loaded without the weight store, not what may be requested.
+const WireCopies = Schema.Struct({
+  InMemory: Schema.optionalKey(Schema.Array(Schema.String)),
+  OnDisk: Schema.optionalKey(Schema.Array(Schema.String))
+})
+
+const WireUpstream = Schema.Struct({
+  Service: Schema.String,
+  Address: Schema.String,
+  Zone: Schema.String,
+  Slots: Schema.Number,
+  State: Schema.Literals(['ready', 'draining']),
+  // Number of orders accepted; not a heartbeat counter.
+  Sequence: Schema.optionalKey(Schema.Number),
+  Models: Schema.optionalKey(WireResidents),
+  Available: Schema.optionalKey(WireCopies),
+  born: Schema.optionalKey(Schema.Int)
+})
+
+const WireReport = Schema.Struct({
+  Models: WireResidents,
+  Busy: Schema.Boolean,
+  Sequence: Schema.Number,
+  Queued: Schema.optionalKey(Schema.Number),
+  Active: Schema.optionalKey(Schema.Number),
+  // Adapters on their way, as MODEL/NAME@VERSION.
+  Pending: Schema.optionalKey(Schema.Array(Schema.String)),
+  Available: Schema.optionalKey(WireCopies),
+  born: Schema.optionalKey(Schema.Int)
+})
+
+/** Decodes an upstream's registration; an entry of another writer gives findings. */
+export function decodeUpstream (id: string, value: unknown): Result<Upstream, readonly Finding[]> {
+  return checkDocument(value, WireUpstream, { source: `upstream ${id}`, unknownKeys: 'ignored' }).map((wire): Upstream => ({
+    id,
+    service: wire.Service,
+    address: wire.Address,
+    availabilityZone: wire.Zone,
+    incarnation: wire.born ?? 0,
+    slots: wire.Slots,
+    leaving: wire.State === 'draining',
+    sequence: wire.Sequence ?? 0,
+    residents: _residents(wire.Models),
+    copies: _copies(wire.Available)
+  }))
+}
+
+/** Decodes the answer of an engine about its state. */
+export function decodeReport (id: string, value: unknown): Result<EngineReport, readonly Finding[]> {
+  return checkDocument(value, WireReport, { source: `report of ${id}`, unknownKeys: 'ignored' }).map((wire): EngineReport => ({
+    incarnation: wire.born,
+    sequence: wire.Sequence,
+    busy: wire.Busy,
+    residents: _residents(wire.Models),
+    pendingAdapters: (wire.Pending ?? []).map((adapter) => adapter.split('@')[0] ?? adapter),
+    copies: _copies(wire.Available),
+    active: wire.Active ?? 0,
+    queued: wire.Queued ?? 0
+  }))
+}
+
+function _residents (wire: typeof WireResidents.Type | undefined): readonly Resident[] {
+  return (wire ?? []).map((resident) => ({
+    model: resident.Name,
+    adapters: (resident.Adapters ?? []).map((adapter) => adapter.split('@')[0] ?? adapter)
+  }))
+}
+
+function _copies (wire: typeof WireCopies.Type | undefined): Copies {
+  return { inMemory: wire?.InMemory ?? [], onDisk: wire?.OnDisk ?? [] }
+}
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -3,11 +3,17 @@
  *
  * @module
  */
+export * from './caller_dialect.ts'
 export * from './compare_lists.ts'
 export * from './engine.ts'
+export * from './engines.ts'
+export * from './host_settings.ts'
 export * from './http_call.ts'
 export * from './http_engine.ts'
 export * from './http_store.ts'
 export * from './instance_list.ts'
+export * from './platform_engines.ts'
+export * from './platform_store.ts'
+export * from './registry.ts'
 export * from './store.ts'
 export * from './store_instance_list.ts'
--- /dev/null
+++ b/packages/platform/platform_store.ts
@@ -0,0 +1,262 @@
+import { Agent } from 'node:http'
+import { changeUpstreams, NO_UPSTREAMS, type RegistrationChange, type UpstreamList } from '@berylshed/fleet'
+import { checkDocument, formatFinding, type Finding } from '@berylshed/settings'
+import type { Schema } from 'effect'
+import { err, ok, type Result } from 'neverthrow'
+import { decodeConfiguration } from './_decode_configuration.ts'
+import { decodeUpstream } from './_decode_upstream.ts'
+import { WireEvents, WireObject, WirePage } from './_wire_object.ts'
+import { httpCall, type HttpAnswer } from './http_call.ts'
+import { Registry, type RegisteredConfiguration, type RegistrationChanges, type RegistryFailure, type RegistryWatch } from './registry.ts'
+import { Store, type StoredObject, type StoreFailure, type Update, type UpdateFailure, type WatchOptions } from './store.ts'
+
+const OK = 200
+const CREATED = 201
+const BAD_REQUEST = 400
+const NOT_FOUND = 404
+const CONFLICT = 409
+const GONE = 410
+const SERVICE_UNAVAILABLE = 503
+const TOO_MANY_REQUESTS = 429
+
+const CONFIGURATION_KIND = 'config'
+const CONFIGURATION_NAME = 'main'
+const UPSTREAM_KIND = 'servers'
+
+/** Longest wait for an answer that is not a watch's, in ms: 60 times a slow answer of the store (4 ms) and the way. */
+const CALL_TIMEOUT_MS = 800
+/** Time beyond a watch's own wait after which its connection counts as silent, in ms. */
+const WATCH_GRACE_MS = 800
+
+/** How the store is reached, and who hears of entries that can't be read. */
+export interface PlatformStoreOptions {
+  /** Told once for each unreadable entry that a call brings. */
+  unreadable? (findings: readonly string[]): void
+}
+
+type _WireObject = typeof WireObject.Type
+
+/** The platform's store: own objects by conditional update, the configuration and the registrations. */
+export class PlatformStore extends Store {
+  readonly #address: string
+  readonly #unreadable: (findings: readonly string[]) => void
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 16 })
+
+  /** The configuration and the registrations, which the store keeps as objects. */
+  readonly registry: Registry
+
+  /**
+   * @param address Host and port of the store.
+   * @param options Who hears of unreadable entries.
+   */
+  constructor (address: string, options: PlatformStoreOptions = {}) {
+    super()
+    this.#address = address
+    this.#unreadable = options.unreadable ?? (() => {})
+    this.registry = new PlatformRegistry(this)
+  }
+
+  override async read (key: string): Promise<Result<StoredObject, StoreFailure>> {
+    const answer = await this.call('GET', `/objects/${key}`)
+    if (answer.isErr()) return err(answer.error)
+    if (answer.value.status === NOT_FOUND) return ok({ key, version: 0, value: '' })
+    return this.#object(key, answer.value)
+  }
+
+  override async update (key: string, update: Update): Promise<Result<number, UpdateFailure>> {
+    const name = key.split('/').at(-1) ?? key
+    const kind = key.slice(0, key.length - name.length - 1)
+    const exists = update.expectedVersion > 0
+    const metadata = exists ? { Name: name, Revision: update.expectedVersion } : { Name: name }
+    const body = JSON.stringify({ Metadata: metadata, Spec: JSON.parse(update.value) })
+    const answer = await (exists ? this.call('PUT', `/objects/${key}`, body) : this.call('POST', `/objects/${kind}`, body))
+    if (answer.isErr()) return err({ kind: 'unknown', message: answer.error.message })
+    const { status } = answer.value
+    if (status === OK || status === CREATED) return this.#object(key, answer.value).map(({ version }) => version).mapErr(({ message }) => ({ kind: 'unknown', message }))
+    if (status === NOT_FOUND) return err({ kind: 'conflict', current: { key, version: 0, value: '' } })
+    if (status === CONFLICT) return await this.#conflict(key, answer.value)
+    // A refused call changed nothing, so that the same conditional update may be sent again.
+    if (status === SERVICE_UNAVAILABLE || status === TOO_MANY_REQUESTS) return err({ kind: 'unknown', message: `Store refused the call with ${status}` })
+    return err({ kind: 'unknown', message: `Store answered ${status}` })
+  }
+
+  override async watch (key: string, _options: WatchOptions): Promise<Result<StoredObject | undefined, StoreFailure>> {
+    return await this.read(key)
+  }
+
+  /**
+   * Makes a call with a bounded duration.
+   *
+   * @param method The HTTP method.
+   * @param path Path and query.
+   * @param body The body, for a call that writes.
+   * @returns The answer, whatever its status.
+   */
+  async call (method: 'GET' | 'PUT' | 'POST', path: string, body?: string): Promise<Result<HttpAnswer, StoreFailure>> {
+    return await this.#send({ method, path, body, timeoutMs: CALL_TIMEOUT_MS, agent: this.#agent })
+  }
+
+  /**
+   * Makes a call that the store holds until something changes.
+   *
+   * @param path Path and query.
+   * @param waitMs Longest wait of the store, in ms.
+   * @returns The answer, whatever its status.
+   */
+  async wait (path: string, waitMs: number): Promise<Result<HttpAnswer, StoreFailure>> {
+    return await this.#send({ method: 'GET', path, body: undefined, timeoutMs: waitMs + WATCH_GRACE_MS, agent: this.#agent })
+  }
+
+  /**
+   * Reports findings in an entry that another writer made.
+   *
+   * @param findings The findings.
+   */
+  skip (findings: readonly Finding[]): void {
+    this.#unreadable(findings.map(formatFinding))
+  }
+
+  async #send (call: _Call): Promise<Result<HttpAnswer, StoreFailure>> {
+    const answer = await httpCall({
+      method: call.method,
+      url: `http://${this.#address}${call.path}`,
+      timeoutMs: call.timeoutMs,
+      agent: call.agent,
+      ...call.body === undefined ? {} : { body: call.body, headers: { 'content-type': 'application/json' } }
+    })
+    return answer.mapErr(({ message }) => ({ kind: 'unavailable', message }))
+  }
+
+  async #conflict (key: string, answer: HttpAnswer): Promise<Result<number, UpdateFailure>> {
+    const inAnswer = this.#object(key, answer)
+    const current = inAnswer.isOk() ? inAnswer : await this.read(key)
+    return current.isOk() ? err({ kind: 'conflict', current: current.value }) : err({ kind: 'unknown', message: current.error.message })
+  }
+
+  #object (key: string, answer: HttpAnswer): Result<StoredObject, StoreFailure> {
+    if (answer.status >= BAD_REQUEST && answer.status !== CONFLICT) return err({ kind: 'unavailable', message: `Store answered ${answer.status}` })
+    const object = decodeAs(answer.body, WireObject, key)
+    if (object.isErr()) return err({ kind: 'unavailable', message: object.error.map(formatFinding).join('; ') })
+    return ok({ key, version: object.value.Metadata.Revision, value: JSON.stringify(object.value.Spec ?? null) })
+  }
+}
+
+interface _Call {
+  readonly method: 'GET' | 'PUT' | 'POST'
+  readonly path: string
+  readonly body: string | undefined
+  readonly timeoutMs: number
+  readonly agent: Agent
+}
+
+class PlatformRegistry extends Registry {
+  readonly #store: PlatformStore
+
+  constructor (store: PlatformStore) {
+    super()
+    this.#store = store
+  }
+
+  override async readConfiguration (): Promise<Result<RegisteredConfiguration, RegistryFailure>> {
+    const page = await this.#list(CONFIGURATION_KIND, '')
+    if (page.isErr()) return err(page.error)
+    return this.#configuration(page.value.items, page.value.StoreRevision)
+  }
+
+  override async watchConfiguration (watch: RegistryWatch): Promise<Result<RegisteredConfiguration, RegistryFailure>> {
+    const events = await this.#watch(CONFIGURATION_KIND, watch)
+    if (events.isErr()) return err(events.error)
+    const kept = events.value.events.filter((event) => event.Deleted !== true).map((event) => event.Object)
+    return this.#configuration(kept, events.value.StoreRevision)
+  }
+
+  override async listUpstreams (): Promise<Result<UpstreamList, RegistryFailure>> {
+    const items: unknown[] = []
+    let after = ''
+    for (;;) {
+      const page = await this.#list(UPSTREAM_KIND, after)
+      if (page.isErr()) return err(page.error)
+      items.push(...page.value.items)
+      const last = decodeObject(page.value.items.at(-1))
+      if (page.value.More !== true || last === undefined) {
+        const changes = items.flatMap((item) => this.#change(item, false))
+        return ok(changeUpstreams(NO_UPSTREAMS, changes, { revision: page.value.StoreRevision }))
+      }
+      after = `?after=${encodeURIComponent(last.Metadata.Name)}`
+    }
+  }
+
+  override async watchUpstreams (watch: RegistryWatch): Promise<Result<RegistrationChanges, RegistryFailure>> {
+    const events = await this.#watch(UPSTREAM_KIND, watch)
+    return events.map((value) => ({
+      revision: value.StoreRevision,
+      changes: value.events.flatMap((event) => this.#change(event.Object, event.Deleted === true))
+    }))
+  }
+
+  #change (item: unknown, deleted: boolean): readonly RegistrationChange[] {
+    const object = decodeObject(item)
+    if (object === undefined) {
+      this.#store.skip([{ source: UPSTREAM_KIND, line: undefined, path: '', message: 'Not an object of the store' }])
+      return []
+    }
+    const id = object.Metadata.Name
+    if (deleted || object.Metadata.Deleting === true) return [{ id, upstream: undefined }]
+    const upstream = decodeUpstream(id, _upstreamBody(object))
+    if (upstream.isOk()) return [{ id, upstream: upstream.value }]
+    this.#store.skip(upstream.error)
+    return [{ id, upstream: undefined }]
+  }
+
+  #configuration (items: readonly unknown[], revision: number): Result<RegisteredConfiguration, RegistryFailure> {
+    const objects = items.map(decodeObject).filter((object) => object?.Metadata.Name === CONFIGURATION_NAME)
+    const newest = objects.at(-1)
+    if (newest === undefined) return ok({ revision, configuration: undefined })
+    const decoded = decodeConfiguration(newest.Spec, `${CONFIGURATION_KIND}/${CONFIGURATION_NAME}`)
+    if (decoded.isOk()) return ok({ revision, configuration: decoded.value })
+    this.#store.skip(decoded.error)
+    return err({ kind: 'unreadable', message: decoded.error.map(formatFinding).join('; ') })
+  }
+
+  async #list (kind: string, query: string): Promise<Result<typeof WirePage.Type, RegistryFailure>> {
+    const answer = await this.#store.call('GET', `/objects/${kind}${query}`)
+    return answer.mapErr(_unavailable).andThen((page) => _decodeAnswer(page, WirePage))
+  }
+
+  async #watch (kind: string, watch: RegistryWatch): Promise<Result<typeof WireEvents.Type, RegistryFailure>> {
+    const answer = await this.#store.wait(`/objects/${kind}?Watch=${watch.afterRevision}&WaitMs=${Math.round(watch.waitMs)}`, watch.waitMs)
+    return answer.mapErr(_unavailable).andThen((events) => _decodeAnswer(events, WireEvents))
+  }
+}
+
+// An upstream writes into its status; the deployments' examples show the fields at the top of the object's value.
+function _upstreamBody (object: _WireObject): unknown {
+  return { ..._fields(object.Spec), ..._fields(object.Status) }
+}
+
+function _fields (value: unknown): object {
+  return typeof value === 'object' && value !== null ? value : {}
+}
+
+function _unavailable (failure: StoreFailure): RegistryFailure {
+  return { kind: 'unavailable', message: failure.message }
+}
+
+function _decodeAnswer<T> (answer: HttpAnswer, schema: Schema.Codec<T, unknown>): Result<T, RegistryFailure> {
+  if (answer.status === GONE) return err({ kind: 'history_gone', message: 'Store has dropped the history since the watched revision' })
+  if (answer.status !== OK) return err({ kind: 'unavailable', message: `Store answered ${answer.status}` })
+  return decodeAs(answer.body, schema, 'store').mapErr((findings) => ({ kind: 'unreadable', message: findings.map(formatFinding).join('; ') }))
+}
+
+function decodeAs<T> (body: string, schema: Schema.Codec<T, unknown>, source: string): Result<T, readonly Finding[]> {
+  try {
+    return checkDocument(JSON.parse(body), schema, { source, unknownKeys: 'ignored' })
+  } catch (error) {
+    return err([{ source, line: undefined, path: '', message: error instanceof Error ? error.message : String(error) }])
+  }
+}
+
+function decodeObject (value: unknown): _WireObject | undefined {
+  const decoded = checkDocument(value, WireObject, { source: 'store', unknownKeys: 'ignored' })
+  return decoded.isOk() ? decoded.value : undefined
+}
--- a/packages/reducer/mod.ts
+++ b/packages/reducer/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * from './run_loop.ts'
 export * from './step.ts'
--- /dev/null
+++ b/packages/scheduler/_plan_evictions.ts
@@ -0,0 +1,66 @@
+import type { EngineView } from './engine_view.ts'
+import { residentMb, type PlacementDraft } from './_placement_draft.ts'
+import { wantedReplicas } from './_wanted_replicas.ts'
+
+/** Models to unload from one engine, with what their absence is expected to cost. */
+export interface EvictionSet {
+  readonly models: readonly string[]
+  /** Requests per second that would meet a model that has to be loaded first. */
+  readonly cost: number
+}
+
+/** Time for which a model stays after its load, so that the requests that waited for it reach it, in ms. */
+const MIN_RESIDENCE_MS = 1200
+/** Weight of the last replica's requests: each of them waits for a load. */
+const LAST_REPLICA_WEIGHT = 4
+/** Weight of the requests of a replica beyond the wanted number: others take them. */
+const SURPLUS_WEIGHT = 0.05
+/** Cost of a model of which no copy is left outside the weight store, in requests per second. */
+const NO_COPY_COST = 5
+/** Cost of any eviction, so that the fewest models are unloaded, in requests per second. */
+const BASE_COST = 0.02
+
+/** Chooses the cheapest models to unload so that an engine has room; undefined where it can't get any. */
+export function planEvictions (draft: PlacementDraft, view: EngineView, options: { readonly needMb: number }): EvictionSet | undefined {
+  let freeMb = draft.freeMb(view)
+  if (freeMb >= options.needMb) return { models: [], cost: 0 }
+  const candidates = [...view.residents]
+    .map(([model, resident]) => ({ model, sizeMb: residentMb(draft.scene.engine.models.get(model), resident), cost: evictionCost(draft, view, { model }) }))
+    .filter(({ cost }) => cost < Infinity)
+    .sort((a, b) => a.cost - b.cost)
+  const chosen: Array<typeof candidates[number]> = []
+  for (const candidate of candidates) {
+    if (freeMb >= options.needMb) break
+    freeMb += candidate.sizeMb
+    chosen.push(candidate)
+  }
+  if (freeMb < options.needMb) return undefined
+  // The last ones may have made the first, cheaper ones unnecessary.
+  const needed = chosen.filter((candidate) => {
+    if (freeMb - candidate.sizeMb < options.needMb) return true
+    freeMb -= candidate.sizeMb
+    return false
+  })
+  return { models: needed.map(({ model }) => model), cost: needed.reduce((sum, { cost }) => sum + cost, 0) }
+}
+
+/** Rates what the absence of a model from an engine would cost; infinite where it must stay. */
+export function evictionCost (draft: PlacementDraft, view: EngineView, options: { readonly model: string }): number {
+  const { model } = options
+  const resident = view.residents.get(model)
+  if (resident === undefined || resident.phase !== 'loaded') return Infinity
+  if (draft.runningOn(view, model) > 0) return Infinity
+  const demand = draft.demandFor(model)
+  const others = draft.replicas(model).filter((other) => other !== view)
+  if (others.length === 0 && demand.waiting > 0) return Infinity
+  const isNew = draft.scene.nowMs - resident.sinceMs < MIN_RESIDENCE_MS
+  if (isNew && others.length === 0 && demand.ratePerS > 0) return Infinity
+  const wanted = wantedReplicas(draft, model)
+  if (others.length >= wanted && others.length > 0) return BASE_COST + SURPLUS_WEIGHT * demand.ratePerS
+  const weight = others.length === 0 ? LAST_REPLICA_WEIGHT : 1
+  return BASE_COST + weight * demand.ratePerS + (_hasCopy(draft, model) ? 0 : NO_COPY_COST)
+}
+
+function _hasCopy (draft: PlacementDraft, model: string): boolean {
+  return draft.scene.views.some(({ copies }) => copies.onDisk.includes(model) || copies.inMemory.includes(model))
+}
--- /dev/null
+++ b/packages/scheduler/_track_engines.ts
@@ -0,0 +1,190 @@
+import type { EngineReport, Upstream, UpstreamList } from '@berylshed/fleet'
+import { step, type Step } from '@berylshed/reducer'
+import { newEngineView, residentsOf, type AdapterView, type EngineView, type OpenOrder, type ResidentView } from './engine_view.ts'
+import type { OrderOutcome } from './scheduler_event.ts'
+import type { SchedulerEffect, SchedulerRecord } from './scheduler_effect.ts'
+import type { SchedulerState } from './scheduler_state.ts'
+
+type _Step = Step<SchedulerState, SchedulerEffect>
+
+/** Time between two reports of an engine on which nothing changes, in ms. */
+const IDLE_ASK_MS = 1000
+/** Time between two reports of an engine with an order, in ms: a fraction of the shortest load. */
+const BUSY_ASK_MS = 50
+/** Time after which a question without an answer is asked again, in ms. */
+const ASK_TIMEOUT_MS = 400
+/** Oldest state that a report may show, in ms; the engines announce some hundred ms. */
+export const REPORT_LAG_MS = 400
+/** Pause after an engine refused an order, in ms. */
+const REFUSAL_REST_MS = 60
+/** Pause after an engine did not understand an order or was another one, in ms. */
+const INVALID_REST_MS = 3000
+/** Failed reports in a row after which an engine is planned without. */
+export const LOST_MISSES = 3
+
+/** Brings the views in line with the registrations. */
+export function applyList (state: SchedulerState, list: UpstreamList, nowMs: number): SchedulerState {
+  const engines = new Map<string, EngineView>()
+  for (const upstream of list.upstreams.values()) {
+    if (state.configuration?.services.get(upstream.service)?.engine === undefined) continue
+    engines.set(upstream.id, _register(state.engines.get(upstream.id), upstream, nowMs))
+  }
+  return { ...state, list, engines }
+}
+
+function _register (known: EngineView | undefined, upstream: Upstream, nowMs: number): EngineView {
+  if (known === undefined || upstream.incarnation > known.incarnation) return newEngineView(upstream, nowMs)
+  if (upstream.incarnation < known.incarnation || upstream.sequence <= known.sequence) return { ...known, upstream }
+  // Somebody else's order was carried out; a report tells the rest.
+  const residents = residentsOf(upstream.residents, known.residents, nowMs)
+  return { ...known, upstream, sequence: upstream.sequence, residents, copies: upstream.copies, confirmed: false, stableSinceMs: Infinity, open: undefined }
+}
+
+/** Asks the engines whose reports are due. */
+export function askEngines (state: SchedulerState, nowMs: number): _Step {
+  const engines = new Map(state.engines)
+  const effects: SchedulerEffect[] = []
+  for (const [id, view] of state.engines) {
+    if (!_isDue(view, nowMs)) continue
+    engines.set(id, { ...view, askedAtMs: nowMs })
+    effects.push({ kind: 'ask_engine', upstream: view.upstream, askedAtMs: nowMs })
+  }
+  return effects.length === 0 ? step(state) : step({ ...state, engines }, effects)
+}
+
+function _isDue (view: EngineView, nowMs: number): boolean {
+  const ageMs = nowMs - view.askedAtMs
+  if (view.reportedAtMs < view.askedAtMs && ageMs < ASK_TIMEOUT_MS) return false
+  const busy = !view.confirmed || (view.open !== undefined && view.open.phase !== 'sending')
+  return ageMs >= (busy ? BUSY_ASK_MS : IDLE_ASK_MS)
+}
+
+/**
+ * Takes over an engine's report.
+ *
+ * The number of orders and whether one is under way are current, while the list of models is some hundred ms old. So the
+ * list counts only once the engine has been idle for longer than that; before, the known effects of own orders do.
+ */
+export function applyReport (view: EngineView, report: EngineReport, times: ReportTimes): EngineView {
+  const { nowMs, askedAtMs } = times
+  const heard: EngineView = { ...view, reportedAtMs: nowMs, misses: 0 }
+  const incarnation = report.incarnation ?? view.incarnation
+  if (incarnation < view.incarnation || view.open?.phase === 'sending') return heard
+  const restarted = incarnation > view.incarnation
+  const isOld = report.sequence < view.sequence && askedAtMs < view.acceptedAtMs + REPORT_LAG_MS
+  if (!restarted && isOld) return heard
+  if (restarted || report.sequence !== view.sequence) return _adopt(heard, report, { ...times, incarnation })
+  if (view.open !== undefined) return _progress(heard, view.open, report, times)
+  if (report.busy) return { ...heard, stableSinceMs: Infinity, confirmed: false }
+  const stableSinceMs = Math.min(view.stableSinceMs, nowMs)
+  const copies = report.copies
+  if (askedAtMs < stableSinceMs + REPORT_LAG_MS) return { ...heard, stableSinceMs, copies }
+  const residents = _withPending(residentsOf(report.residents, view.residents, nowMs), report, nowMs)
+  return { ...heard, stableSinceMs, copies, residents, confirmed: true }
+}
+
+/** When a report was asked for and came, by the local clock in ms. */
+export interface ReportTimes {
+  readonly askedAtMs: number
+  readonly nowMs: number
+}
+
+// An order of somebody else, or an own one without an answer, was carried out, or the engine has restarted.
+function _adopt (view: EngineView, report: EngineReport, times: ReportTimes & { readonly incarnation: number }): EngineView {
+  const { nowMs, incarnation } = times
+  const known = incarnation > view.incarnation ? new Map() : view.residents
+  return {
+    ...view,
+    incarnation,
+    sequence: report.sequence,
+    // What was known stays counted until the list can be trusted.
+    residents: new Map([...known, ..._withPending(residentsOf(report.residents, known, nowMs), report, nowMs)]),
+    copies: report.copies,
+    open: undefined,
+    confirmed: false,
+    stableSinceMs: report.busy ? Infinity : nowMs
+  }
+}
+
+function _progress (view: EngineView, open: OpenOrder, report: EngineReport, times: ReportTimes): EngineView {
+  const { nowMs, askedAtMs } = times
+  if (open.phase === 'unknown') {
+    // The engine still counts as many orders as before this one: it has not been carried out.
+    const settled = !report.busy && askedAtMs >= open.answeredAtMs + REPORT_LAG_MS
+    return settled ? { ...view, open: undefined, confirmed: false, stableSinceMs: nowMs } : view
+  }
+  if (report.busy || askedAtMs < open.answeredAtMs) return view
+  const residents = new Map(view.residents)
+  const { model, operation } = open.planned
+  if (operation === 'unload') residents.delete(model)
+  else residents.set(model, { phase: 'loaded', sinceMs: nowMs, adapters: new Map() })
+  return { ...view, open: undefined, residents, stableSinceMs: nowMs }
+}
+
+function _withPending (residents: EngineView['residents'], report: EngineReport, nowMs: number): EngineView['residents'] {
+  if (report.pendingAdapters.length === 0) return residents
+  const next = new Map(residents)
+  for (const pending of report.pendingAdapters) {
+    const [model = '', adapter = ''] = pending.split('/')
+    const resident = next.get(model)
+    if (resident !== undefined) next.set(model, withAdapter(resident, adapter, { phase: 'loading', sinceMs: nowMs }))
+  }
+  return next
+}
+
+/** Gives a resident with an adapter changed or removed. */
+export function withAdapter (resident: ResidentView, adapter: string, view: AdapterView | undefined): ResidentView {
+  const adapters = new Map(resident.adapters)
+  if (view === undefined) adapters.delete(adapter)
+  else adapters.set(adapter, view)
+  return { ...resident, adapters }
+}
+
+/** Shows an order's effect as soon as it is handed out, so that nobody is sent to what makes way. */
+export function openOrder (view: EngineView, order: OpenOrder, nowMs: number): EngineView {
+  const { operation, model, adapter } = order.planned
+  const resident = view.residents.get(model)
+  const phase = operation === 'load' ? 'loading' : 'unloading'
+  const next: ResidentView = adapter === undefined
+    ? { phase, sinceMs: nowMs, adapters: resident?.adapters ?? new Map() }
+    : withAdapter(resident ?? { phase: 'loaded', sinceMs: nowMs, adapters: new Map() }, adapter, { phase, sinceMs: nowMs })
+  return { ...view, open: order, residents: new Map(view.residents).set(model, next) }
+}
+
+/** Applies the end of an order's sending. */
+export function endOrder (view: EngineView, outcome: OrderOutcome, nowMs: number): EngineView {
+  const { open } = view
+  if (open === undefined) return view
+  const doubtful: EngineView = { ...view, open: undefined, confirmed: false, stableSinceMs: Infinity, restUntilMs: nowMs + REFUSAL_REST_MS }
+  switch (outcome) {
+    case 'accepted': return _accept(view, open, nowMs)
+    // An idle adapter is dropped at once, which counts as an order.
+    case 'held': return open.planned.adapter !== undefined && open.planned.operation === 'unload' ? _accept(view, open, nowMs) : doubtful
+    case 'unknown': return { ...view, open: { ...open, phase: 'unknown', answeredAtMs: nowMs } }
+    case 'misdirected':
+    case 'invalid': return { ...doubtful, restUntilMs: nowMs + INVALID_REST_MS }
+    case 'conflict':
+    case 'not_sent':
+    case 'fenced': return doubtful
+  }
+}
+
+function _accept (view: EngineView, open: OpenOrder, nowMs: number): EngineView {
+  const sequence = open.expectedSequence + 1
+  const { model, adapter, operation } = open.planned
+  const accepted: EngineView = { ...view, sequence, acceptedAtMs: nowMs, stableSinceMs: adapter === undefined ? Infinity : nowMs }
+  if (adapter === undefined) return { ...accepted, open: { ...open, phase: 'running', answeredAtMs: nowMs } }
+  const resident = view.residents.get(model)
+  if (resident === undefined) return { ...accepted, open: undefined }
+  const held: AdapterView | undefined = operation === 'load' ? { phase: 'loading', sinceMs: nowMs } : undefined
+  return { ...accepted, open: undefined, residents: new Map(view.residents).set(model, withAdapter(resident, adapter, held)) }
+}
+
+/** Describes what a report changed about an engine, for logs. */
+export function describeChange (before: EngineView, after: EngineView, nowMs: number): SchedulerRecord | undefined {
+  const models = (view: EngineView): string => [...view.residents].map(([model, { phase }]) => `${model}:${phase}`).sort().join(' ')
+  if (after.incarnation === before.incarnation && models(before) === models(after)) return undefined
+  return {
+    what: 'engine_changed', upstream: after.upstream.id, sequence: after.sequence, outcome: models(after), ageMs: nowMs - after.askedAtMs
+  }
+}
--- /dev/null
+++ b/packages/scheduler/demand.ts
@@ -0,0 +1,183 @@
+/** Requests of one instance that wait for a model or an adapter. */
+export interface Need {
+  readonly service: string
+  readonly model: string
+  /** The adapter, where the model alone does not do. */
+  readonly adapter: string | undefined
+  readonly waiting: number
+  /** Time since the first of them arrived, in ms. */
+  readonly oldestMs: number
+  /** Time until the first of them misses its latency objective, in ms; negative where it has. */
+  readonly objectiveInMs: number
+}
+
+/** How one instance uses a model. */
+export interface Use {
+  readonly service: string
+  readonly model: string
+  /** Requests per second, averaged over the last seconds. */
+  readonly ratePerS: number
+}
+
+/** Requests of one instance that run on an upstream. */
+export interface Load {
+  readonly upstream: string
+  readonly model: string
+  readonly running: number
+}
+
+/** How one instance uses an adapter on an upstream. */
+export interface AdapterUse {
+  readonly upstream: string
+  readonly model: string
+  readonly adapter: string
+  readonly running: number
+  /** Time since the last use, in ms. */
+  readonly idleMs: number
+}
+
+/** What an instance tells the holder of the lease. */
+export interface InstanceReport {
+  readonly instance: string
+  readonly incarnation: string
+  readonly needs: readonly Need[]
+  readonly uses: readonly Use[]
+  readonly loads: readonly Load[]
+  readonly adapters: readonly AdapterUse[]
+}
+
+/** A report with the local time at which it arrived, in ms. */
+export interface ReceivedReport {
+  readonly report: InstanceReport
+  readonly receivedAtMs: number
+}
+
+/** What all instances together want of one model. */
+export interface ModelDemand {
+  readonly model: string
+  readonly waiting: number
+  /** Time until the first waiting request misses its latency objective, in ms. */
+  readonly objectiveInMs: number
+  readonly ratePerS: number
+  readonly running: number
+  /** Adapters that requests wait for, with the number of those requests. */
+  readonly adapters: ReadonlyMap<string, number>
+}
+
+/** What all instances together want of one service's engines. */
+export interface ServiceDemand {
+  readonly models: ReadonlyMap<string, ModelDemand>
+  /** Requests that run, by upstream and model. */
+  readonly running: ReadonlyMap<string, number>
+  /** Adapter use, by upstream, model and adapter. */
+  readonly adapterUse: ReadonlyMap<string, AdapterUse>
+}
+
+/** Age from which a report no longer counts, in ms: several exchanges of an instance that is alive. */
+export const REPORT_LIFE_MS = 1500
+
+/**
+ * Names a model on an upstream.
+ *
+ * @param upstream The upstream's id.
+ * @param model The model's name.
+ * @returns The key.
+ *
+ * @example
+ * ```ts
+ * console.log(placeKey('u1', 'm')) // 'u1 m'
+ * ```
+ */
+export function placeKey (upstream: string, model: string): string {
+  return `${upstream} ${model}`
+}
+
+/**
+ * Names an adapter on an upstream.
+ *
+ * @param upstream The upstream's id.
+ * @param model The model's name.
+ * @param options The adapter's name.
+ * @returns The key.
+ *
+ * @example
+ * ```ts
+ * console.log(adapterKey('u1', 'm', { adapter: 'a1' })) // 'u1 m a1'
+ * ```
+ */
+export function adapterKey (upstream: string, model: string, options: { readonly adapter: string }): string {
+  return `${upstream} ${model} ${options.adapter}`
+}
+
+/**
+ * Adds up what instances want of one service.
+ *
+ * @param reports The instances' newest reports.
+ * @param service The service's name.
+ * @param options The local time in ms, by which old reports are left out.
+ * @returns The sum.
+ *
+ * @example
+ * ```ts
+ * const demand = sumDemand([...state.reports.values()], 'drafting', { nowMs })
+ * ```
+ */
+export function sumDemand (
+  reports: readonly ReceivedReport[],
+  service: string,
+  options: { readonly nowMs: number }
+): ServiceDemand {
+  const models = new Map<string, ModelDemand>()
+  const running = new Map<string, number>()
+  const adapterUse = new Map<string, AdapterUse>()
+  const change = (model: string, next: (known: ModelDemand) => ModelDemand): void => {
+    models.set(model, next(models.get(model) ?? noDemand(model)))
+  }
+  for (const { report, receivedAtMs } of reports) {
+    const ageMs = options.nowMs - receivedAtMs
+    if (ageMs > REPORT_LIFE_MS) continue
+    for (const need of report.needs) {
+      if (need.service === service) change(need.model, (known) => _addNeed(known, need, ageMs))
+    }
+    for (const use of report.uses) {
+      if (use.service === service) change(use.model, (known) => ({ ...known, ratePerS: known.ratePerS + use.ratePerS }))
+    }
+    for (const load of report.loads) {
+      const key = placeKey(load.upstream, load.model)
+      running.set(key, (running.get(key) ?? 0) + load.running)
+      change(load.model, (known) => ({ ...known, running: known.running + load.running }))
+    }
+    for (const use of report.adapters) {
+      const key = adapterKey(use.upstream, use.model, use)
+      const known = adapterUse.get(key)
+      adapterUse.set(key, known === undefined ? use : { ...use, running: known.running + use.running, idleMs: Math.min(known.idleMs, use.idleMs) })
+    }
+  }
+  return { models, running, adapterUse }
+}
+
+/**
+ * Gives the demand for a model that nobody wants.
+ *
+ * @param model The model's name.
+ * @returns The demand.
+ *
+ * @example
+ * ```ts
+ * console.log(noDemand('m').waiting) // 0
+ * ```
+ */
+export function noDemand (model: string): ModelDemand {
+  return { model, waiting: 0, objectiveInMs: Infinity, ratePerS: 0, running: 0, adapters: new Map() }
+}
+
+function _addNeed (known: ModelDemand, need: Need, ageMs: number): ModelDemand {
+  const adapters = new Map(known.adapters)
+  if (need.adapter !== undefined) adapters.set(need.adapter, (adapters.get(need.adapter) ?? 0) + need.waiting)
+  return {
+    ...known,
+    waiting: known.waiting + need.waiting,
+    objectiveInMs: Math.min(known.objectiveInMs, need.objectiveInMs - ageMs),
+    adapters
+  }
+}
--- /dev/null
+++ b/packages/scheduler/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Which upstream holds which model: the lease, the orders and the policy that plans them.
+ *
+ * @module
+ */
+export * from './demand.ts'
+export * from './engine_view.ts'
+export * from './fleet_view.ts'
+export * from './lease.ts'
+export * from './plan_orders.ts'
+export * from './reduce_scheduler.ts'
+export * from './scheduler_effect.ts'
+export * from './scheduler_event.ts'
+export * from './scheduler_state.ts'
--- /dev/null
+++ b/packages/scheduler/plan_orders.ts
@@ -0,0 +1,126 @@
+import type { Model } from '@berylshed/fleet'
+import { createPlacementDraft, loadMs, weightSource, type PlacementDraft, type Scene, type WeightSource } from './_placement_draft.ts'
+import { planAdapters } from './_plan_adapters.ts'
+import { planEvictions, type EvictionSet } from './_plan_evictions.ts'
+import { wantedReplicas } from './_wanted_replicas.ts'
+import type { EngineView, PlannedOrder } from './engine_view.ts'
+
+export type { Scene } from './_placement_draft.ts'
+
+/** Weight of a request per second that an eviction makes wait, against the duration of a load, in ms. */
+const EVICTION_WEIGHT_MS = 300
+/** Expected duration of an unload of an idle model, in ms. */
+const UNLOAD_MS = 60
+/** Time that a request waits for an engine with a copy before the weight store is asked, in ms. */
+const COPY_PATIENCE_MS = 1000
+/** Largest cost of evictions for another replica, as a share of the model's requests per second. */
+const REPLICA_COST_SHARE = 0.5
+/** Largest cost of evictions for a copy that nobody waits for, in requests per second. */
+const COPY_COST = 1.5
+/** Loads from the weight store at once for copies that nobody waits for; the store's full speed allows 2 to 4. */
+const COPY_LOADS_AT_ONCE = 4
+
+/**
+ * Plans the orders of one service's engines that are due, at most one for each engine.
+ *
+ * The load pattern is many rare models beside a few busy ones, more than fit. Each model is brought onto some engine's
+ * disk early, so that a miss costs a fraction of a second instead of a load from the weight store. A model that requests
+ * wait for goes where its load and the requests that its evictions make wait cost least. Replicas of busy models are
+ * kept as long as demand lasts. Victims are ranked by the requests per second that their absence delays (compare
+ * greedy-dual size frequency: Cao and Irani, 1997).
+ *
+ * @param scene What is known.
+ * @returns The orders.
+ *
+ * @example
+ * ```ts
+ * const orders = planOrders(scene)
+ * ```
+ */
+export function planOrders (scene: Scene): readonly PlannedOrder[] {
+  const draft = createPlacementDraft(scene)
+  planAdapters(draft)
+  for (const model of _awaited(draft)) _planAwaited(draft, model)
+  for (const model of _understaffed(draft)) _planReplica(draft, model)
+  for (const model of scene.engine.models.values()) _planCopy(draft, model)
+  return draft.orders()
+}
+
+// Models that requests wait for and no engine holds, the most urgent first.
+function _awaited (draft: PlacementDraft): readonly Model[] {
+  return [...draft.scene.demand.models.values()]
+    .filter(({ waiting, model }) => waiting > 0 && draft.replicas(model).length === 0 && !draft.isPrepared(model))
+    .sort((a, b) => a.objectiveInMs - b.objectiveInMs)
+    .flatMap(({ model }) => draft.scene.engine.models.get(model) ?? [])
+}
+
+function _understaffed (draft: PlacementDraft): readonly Model[] {
+  return [...draft.scene.demand.models.values()]
+    .filter(({ model, waiting }) => waiting === 0 || draft.replicas(model).length > 0)
+    .filter(({ model }) => !draft.isPrepared(model) && draft.replicas(model).length < wantedReplicas(draft, model))
+    .sort((a, b) => b.ratePerS - a.ratePerS)
+    .flatMap(({ model }) => draft.scene.engine.models.get(model) ?? [])
+}
+
+interface _Option {
+  readonly view: EngineView
+  readonly source: WeightSource
+  readonly evictions: EvictionSet
+  readonly score: number
+}
+
+function _options (draft: PlacementDraft, model: Model): readonly _Option[] {
+  return draft.scene.views
+    .filter((view) => draft.isFree(view) && !view.residents.has(model.name))
+    .flatMap((view): readonly _Option[] => {
+      const evictions = planEvictions(draft, view, { needMb: model.memoryMb })
+      if (evictions === undefined) return []
+      const source = weightSource(view, model.name)
+      const score = loadMs(model, source) + evictions.models.length * UNLOAD_MS + evictions.cost * EVICTION_WEIGHT_MS
+      return [{ view, source, evictions, score }]
+    })
+    .sort((a, b) => a.score - b.score)
+}
+
+function _planAwaited (draft: PlacementDraft, model: Model): void {
+  const { objectiveInMs } = draft.demandFor(model.name)
+  const hasCopy = draft.scene.views.some((view) => weightSource(view, model.name) !== 'store')
+  const mayAskStore = draft.storeLoadsLeft() > 0 && (!hasCopy || objectiveInMs < -COPY_PATIENCE_MS)
+  const best = _options(draft, model).find(({ source }) => source !== 'store' || mayAskStore)
+  if (best !== undefined) _carryOut(draft, model, { ...best, reason: 'requests wait' })
+}
+
+function _planReplica (draft: PlacementDraft, model: Model): void {
+  const { ratePerS } = draft.demandFor(model.name)
+  const best = _options(draft, model).find(({ source, evictions }) => {
+    return evictions.cost <= ratePerS * REPLICA_COST_SHARE && (source !== 'store' || draft.storeLoadsLeft() > 0)
+  })
+  if (best !== undefined) _carryOut(draft, model, { ...best, reason: `${ratePerS.toFixed(1)} requests/s` })
+}
+
+// Brings a model of which there is no copy onto some engine's disk.
+function _planCopy (draft: PlacementDraft, model: Model): void {
+  const { views, storeLoadsUnderWay, demand } = draft.scene
+  const planned = draft.orders().filter((order) => order.fromStore).length
+  if (storeLoadsUnderWay + planned >= COPY_LOADS_AT_ONCE || draft.storeLoadsLeft() <= 0) return
+  if (draft.isPrepared(model.name) || draft.replicas(model.name).length > 0 || views.some((view) => weightSource(view, model.name) !== 'store')) return
+  if ((demand.models.get(model.name)?.waiting ?? 0) > 0) return
+  const best = [..._options(draft, model)]
+    .filter(({ evictions }) => evictions.cost <= COPY_COST)
+    .sort((a, b) => a.evictions.cost - b.evictions.cost || a.view.copies.onDisk.length - b.view.copies.onDisk.length)[0]
+  if (best !== undefined) _carryOut(draft, model, { ...best, reason: 'no copy on any disk' })
+}
+
+interface _Choice extends _Option {
+  readonly reason: string
+}
+
+// Room is made first; the load follows in a later round, once the room is there.
+function _carryOut (draft: PlacementDraft, model: Model, choice: _Choice): void {
+  const [victim] = choice.evictions.models
+  if (victim !== undefined) {
+    draft.add(choice.view, { operation: 'unload', model: victim, reason: `makes way for ${model.name}: ${choice.reason}`, makesWayFor: model.name })
+    return
+  }
+  draft.add(choice.view, { operation: 'load', model: model.name, reason: choice.reason, fromStore: choice.source === 'store' })
+}
--- /dev/null
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -0,0 +1,267 @@
+import type { Configuration } from '@berylshed/fleet'
+import { step, type Step } from '@berylshed/reducer'
+import { elapsedMs, failWrite, finishWrite, loseLease, orderDeadline, resolveConflict, seeLease, tendLease } from './_hold_lease.ts'
+import { loadMs, weightSource } from './_placement_draft.ts'
+import { applyList, applyReport, askEngines, describeChange, endOrder, LOST_MISSES, openOrder } from './_track_engines.ts'
+import { sumDemand } from './demand.ts'
+import type { EngineView, OpenOrder, PlannedOrder } from './engine_view.ts'
+import type { ExpectedLoad, FleetView, PlacedEngine } from './fleet_view.ts'
+import { planOrders } from './plan_orders.ts'
+import type { Instant, SchedulerEvent } from './scheduler_event.ts'
+import type { SchedulerEffect } from './scheduler_effect.ts'
+import type { SchedulerState } from './scheduler_state.ts'
+
+type _Step = Step<SchedulerState, SchedulerEffect>
+
+/** Window over which loads from the weight store are counted, in ms. */
+const STORE_WINDOW_MS = 5000
+/** Share of the weight store's rate that is used, so that a successor's loads fit beside the predecessor's. */
+const STORE_SHARE = 0.6
+/** Time after which an adapter that was ordered counts as loaded, in ms: twice the longest of today's loads. */
+const ADAPTER_LOAD_MS = 14
+
+/**
+ * Reduces one event of the scheduler.
+ *
+ * One instance holds the lease and decides. Every order carries the lease's fencing token and the number of orders that
+ * the engine must have accepted so far, so that an order which arrives late, or was decided on an old view, is refused by
+ * the engine itself.
+ *
+ * @param state The state so far.
+ * @param event What happened.
+ * @returns The next state and the effects to carry out.
+ *
+ * @example
+ * ```ts
+ * const { effects } = reduceScheduler(state, { kind: 'ticked', nowMs: 0, clockMs: Date.now() })
+ * ```
+ */
+export function reduceScheduler (state: SchedulerState, event: SchedulerEvent): _Step {
+  const absorbed = _absorb(state, event)
+  if (!_decides(event)) return absorbed
+  return _chain(absorbed, (next) => _decide(next, event))
+}
+
+function _chain (first: _Step, next: (state: SchedulerState) => _Step): _Step {
+  const second = next(first.state)
+  return step(second.state, [...first.effects, ...second.effects])
+}
+
+// The other events only matter at the next tick.
+function _decides (event: SchedulerEvent): boolean {
+  return ['ticked', 'engine_reported', 'order_ended', 'instance_reported', 'lease_written'].includes(event.kind)
+}
+
+function _absorb (state: SchedulerState, event: SchedulerEvent): _Step {
+  switch (event.kind) {
+    case 'configured': return step(_configure(state, event.configuration, event.nowMs))
+    case 'listed': return step(applyList(state, event.list, event.nowMs), [{ kind: 'placement_changed' }])
+    case 'lease_read': return seeLease(state, event, event)
+    // Nobody can be judged silent by a store that does not answer.
+    case 'lease_unread': return step({ ...state, movedAtMs: event.nowMs })
+    case 'lease_written': return finishWrite(state, event, event)
+    case 'lease_conflicted': return resolveConflict(state, event, event)
+    case 'lease_unwritten': return failWrite(state, event.writeId, event)
+    case 'holder_heard': return _hear(state, event)
+    case 'holder_unheard': return step({ ...state, holderRefuses: event.refused })
+    case 'instance_reported': return step({ ...state, reports: new Map(state.reports).set(event.report.instance, { report: event.report, receivedAtMs: event.nowMs }) })
+    case 'engine_reported': return _report(state, event)
+    case 'engine_silent': return _miss(state, event.upstream)
+    case 'order_ended': return _endOrder(state, event)
+    case 'stopping': return step({ ...state, stopping: true })
+    case 'ticked': return tendLease(state, event)
+  }
+}
+
+function _configure (state: SchedulerState, configuration: Configuration, nowMs: number): SchedulerState {
+  return applyList({ ...state, configuration }, state.list, nowMs)
+}
+
+type _Heard = Extract<SchedulerEvent, { kind: 'holder_heard' }>
+
+function _hear (state: SchedulerState, event: _Heard): _Step {
+  if (state.held !== undefined && event.fence > state.held.fence) return loseLease(state, `fence ${event.fence} was heard of`)
+  if (event.validMs <= 0) return step(state)
+  return step({ ...state, heardAtMs: event.nowMs, movedAtMs: event.nowMs, holderRefuses: false })
+}
+
+type _Reported = Extract<SchedulerEvent, { kind: 'engine_reported' }>
+
+function _report (state: SchedulerState, event: _Reported): _Step {
+  const before = state.engines.get(event.upstream)
+  if (before === undefined) return step(state)
+  const after = applyReport(before, event.report, event)
+  const next = _withEngine(state, after)
+  const effects: SchedulerEffect[] = []
+  if (before.misses >= LOST_MISSES) effects.push({ kind: 'record', record: { what: 'engine_regained', upstream: event.upstream } })
+  const change = describeChange(before, after, event.nowMs)
+  if (change !== undefined) effects.push({ kind: 'record', record: change }, { kind: 'placement_changed' })
+  if (before.open !== undefined && after.open === undefined && before.open.phase !== 'sending') effects.push(_ended(before.open, 'finished', event.nowMs))
+  return step(next, effects)
+}
+
+function _withEngine (state: SchedulerState, view: EngineView): SchedulerState {
+  return { ...state, engines: new Map(state.engines).set(view.upstream.id, view) }
+}
+
+function _miss (state: SchedulerState, upstream: string): _Step {
+  const view = state.engines.get(upstream)
+  if (view === undefined) return step(state)
+  const misses = view.misses + 1
+  const lost: readonly SchedulerEffect[] = misses === LOST_MISSES ? [{ kind: 'record', record: { what: 'engine_lost', upstream, reason: `${misses} reports missed` } }] : []
+  return step(_withEngine(state, { ...view, misses, reportedAtMs: Math.max(view.reportedAtMs, view.askedAtMs) }), lost)
+}
+
+type _OrderEnded = Extract<SchedulerEvent, { kind: 'order_ended' }>
+
+function _endOrder (state: SchedulerState, event: _OrderEnded): _Step {
+  const view = state.engines.get(event.upstream)
+  if (view?.open === undefined || view.open.id !== event.order) return step(state)
+  const next = _withEngine(state, endOrder(view, event.outcome, event.nowMs))
+  const effects: readonly SchedulerEffect[] = [_ended(view.open, event.outcome, event.nowMs), { kind: 'placement_changed' }]
+  if (event.outcome !== 'fenced') return step(next, effects)
+  const lost = loseLease(next, `${event.upstream} has seen a higher fence`)
+  return step(lost.state, [...effects, ...lost.effects])
+}
+
+function _ended (order: OpenOrder, outcome: string, nowMs: number): SchedulerEffect {
+  const { upstream, model, adapter, operation } = order.planned
+  return {
+    kind: 'record',
+    record: { what: 'order_ended', upstream, model, operation, outcome, sequence: order.expectedSequence, ageMs: nowMs - order.sentAtMs, ...adapter === undefined ? {} : { adapter } }
+  }
+}
+
+function _decide (state: SchedulerState, at: Instant): _Step {
+  const { held, configuration } = state
+  const notAfterMs = orderDeadline(state, at)
+  if (held === undefined || configuration === undefined) return step(state)
+  const asked = askEngines(state, at.nowMs)
+  if (notAfterMs === undefined || state.stopping) return asked
+  return _chain(asked, (next) => _order(next, { at, notAfterMs, fence: held.fence }))
+}
+
+interface _Authority {
+  readonly at: Instant
+  readonly notAfterMs: number
+  readonly fence: number
+}
+
+function _order (state: SchedulerState, authority: _Authority): _Step {
+  const { nowMs } = authority.at
+  const storeLoads = state.storeLoads.filter((atMs) => nowMs - atMs < STORE_WINDOW_MS)
+  const services = [...state.configuration?.services.values() ?? []]
+  return services.reduce<_Step>((known, service) => _chain(known, (current) => {
+    if (service.engine === undefined) return step(current)
+    const views = [...current.engines.values()].filter((view) => {
+      return view.upstream.service === service.name && !view.upstream.leaving && view.misses < LOST_MISSES
+    })
+    const planned = planOrders({
+      nowMs,
+      engine: service.engine,
+      views,
+      demand: sumDemand([...current.reports.values()], service.name, { nowMs }),
+      storeLoadsUnderWay: [...current.engines.values()].filter(({ open }) => open?.planned.fromStore === true).length,
+      storeLoadsAllowed: service.engine.loadsPerSecond * STORE_WINDOW_MS / MS_PER_SECOND * STORE_SHARE - current.storeLoads.length
+    })
+    return planned.reduce<_Step>((done, order) => _chain(done, (s) => _handOut(s, order, authority)), step(current))
+  }), step({ ...state, storeLoads }))
+}
+
+const MS_PER_SECOND = 1000
+
+function _handOut (state: SchedulerState, planned: PlannedOrder, authority: _Authority): _Step {
+  const view = state.engines.get(planned.upstream)
+  if (view === undefined) return step(state)
+  const { nowMs } = authority.at
+  const order: OpenOrder = {
+    id: `${state.self.incarnation}/${state.ids}`,
+    planned,
+    expectedSequence: view.sequence,
+    sentAtMs: nowMs,
+    phase: 'sending',
+    answeredAtMs: nowMs
+  }
+  const next = _withEngine({ ...state, ids: state.ids + 1, storeLoads: planned.fromStore ? [...state.storeLoads, nowMs] : state.storeLoads }, openOrder(view, order, nowMs))
+  const { upstream, model, adapter, operation, reason } = planned
+  return step(next, [
+    { kind: 'send_order', upstream: view.upstream, order, fence: authority.fence, notAfterMs: authority.notAfterMs },
+    {
+      kind: 'record',
+      record: {
+        what: 'order_decided', fence: authority.fence, upstream, model, operation, reason, sequence: view.sequence, ageMs: nowMs - view.reportedAtMs, ...adapter === undefined ? {} : { adapter }
+      }
+    },
+    { kind: 'placement_changed' }
+  ])
+}
+
+/**
+ * Gives what the holder tells other instances.
+ *
+ * @param state The scheduler's state.
+ * @param at The time by both clocks.
+ * @returns The view; `validMs` is 0 where this process does not hold the lease.
+ *
+ * @example
+ * ```ts
+ * const view = fleetView(state, { nowMs: performance.now(), clockMs: Date.now() })
+ * ```
+ */
+export function fleetView (state: SchedulerState, at: Instant): FleetView {
+  const deadlineMs = orderDeadline(state, at)
+  const running = new Map<string, Array<readonly [string, number]>>()
+  for (const { report, receivedAtMs } of state.reports.values()) {
+    if (at.nowMs - receivedAtMs > STORE_WINDOW_MS) continue
+    const sums = new Map<string, number>()
+    for (const load of report.loads) sums.set(load.upstream, (sums.get(load.upstream) ?? 0) + load.running)
+    for (const [upstream, count] of sums) running.set(upstream, [...running.get(upstream) ?? [], [report.instance, count]])
+  }
+  return {
+    holder: state.self,
+    fence: state.held?.fence ?? state.lease?.fence ?? 0,
+    validMs: state.held === undefined || deadlineMs === undefined ? 0 : deadlineMs - at.nowMs,
+    engines: [...state.engines.values()].map((view) => _placed(view, running.get(view.upstream.id) ?? [], at.nowMs)),
+    expected: [...state.engines.values()].flatMap((view) => _expected(state, view, at.nowMs))
+  }
+}
+
+function _placed (view: EngineView, running: PlacedEngine['running'], nowMs: number): PlacedEngine {
+  return {
+    upstream: view.upstream.id,
+    incarnation: view.incarnation,
+    models: [...view.residents].map(([model, resident]) => ({
+      model,
+      usable: resident.phase === 'loaded',
+      adapters: [...resident.adapters]
+        .filter(([, { phase, sinceMs }]) => phase === 'loaded' || (phase === 'loading' && nowMs - sinceMs >= ADAPTER_LOAD_MS))
+        .map(([adapter]) => adapter)
+    })),
+    running
+  }
+}
+
+function _expected (state: SchedulerState, view: EngineView, nowMs: number): readonly ExpectedLoad[] {
+  if (view.open === undefined || view.open.planned.operation !== 'load' || view.open.planned.adapter !== undefined) return []
+  const { model } = view.open.planned
+  const known = state.configuration?.services.get(view.upstream.service)?.engine?.models.get(model)
+  if (known === undefined) return []
+  const source = view.open.planned.fromStore ? 'store' : weightSource(view, model)
+  return [{ model, readyInMs: Math.max(0, loadMs(known, source) - (nowMs - view.open.sentAtMs)) }]
+}
+
+/**
+ * Tells for how long this process has held the lease's last proof, for logs and metrics.
+ *
+ * @param state The scheduler's state.
+ * @param at The time by both clocks.
+ * @returns The age in ms, or undefined where this process does not hold the lease.
+ *
+ * @example
+ * ```ts
+ * const ageMs = leaseAge(state, at)
+ * ```
+ */
+export function leaseAge (state: SchedulerState, at: Instant): number | undefined {
+  return state.held === undefined ? undefined : elapsedMs(state.held.provenAt, at)
+}
--- /dev/null
+++ b/packages/scheduler/scheduler_event.ts
@@ -0,0 +1,33 @@
+import type { Configuration, EngineReport, UpstreamList } from '@berylshed/fleet'
+import type { InstanceReport } from './demand.ts'
+import type { Lease } from './lease.ts'
+
+/** How the sending of an order ended, as far as the scheduler tells answers apart. */
+export type OrderOutcome = 'accepted' | 'held' | 'conflict' | 'fenced' | 'misdirected' | 'invalid' | 'not_sent' | 'unknown'
+
+/** A point in time by two clocks; a suspended process sees only the second one move. */
+export interface Instant {
+  /** The steady local clock, in ms. */
+  readonly nowMs: number
+  /** The time of day, in ms since 1970; it may jump. */
+  readonly clockMs: number
+}
+
+/** Everything that can happen to the scheduler. */
+export type SchedulerEvent = Instant & (
+  | { readonly kind: 'configured', readonly configuration: Configuration }
+  | { readonly kind: 'listed', readonly list: UpstreamList }
+  | { readonly kind: 'lease_read', readonly version: number, readonly lease: Lease | undefined }
+  | { readonly kind: 'lease_unread' }
+  | { readonly kind: 'lease_written', readonly writeId: string, readonly version: number }
+  | { readonly kind: 'lease_conflicted', readonly writeId: string, readonly version: number, readonly lease: Lease | undefined }
+  | { readonly kind: 'lease_unwritten', readonly writeId: string }
+  | { readonly kind: 'holder_heard', readonly fence: number, readonly validMs: number }
+  | { readonly kind: 'holder_unheard', readonly refused: boolean }
+  | { readonly kind: 'instance_reported', readonly report: InstanceReport }
+  | { readonly kind: 'engine_reported', readonly upstream: string, readonly askedAtMs: number, readonly report: EngineReport }
+  | { readonly kind: 'engine_silent', readonly upstream: string, readonly askedAtMs: number }
+  | { readonly kind: 'order_ended', readonly upstream: string, readonly order: string, readonly outcome: OrderOutcome }
+  | { readonly kind: 'stopping' }
+  | { readonly kind: 'ticked' }
+)
--- /dev/null
+++ b/packages/scheduler/scheduler_state.ts
@@ -0,0 +1,85 @@
+import { NO_UPSTREAMS, type Configuration, type UpstreamList } from '@berylshed/fleet'
+import type { ReceivedReport } from './demand.ts'
+import type { EngineView } from './engine_view.ts'
+import type { Holder, Lease, LeaseTimes } from './lease.ts'
+import type { Instant } from './scheduler_event.ts'
+
+/** A conditional update of the lease without an answer. */
+export interface PendingLeaseWrite {
+  readonly lease: Lease
+  readonly expectedVersion: number
+  readonly startedAt: Instant
+  readonly repeatAtMs: number
+}
+
+/** The lease as this process holds it. */
+export interface HeldLease {
+  readonly fence: number
+  /** Start of the last write that succeeded. */
+  readonly provenAt: Instant
+  /** Whether a store call for the lease has failed since. */
+  readonly storeFailing: boolean
+}
+
+/** What one process knows of the lease and the engines. */
+export interface SchedulerState {
+  readonly self: Holder
+  readonly times: LeaseTimes
+  readonly configuration: Configuration | undefined
+  readonly list: UpstreamList
+  readonly lease: Lease | undefined
+  /** Store version of the lease object; 0 where none exists, undefined where it was never read. */
+  readonly version: number | undefined
+  /** Local time at which the version was last seen to move, or the holder was last heard, in ms. */
+  readonly movedAtMs: number
+  readonly readAtMs: number
+  /** Local time at which the holder was last heard by an exchange, in ms. */
+  readonly heardAtMs: number
+  /** Whether the holder's address refuses connections, so that its process has ended. */
+  readonly holderRefuses: boolean
+  readonly pending: PendingLeaseWrite | undefined
+  readonly held: HeldLease | undefined
+  readonly lastTick: Instant | undefined
+  readonly engines: ReadonlyMap<string, EngineView>
+  readonly reports: ReadonlyMap<string, ReceivedReport>
+  /** Local times at which loads from the weight store began, in ms. */
+  readonly storeLoads: readonly number[]
+  readonly ids: number
+  readonly stopping: boolean
+}
+
+/**
+ * Builds the state of a process that knows nothing yet.
+ *
+ * @param self The process.
+ * @param times The lease times.
+ * @returns The state.
+ *
+ * @example
+ * ```ts
+ * const state = newSchedulerState(self, leaseTimes(bounds))
+ * console.log(state.held) // undefined
+ * ```
+ */
+export function newSchedulerState (self: Holder, times: LeaseTimes): SchedulerState {
+  return {
+    self,
+    times,
+    configuration: undefined,
+    list: NO_UPSTREAMS,
+    lease: undefined,
+    version: undefined,
+    movedAtMs: -Infinity,
+    readAtMs: -Infinity,
+    heardAtMs: -Infinity,
+    holderRefuses: false,
+    pending: undefined,
+    held: undefined,
+    lastTick: undefined,
+    engines: new Map(),
+    reports: new Map(),
+    storeLoads: [],
+    ids: 0,
+    stopping: false
+  }
+}
--- /dev/null
+++ b/packages/serving/instance_report.ts
@@ -0,0 +1,161 @@
+import { HashMap, Option } from 'effect'
+import type { AdapterUse, InstanceReport, Load, Need, Use } from '@berylshed/scheduler'
+import { canServe } from './choose_upstream.ts'
+import { needKey } from './place.ts'
+import type { Request } from './request.ts'
+import type { FadingRate, ServingState } from './serving_state.ts'
+
+/** Time over which a rate is averaged, in ms: demand moves to other models within seconds. */
+const RATE_TIME_MS = 5000
+/** Rate below which a model counts as unused, in requests per second. */
+const MIN_RATE_PER_S = 0.01
+/** Time after which the last use of an adapter no longer matters, in ms. */
+const ADAPTER_MEMORY_MS = 20_000
+const MS_PER_SECOND = 1000
+
+/** Who reports. */
+export interface Reporter {
+  readonly instance: string
+  readonly incarnation: string
+}
+
+/**
+ * Builds what an instance tells the holder of the lease.
+ *
+ * @param state The state of the requests.
+ * @param reporter The instance.
+ * @param options The local time in ms.
+ * @returns The report.
+ *
+ * @example
+ * ```ts
+ * const report = instanceReport(state, { instance: 'entry-1', incarnation: 'x' }, { nowMs })
+ * ```
+ */
+export function instanceReport (state: ServingState, reporter: Reporter, options: { readonly nowMs: number }): InstanceReport {
+  const { nowMs } = options
+  return {
+    ...reporter,
+    needs: needs(state, nowMs),
+    uses: _uses(state, nowMs),
+    loads: _loads(state),
+    adapters: _adapters(state, nowMs)
+  }
+}
+
+/**
+ * Lists what waiting requests need and no upstream offers.
+ *
+ * @param state The state of the requests.
+ * @param nowMs The local time in ms.
+ * @returns The needs, one for each model and adapter.
+ *
+ * @example
+ * ```ts
+ * console.log(needs(state, 0).length) // 0
+ * ```
+ */
+export function needs (state: ServingState, nowMs: number): readonly Need[] {
+  const found = new Map<string, Need>()
+  for (const queue of state.waiting.values()) {
+    for (const id of queue) {
+      const request = Option.getOrUndefined(HashMap.get(state.requests, id))
+      if (request?.model === undefined || _isOffered(state, request, nowMs)) continue
+      const key = `${request.service} ${needKey(request.model, request.adapter)}`
+      found.set(key, _addNeed(found.get(key), request, nowMs))
+    }
+  }
+  return [...found.values()]
+}
+
+function _isOffered (state: ServingState, request: Request, nowMs: number): boolean {
+  return [...state.places.values()].some((place) => canServe(state, place, { request, nowMs }))
+}
+
+function _addNeed (known: Need | undefined, request: Request, nowMs: number): Need {
+  const oldestMs = nowMs - request.arrivedAtMs
+  const objectiveInMs = request.arrivedAtMs + request.objectiveMs - nowMs
+  return {
+    service: request.service,
+    model: request.model ?? '',
+    adapter: request.adapter,
+    waiting: (known?.waiting ?? 0) + 1,
+    oldestMs: Math.max(known?.oldestMs ?? 0, oldestMs),
+    objectiveInMs: Math.min(known?.objectiveInMs ?? Infinity, objectiveInMs)
+  }
+}
+
+/**
+ * Counts an event in a rate that fades.
+ *
+ * @param rate The rate so far.
+ * @param nowMs The local time in ms.
+ * @returns The rate with the event.
+ *
+ * @example
+ * ```ts
+ * const rate = countInRate(undefined, 0)
+ * ```
+ */
+export function countInRate (rate: FadingRate | undefined, nowMs: number): FadingRate {
+  return { perS: _faded(rate, nowMs) + MS_PER_SECOND / RATE_TIME_MS, atMs: nowMs }
+}
+
+function _faded (rate: FadingRate | undefined, nowMs: number): number {
+  return rate === undefined ? 0 : rate.perS * Math.exp(-(nowMs - rate.atMs) / RATE_TIME_MS)
+}
+
+function _uses (state: ServingState, nowMs: number): readonly Use[] {
+  const uses: Use[] = []
+  for (const [key, rate] of state.rates) {
+    const ratePerS = _faded(rate, nowMs)
+    const [service = '', model = ''] = key.split(' ')
+    if (ratePerS >= MIN_RATE_PER_S) uses.push({ service, model, ratePerS })
+  }
+  return uses
+}
+
+function _loads (state: ServingState): readonly Load[] {
+  const loads = new Map<string, Load>()
+  for (const request of HashMap.values(state.requests)) {
+    const sending = request.phase === 'sent' || request.phase === 'answering' ? request.sendings.at(-1) : undefined
+    if (sending === undefined) continue
+    const model = request.model ?? ''
+    const key = `${sending.upstream} ${model}`
+    loads.set(key, { upstream: sending.upstream, model, running: (loads.get(key)?.running ?? 0) + 1 })
+  }
+  return [...loads.values()]
+}
+
+/**
+ * Names an adapter on an upstream.
+ *
+ * @param upstream The upstream's id.
+ * @param model The model.
+ * @param adapter The adapter.
+ * @returns The key.
+ *
+ * @example
+ * ```ts
+ * console.log(adapterUseKey('u1', 'm', 'a1')) // 'u1 m a1'
+ * ```
+ */
+export function adapterUseKey (upstream: string, model: string, adapter: string): string {
+  return `${upstream} ${model} ${adapter}`
+}
+
+function _adapters (state: ServingState, nowMs: number): readonly AdapterUse[] {
+  const running = new Map<string, number>()
+  for (const request of HashMap.values(state.requests)) {
+    const sending = request.phase === 'sent' || request.phase === 'answering' ? request.sendings.at(-1) : undefined
+    if (sending === undefined || request.model === undefined || request.adapter === undefined) continue
+    const key = adapterUseKey(sending.upstream, request.model, request.adapter)
+    running.set(key, (running.get(key) ?? 0) + 1)
+  }
+  const uses: AdapterUse[] = []
+  for (const [key, atMs] of state.adapterUse) {
+    const [upstream = '', model = '', adapter = ''] = key.split(' ')
+    if (nowMs - atMs < ADAPTER_MEMORY_MS) uses.push({ upstream, model, adapter, running: running.get(key) ?? 0, idleMs: nowMs - atMs })
+  }
+  return uses
+}
--- /dev/null
+++ b/packages/serving/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * The life of a request on one instance: admission, waiting, routing, retries, resumed streams and its one outcome.
+ *
+ * @module
+ */
+export * from './choose_upstream.ts'
+export * from './instance_report.ts'
+export * from './place.ts'
+export * from './reduce_serving.ts'
+export * from './refusal.ts'
+export * from './request.ts'
+export * from './retry_window.ts'
+export * from './serving_effect.ts'
+export * from './serving_event.ts'
+export * from './serving_state.ts'
--- a/packages/settings/read_document.ts
+++ b/packages/settings/read_document.ts
@@ -40,6 +40,8 @@
 export interface CheckOptions extends DocumentOptions {
   /** The text that the value was parsed from, by which lines are found. */
   readonly text?: string
+  /** Whether keys that the schema does not name are findings; they are unless another writer owns the document. */
+  readonly unknownKeys?: 'found' | 'ignored'
 }
 
 /**
@@ -61,8 +63,9 @@
   schema: Schema.Codec<T, unknown>,
   options: CheckOptions
 ): Result<T, readonly Finding[]> {
-  const strict = Schema.toStandardSchemaV1(schema, { parseOptions: { errors: 'all', onExcessProperty: 'error' } })
-  const result = strict['~standard'].validate(value)
+  const onExcessProperty = options.unknownKeys === 'ignored' ? 'ignore' : 'error'
+  const checker = Schema.toStandardSchemaV1(schema, { parseOptions: { errors: 'all', onExcessProperty } })
+  const result = checker['~standard'].validate(value)
   if (result instanceof Promise) throw new TypeError('Cannot check document: its schema is asynchronous')
   if (result.issues === undefined) return ok(result.value)
   return err(result.issues.map((issue) => _finding(issue, options)))
