Take the number of orders from engines' reports only

Cause: Sequence counts heartbeats in a registration and orders in a report; taken from both it dropped open orders, so that 119 of 145 model orders were never seen to finish and engines took one order a second.

Ruled out: slow unloads (a poll shows 60 ms).

Change: registrations no longer carry a sequence; spare memory is filled from disk, busy models get more replicas, engines are asked when an order should have ended.

--- a/packages/fleet/upstream.ts
+++ b/packages/fleet/upstream.ts
@@ -24,8 +24,6 @@
   readonly slots: number
   /** Whether the upstream takes no new work. */
   readonly leaving: boolean
-  /** Number of orders that this incarnation has accepted. */
-  readonly sequence: number
   readonly residents: readonly Resident[]
   readonly copies: Copies
 }
@@ -34,6 +32,7 @@
 export interface EngineReport {
   /** Start of the process, in ms since 1970; undefined where the engine does not tell. */
   readonly incarnation: number | undefined
+  /** Number of orders that this incarnation has accepted. */
   readonly sequence: number
   /** Whether an order is being carried out. */
   readonly busy: boolean
--- a/packages/platform/_decode_upstream.ts
+++ b/packages/platform/_decode_upstream.ts
@@ -20,8 +20,7 @@
   Zone: Schema.String,
   Slots: Schema.Number,
   State: Schema.Literals(['ready', 'draining']),
-  // Number of orders accepted; not a heartbeat counter.
-  Sequence: Schema.optionalKey(Schema.Number),
+  // `Sequence` is left out: in a registration it counts heartbeats, and in a report orders.
   Models: Schema.optionalKey(WireResidents),
   Available: Schema.optionalKey(WireCopies),
   born: Schema.optionalKey(Schema.Int)
@@ -30,6 +29,7 @@
 const WireReport = Schema.Struct({
   Models: WireResidents,
   Busy: Schema.Boolean,
+  // Number of orders that the engine has accepted since its start.
   Sequence: Schema.Number,
   Queued: Schema.optionalKey(Schema.Number),
   Active: Schema.optionalKey(Schema.Number),
@@ -49,7 +49,6 @@
     incarnation: wire.born ?? 0,
     slots: wire.Slots,
     leaving: wire.State === 'draining',
-    sequence: wire.Sequence ?? 0,
     residents: _residents(wire.Models),
     copies: _copies(wire.Available)
   }))
--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -25,6 +25,8 @@
   freeMb (view: EngineView): number
   freeAdapterPlaces (view: EngineView): number
   runningOn (view: EngineView, model: string): number
+  /** Requests of all models that run on an engine. */
+  runningTotal (view: EngineView): number
   adapterRuns (view: EngineView, model: string, options: { readonly adapter: string }): { readonly running: number, readonly idleMs: number }
   /** Engines that hold a model or are loading it. */
   replicas (model: string): readonly EngineView[]
@@ -37,6 +39,9 @@
 /** A decided order; what is left out does not apply. */
 export type DraftOrder = Pick<PlannedOrder, 'operation' | 'model' | 'reason'> & Partial<PlannedOrder>
 
+/** Expected duration of an unload of an idle model, in ms. */
+export const UNLOAD_MS = 60
+
 /** Time after which an adapter that nobody was seen to use counts as idle, in ms. */
 const UNSEEN_ADAPTER_IDLE_MS = 60_000
 
@@ -56,7 +61,7 @@
   function add (view: EngineView, order: DraftOrder): void {
     const { id } = view.upstream
     ordered.add(id)
-    orders.push({ adapter: undefined, fromStore: false, makesWayFor: undefined, ...order, upstream: id })
+    orders.push({ adapter: undefined, fromStore: false, makesWayFor: undefined, expectedMs: UNLOAD_MS, ...order, upstream: id })
     if (order.operation === 'load' && order.adapter === undefined) added.set(id, [...added.get(id) ?? [], order.model])
   }
 
@@ -68,6 +73,7 @@
     freeMb: (view) => scene.engine.memoryMb - usedMb(scene.engine, view),
     freeAdapterPlaces: (view) => scene.engine.adapterPlaces - countAdapters(view),
     runningOn: (view, model) => scene.demand.running.get(placeKey(view.upstream.id, model)) ?? 0,
+    runningTotal: (view) => [...view.residents.keys()].reduce((sum, model) => sum + (scene.demand.running.get(placeKey(view.upstream.id, model)) ?? 0), 0),
     adapterRuns: (view, model, { adapter }) => {
       const use = scene.demand.adapterUse.get(adapterKey(view.upstream.id, model, { adapter }))
       return { running: use?.running ?? 0, idleMs: use?.idleMs ?? UNSEEN_ADAPTER_IDLE_MS }
--- a/packages/scheduler/_track_engines.ts
+++ b/packages/scheduler/_track_engines.ts
@@ -9,8 +9,8 @@
 
 /** Time between two reports of an engine on which nothing changes, in ms. */
 const IDLE_ASK_MS = 1000
-/** Time between two reports of an engine with an order, in ms: a fraction of the shortest load. */
-const BUSY_ASK_MS = 50
+/** Time between two reports of an engine whose order should have ended, in ms: a fraction of the shortest load. */
+const BUSY_ASK_MS = 40
 /** Time after which a question without an answer is asked again, in ms. */
 const ASK_TIMEOUT_MS = 400
 /** Oldest state that a report may show, in ms; the engines announce some hundred ms. */
@@ -33,11 +33,7 @@
 }
 
 function _register (known: EngineView | undefined, upstream: Upstream, nowMs: number): EngineView {
-  if (known === undefined || upstream.incarnation > known.incarnation) return newEngineView(upstream, nowMs)
-  if (upstream.incarnation < known.incarnation || upstream.sequence <= known.sequence) return { ...known, upstream }
-  // Somebody else's order was carried out; a report tells the rest.
-  const residents = residentsOf(upstream.residents, known.residents, nowMs)
-  return { ...known, upstream, sequence: upstream.sequence, residents, copies: upstream.copies, confirmed: false, stableSinceMs: Infinity, open: undefined }
+  return known === undefined || upstream.incarnation > known.incarnation ? newEngineView(upstream, nowMs) : { ...known, upstream }
 }
 
 /** Asks the engines whose reports are due. */
@@ -55,7 +51,9 @@
 function _isDue (view: EngineView, nowMs: number): boolean {
   const ageMs = nowMs - view.askedAtMs
   if (view.reportedAtMs < view.askedAtMs && ageMs < ASK_TIMEOUT_MS) return false
-  const busy = !view.confirmed || (view.open !== undefined && view.open.phase !== 'sending')
+  const { open } = view
+  if (open?.phase === 'running' && nowMs < open.answeredAtMs + open.planned.expectedMs) return ageMs >= IDLE_ASK_MS
+  const busy = !view.confirmed || (open !== undefined && open.phase !== 'sending')
   return ageMs >= (busy ? BUSY_ASK_MS : IDLE_ASK_MS)
 }
 
--- a/packages/scheduler/_wanted_replicas.ts
+++ b/packages/scheduler/_wanted_replicas.ts
@@ -1,7 +1,9 @@
 import type { PlacementDraft } from './_placement_draft.ts'
 
-/** Share of an engine's slots that one model may take before it gets another replica. */
-const FULL_SHARE = 0.4
+/** Requests of one model that one engine runs before the model gets another replica; more make all its streams slow. */
+const FULL_BATCH = 14
+/** The same as a share of the engine's slots, for small engines. */
+const FULL_SHARE = 0.6
 /** Requests per second from which the loss of one engine must not take a model away. */
 const BUSY_RATE_PER_S = 3
 const BUSY_REPLICAS = 2
@@ -16,7 +18,7 @@
   const { ratePerS, running, waiting, adapters } = draft.demandFor(model)
   if (ratePerS === 0 && running === 0 && waiting === 0) return 0
   const { slots, adapterPlaces } = draft.scene.engine
-  const forLoad = Math.ceil((running + waiting) / (slots * FULL_SHARE))
+  const forLoad = Math.ceil((running + waiting) / Math.min(FULL_BATCH, slots * FULL_SHARE))
   const held = draft.replicas(model)
   const heldAdapters = held.reduce((sum, view) => sum + (view.residents.get(model)?.adapters.size ?? 0), 0)
   // More adapters are asked for than the places of the replicas hold.
--- a/packages/scheduler/engine_view.ts
+++ b/packages/scheduler/engine_view.ts
@@ -28,6 +28,8 @@
   readonly reason: string
   /** Whether the weights come from the weight store. */
   readonly fromStore: boolean
+  /** Expected duration, in ms. */
+  readonly expectedMs: number
   /** The model that takes the room, for an unload. */
   readonly makesWayFor: string | undefined
 }
@@ -69,6 +71,9 @@
   readonly misses: number
 }
 
+/** Number of accepted orders before an engine's first report; no report shows it. */
+const UNKNOWN_SEQUENCE = -1
+
 /**
  * Builds the view of an engine of which only the registration is known.
  *
@@ -85,7 +90,7 @@
   return {
     upstream,
     incarnation: upstream.incarnation,
-    sequence: upstream.sequence,
+    sequence: UNKNOWN_SEQUENCE,
     residents: residentsOf(upstream.residents, new Map(), nowMs),
     copies: upstream.copies,
     open: undefined,
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -1,5 +1,5 @@
 import type { Model } from '@berylshed/fleet'
-import { createPlacementDraft, loadMs, weightSource, type PlacementDraft, type Scene, type WeightSource } from './_placement_draft.ts'
+import { createPlacementDraft, loadMs, UNLOAD_MS, weightSource, type PlacementDraft, type Scene, type WeightSource } from './_placement_draft.ts'
 import { planAdapters } from './_plan_adapters.ts'
 import { planEvictions, type EvictionSet } from './_plan_evictions.ts'
 import { wantedReplicas } from './_wanted_replicas.ts'
@@ -9,8 +9,8 @@
 
 /** Weight of a request per second that an eviction makes wait, against the duration of a load, in ms. */
 const EVICTION_WEIGHT_MS = 300
-/** Expected duration of an unload of an idle model, in ms. */
-const UNLOAD_MS = 60
+/** Weight of a request that runs on an engine, whose batch a further model slows down, in ms. */
+const RUNNING_WEIGHT_MS = 8
 /** Time that a request waits for an engine with a copy before the weight store is asked, in ms. */
 const COPY_PATIENCE_MS = 1000
 /** Largest cost of evictions for another replica, as a share of the model's requests per second. */
@@ -42,6 +42,7 @@
   planAdapters(draft)
   for (const model of _awaited(draft)) _planAwaited(draft, model)
   for (const model of _understaffed(draft)) _planReplica(draft, model)
+  for (const model of _absent(draft)) _planSpare(draft, model)
   for (const model of scene.engine.models.values()) _planCopy(draft, model)
   return draft.orders()
 }
@@ -76,7 +77,7 @@
       const evictions = planEvictions(draft, view, { needMb: model.memoryMb })
       if (evictions === undefined) return []
       const source = weightSource(view, model.name)
-      const score = loadMs(model, source) + evictions.models.length * UNLOAD_MS + evictions.cost * EVICTION_WEIGHT_MS
+      const score = loadMs(model, source) + evictions.models.length * UNLOAD_MS + evictions.cost * EVICTION_WEIGHT_MS + draft.runningTotal(view) * RUNNING_WEIGHT_MS
       return [{ view, source, evictions, score }]
     })
     .sort((a, b) => a.score - b.score)
@@ -98,6 +99,19 @@
   if (best !== undefined) _carryOut(draft, model, { ...best, reason: `${ratePerS.toFixed(1)} requests/s` })
 }
 
+// Models that no engine holds, the most used first.
+function _absent (draft: PlacementDraft): readonly Model[] {
+  return [...draft.scene.engine.models.values()]
+    .filter(({ name }) => draft.replicas(name).length === 0 && !draft.isPrepared(name))
+    .sort((a, b) => draft.demandFor(b.name).ratePerS - draft.demandFor(a.name).ratePerS)
+}
+
+// Memory that nothing else needs holds one model more, so that its next request does not wait.
+function _planSpare (draft: PlacementDraft, model: Model): void {
+  const best = _options(draft, model).find(({ source, evictions }) => source !== 'store' && evictions.models.length === 0)
+  if (best !== undefined) _carryOut(draft, model, { ...best, reason: 'spare memory' })
+}
+
 // Brings a model of which there is no copy onto some engine's disk.
 function _planCopy (draft: PlacementDraft, model: Model): void {
   const { views, storeLoadsUnderWay, demand } = draft.scene
@@ -122,5 +136,5 @@
     draft.add(choice.view, { operation: 'unload', model: victim, reason: `makes way for ${model.name}: ${choice.reason}`, makesWayFor: model.name })
     return
   }
-  draft.add(choice.view, { operation: 'load', model: model.name, reason: choice.reason, fromStore: choice.source === 'store' })
+  draft.add(choice.view, { operation: 'load', model: model.name, reason: choice.reason, fromStore: choice.source === 'store', expectedMs: loadMs(model, choice.source) })
 }
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -8,6 +8,8 @@
 const MEMORY_HALF_LIFE_MS = 4000
 /** Expected time to the first byte where nothing is known of any upstream, in ms. */
 const DEFAULT_FIRST_BYTE_MS = 40
+/** Growth of the expected delay from an idle upstream to a full one, as a multiple of the idle one's. */
+const BUSY_WEIGHT = 4
 /** Price of a way into another availability zone, in ms: twice today's longest way there and back. */
 const OTHER_ZONE_MS = 6
 
@@ -113,5 +115,5 @@
   const busy = (load.own + load.others) / Math.max(1, place.slots)
   const failing = weight * load.failureShare * question.request.objectiveMs
   const zoneMs = place.availabilityZone === state.availabilityZone ? 0 : OTHER_ZONE_MS
-  return firstByteMs * (1 + busy) + failing + zoneMs
+  return firstByteMs * (1 + BUSY_WEIGHT * busy) + failing + zoneMs
 }
