Reserve room for the model it was made for

Cause: room made for a model without a copy was filled with the model just unloaded, again and again.

Change: reservation for 500 ms; copies go before spare memory; replicas wait for an engine with a copy; victims are the cheapest set, not the first cheap ones.

--- a/packages/scheduler/_plan_evictions.ts
+++ b/packages/scheduler/_plan_evictions.ts
@@ -20,28 +20,34 @@
 /** Cost of any eviction, so that the fewest models are unloaded, in requests per second. */
 const BASE_COST = 0.02
 
+/** Models on one engine among which victims are sought; all sets of so many are weighed. */
+const MAX_CANDIDATES = 8
+/** Worth of a GB that an eviction frees beyond the need, in requests per second: a small model more may stay. */
+const SPARE_WORTH_PER_GB = 0.01
+const MB_PER_GB = 1000
+
 /** Chooses the cheapest models to unload so that an engine has room; undefined where it can't get any. */
 export function planEvictions (draft: PlacementDraft, view: EngineView, options: { readonly needMb: number }): EvictionSet | undefined {
-  let freeMb = draft.freeMb(view)
-  if (freeMb >= options.needMb) return { models: [], cost: 0 }
+  const missingMb = options.needMb - draft.freeMb(view)
+  if (missingMb <= 0) return { models: [], cost: 0 }
   const candidates = [...view.residents]
     .map(([model, resident]) => ({ model, sizeMb: residentMb(draft.scene.engine.models.get(model), resident), cost: evictionCost(draft, view, { model }) }))
     .filter(({ cost }) => cost < Infinity)
     .sort((a, b) => a.cost - b.cost)
-  const chosen: Array<typeof candidates[number]> = []
-  for (const candidate of candidates) {
-    if (freeMb >= options.needMb) break
-    freeMb += candidate.sizeMb
-    chosen.push(candidate)
+    .slice(0, MAX_CANDIDATES)
+  let best: EvictionSet | undefined
+  let bestWeight = Infinity
+  for (let set = 1; set < 2 ** candidates.length; set += 1) {
+    const chosen = candidates.filter((_, i) => (set >> i) % 2 === 1)
+    const freedMb = chosen.reduce((sum, { sizeMb }) => sum + sizeMb, 0)
+    if (freedMb < missingMb) continue
+    const cost = chosen.reduce((sum, candidate) => sum + candidate.cost, 0)
+    const weight = cost - (freedMb - missingMb) / MB_PER_GB * SPARE_WORTH_PER_GB
+    if (weight >= bestWeight) continue
+    best = { models: chosen.map(({ model }) => model), cost }
+    bestWeight = weight
   }
-  if (freeMb < options.needMb) return undefined
-  // The last ones may have made the first, cheaper ones unnecessary.
-  const needed = chosen.filter((candidate) => {
-    if (freeMb - candidate.sizeMb < options.needMb) return true
-    freeMb -= candidate.sizeMb
-    return false
-  })
-  return { models: needed.map(({ model }) => model), cost: needed.reduce((sum, { cost }) => sum + cost, 0) }
+  return best
 }
 
 /** Rates what the absence of a model from an engine would cost; infinite where it must stay. */
--- a/packages/scheduler/_track_engines.ts
+++ b/packages/scheduler/_track_engines.ts
@@ -19,6 +19,8 @@
 const REFUSAL_REST_MS = 60
 /** Pause after an engine did not understand an order or was another one, in ms. */
 const INVALID_REST_MS = 3000
+/** Time for which room is kept for the model for which it was made, in ms: two further unloads. */
+const RESERVATION_MS = 500
 /** Failed reports in a row after which an engine is planned without. */
 export const LOST_MISSES = 3
 
@@ -113,10 +115,11 @@
   }
   if (report.busy || askedAtMs < open.answeredAtMs) return view
   const residents = new Map(view.residents)
-  const { model, operation } = open.planned
+  const { model, operation, makesWayFor } = open.planned
   if (operation === 'unload') residents.delete(model)
   else residents.set(model, { phase: 'loaded', sinceMs: nowMs, adapters: new Map() })
-  return { ...view, open: undefined, residents, stableSinceMs: nowMs }
+  const reserved = makesWayFor === undefined ? undefined : { model: makesWayFor, untilMs: nowMs + RESERVATION_MS }
+  return { ...view, open: undefined, residents, reserved, stableSinceMs: nowMs }
 }
 
 function _withPending (residents: EngineView['residents'], report: EngineReport, nowMs: number): EngineView['residents'] {
--- a/packages/scheduler/engine_view.ts
+++ b/packages/scheduler/engine_view.ts
@@ -47,6 +47,12 @@
   readonly answeredAtMs: number
 }
 
+/** Room that was made for a model and that no other one takes meanwhile. */
+export interface Reservation {
+  readonly model: string
+  readonly untilMs: number
+}
+
 /** What the holder believes of one engine. */
 export interface EngineView {
   readonly upstream: Upstream
@@ -65,6 +71,8 @@
   readonly askedAtMs: number
   /** Local time of the newest report, in ms. */
   readonly reportedAtMs: number
+  /** The model for which room was made. */
+  readonly reserved: Reservation | undefined
   /** Local time until which no order is sent, after a refusal, in ms. */
   readonly restUntilMs: number
   /** Failed reports in a row. */
@@ -99,6 +107,7 @@
     acceptedAtMs: -Infinity,
     askedAtMs: -Infinity,
     reportedAtMs: -Infinity,
+    reserved: undefined,
     restUntilMs: -Infinity,
     misses: 0
   }
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -13,12 +13,16 @@
 const RUNNING_WEIGHT_MS = 8
 /** Time that a request waits for an engine with a copy before the weight store is asked, in ms. */
 const COPY_PATIENCE_MS = 1000
+/** Factor by which a model's replicas are too few from which they go before models that only some requests wait for. */
+const OVERLOAD = 1.5
 /** Largest cost of evictions for another replica, as a share of the model's requests per second. */
 const REPLICA_COST_SHARE = 0.5
 /** Largest cost of evictions for a copy that nobody waits for, in requests per second. */
 const COPY_COST = 1.5
 /** Loads from the weight store at once for copies that nobody waits for; the store's full speed allows 2 to 4. */
 const COPY_LOADS_AT_ONCE = 4
+/** The same while there are requests: the engine takes no other order meanwhile. */
+const COPY_LOADS_IN_TRAFFIC = 1
 
 /**
  * Plans the orders of one service's engines that are due, at most one for each engine.
@@ -40,10 +44,11 @@
 export function planOrders (scene: Scene): readonly PlannedOrder[] {
   const draft = createPlacementDraft(scene)
   planAdapters(draft)
+  for (const model of _understaffed(draft, OVERLOAD)) _planReplica(draft, model)
   for (const model of _awaited(draft)) _planAwaited(draft, model)
-  for (const model of _understaffed(draft)) _planReplica(draft, model)
-  for (const model of _absent(draft)) _planSpare(draft, model)
+  for (const model of _understaffed(draft, 1)) _planReplica(draft, model)
   for (const model of scene.engine.models.values()) _planCopy(draft, model)
+  for (const model of _absent(draft)) _planSpare(draft, model)
   return draft.orders()
 }
 
@@ -55,10 +60,11 @@
     .flatMap(({ model }) => draft.scene.engine.models.get(model) ?? [])
 }
 
-function _understaffed (draft: PlacementDraft): readonly Model[] {
+// Models with fewer replicas than they should have by a factor.
+function _understaffed (draft: PlacementDraft, factor: number): readonly Model[] {
   return [...draft.scene.demand.models.values()]
-    .filter(({ model, waiting }) => waiting === 0 || draft.replicas(model).length > 0)
-    .filter(({ model }) => !draft.isPrepared(model) && draft.replicas(model).length < wantedReplicas(draft, model))
+    .filter(({ model }) => draft.replicas(model).length > 0)
+    .filter(({ model }) => !draft.isPrepared(model) && draft.replicas(model).length * factor < wantedReplicas(draft, model))
     .sort((a, b) => b.ratePerS - a.ratePerS)
     .flatMap(({ model }) => draft.scene.engine.models.get(model) ?? [])
 }
@@ -72,7 +78,7 @@
 
 function _options (draft: PlacementDraft, model: Model): readonly _Option[] {
   return draft.scene.views
-    .filter((view) => draft.isFree(view) && !view.residents.has(model.name))
+    .filter((view) => draft.isFree(view) && !view.residents.has(model.name) && !_isReserved(draft, view, model))
     .flatMap((view): readonly _Option[] => {
       const evictions = planEvictions(draft, view, { needMb: model.memoryMb })
       if (evictions === undefined) return []
@@ -83,6 +89,11 @@
     .sort((a, b) => a.score - b.score)
 }
 
+function _isReserved (draft: PlacementDraft, view: EngineView, model: Model): boolean {
+  const { reserved } = view
+  return reserved !== undefined && reserved.model !== model.name && draft.scene.nowMs < reserved.untilMs
+}
+
 function _planAwaited (draft: PlacementDraft, model: Model): void {
   const { objectiveInMs } = draft.demandFor(model.name)
   const hasCopy = draft.scene.views.some((view) => weightSource(view, model.name) !== 'store')
@@ -93,8 +104,11 @@
 
 function _planReplica (draft: PlacementDraft, model: Model): void {
   const { ratePerS } = draft.demandFor(model.name)
+  // An engine with a copy that is busy now is ready long before a load from the weight store ends.
+  const hasCopy = draft.scene.views.some((view) => !view.residents.has(model.name) && weightSource(view, model.name) !== 'store')
+  const mayAskStore = !hasCopy && draft.storeLoadsLeft() > 0
   const best = _options(draft, model).find(({ source, evictions }) => {
-    return evictions.cost <= ratePerS * REPLICA_COST_SHARE && (source !== 'store' || draft.storeLoadsLeft() > 0)
+    return evictions.cost <= ratePerS * REPLICA_COST_SHARE && (source !== 'store' || mayAskStore)
   })
   if (best !== undefined) _carryOut(draft, model, { ...best, reason: `${ratePerS.toFixed(1)} requests/s` })
 }
@@ -116,7 +130,8 @@
 function _planCopy (draft: PlacementDraft, model: Model): void {
   const { views, storeLoadsUnderWay, demand } = draft.scene
   const planned = draft.orders().filter((order) => order.fromStore).length
-  if (storeLoadsUnderWay + planned >= COPY_LOADS_AT_ONCE || draft.storeLoadsLeft() <= 0) return
+  const atOnce = demand.models.size === 0 ? COPY_LOADS_AT_ONCE : COPY_LOADS_IN_TRAFFIC
+  if (storeLoadsUnderWay + planned >= atOnce || draft.storeLoadsLeft() <= 0) return
   if (draft.isPrepared(model.name) || draft.replicas(model.name).length > 0 || views.some((view) => weightSource(view, model.name) !== 'store')) return
   if ((demand.models.get(model.name)?.waiting ?? 0) > 0) return
   const best = [..._options(draft, model)]
