Ask the weight store only where no other engine has a copy

Cause: 21 loads from the weight store blocked their engines for 6 s each (25 of 34 s busy) and took other copies' place on full disks.

--- a/packages/scheduler/_plan_evictions.ts
+++ b/packages/scheduler/_plan_evictions.ts
@@ -60,7 +60,7 @@
   const others = draft.replicas(model).filter((other) => other !== view)
   if (others.length === 0 && demand.waiting > 0) return Infinity
   const isNew = draft.scene.nowMs - resident.sinceMs < MIN_RESIDENCE_MS
-  if (isNew && others.length === 0 && demand.ratePerS > 0) return Infinity
+  if (isNew && demand.ratePerS > 0) return Infinity
   const wanted = wantedReplicas(draft, model)
   if (others.length >= wanted && others.length > 0) return BASE_COST + SURPLUS_WEIGHT * demand.ratePerS
   const weight = others.length === 0 ? LAST_REPLICA_WEIGHT : 1
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -11,8 +11,8 @@
 const EVICTION_WEIGHT_MS = 300
 /** Weight of a request that runs on an engine, whose batch a further model slows down, in ms. */
 const RUNNING_WEIGHT_MS = 8
-/** Time that a request waits for an engine with a copy before the weight store is asked, in ms. */
-const COPY_PATIENCE_MS = 1000
+/** Largest cost of evictions for a model that requests wait for, in requests per second, beside one for each of them. */
+const AWAITED_COST = 5
 /** Factor by which a model's replicas are too few from which they go before models that only some requests wait for. */
 const OVERLOAD = 1.5
 /** Largest cost of evictions for another replica, as a share of the model's requests per second. */
@@ -94,19 +94,24 @@
   return reserved !== undefined && reserved.model !== model.name && draft.scene.nowMs < reserved.untilMs
 }
 
+// An engine with a copy that is busy now is ready before a load from the weight store ends, which blocks its engine for
+// seconds and takes the place of another copy on its disk.
+function _hasCopy (draft: PlacementDraft, model: Model): boolean {
+  return draft.scene.views.some((view) => !view.residents.has(model.name) && weightSource(view, model.name) !== 'store')
+}
+
 function _planAwaited (draft: PlacementDraft, model: Model): void {
-  const { objectiveInMs } = draft.demandFor(model.name)
-  const hasCopy = draft.scene.views.some((view) => weightSource(view, model.name) !== 'store')
-  const mayAskStore = draft.storeLoadsLeft() > 0 && (!hasCopy || objectiveInMs < -COPY_PATIENCE_MS)
-  const best = _options(draft, model).find(({ source }) => source !== 'store' || mayAskStore)
+  const { waiting } = draft.demandFor(model.name)
+  const mayAskStore = draft.storeLoadsLeft() > 0 && !_hasCopy(draft, model)
+  const best = _options(draft, model).find(({ source, evictions }) => {
+    return evictions.cost <= AWAITED_COST + waiting && (source !== 'store' || mayAskStore)
+  })
   if (best !== undefined) _carryOut(draft, model, { ...best, reason: 'requests wait' })
 }
 
 function _planReplica (draft: PlacementDraft, model: Model): void {
   const { ratePerS } = draft.demandFor(model.name)
-  // An engine with a copy that is busy now is ready long before a load from the weight store ends.
-  const hasCopy = draft.scene.views.some((view) => !view.residents.has(model.name) && weightSource(view, model.name) !== 'store')
-  const mayAskStore = !hasCopy && draft.storeLoadsLeft() > 0
+  const mayAskStore = draft.storeLoadsLeft() > 0 && !_hasCopy(draft, model)
   const best = _options(draft, model).find(({ source, evictions }) => {
     return evictions.cost <= ratePerS * REPLICA_COST_SHARE && (source !== 'store' || mayAskStore)
   })
