Expect 100 ms for an unload

Cause: polls show unloads of idle models done after 60 to 100 ms, seen after 200.

Tried and reverted: unloading models with up to three running requests.

Conclusion: an engine must be idle for a model before its unload is ordered.

--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -40,7 +40,7 @@
 export type DraftOrder = Pick<PlannedOrder, 'operation' | 'model' | 'reason'> & Partial<PlannedOrder>
 
 /** Expected duration of an unload of an idle model, in ms. */
-export const UNLOAD_MS = 60
+export const UNLOAD_MS = 100
 
 /** Time after which an adapter that nobody was seen to use counts as idle, in ms. */
 const UNSEEN_ADAPTER_IDLE_MS = 60_000
