Deliver an answer without a length only while its upstream lives

Ruled out: a reset on the way; Node reports it before the end of the body (checked with a socket pair).

Change: the end of an answer without a length is taken for its end only after the upstream's process has answered on a new connection.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http'
+import type { Upstream } from '@berylshed/fleet'
 import { answerHeaders, ownHeaders, sendingHeaders } from '@berylshed/platform'
 import type { Refusal, Request, SendingFailure, ServingEffect, ServingEvent } from '@berylshed/serving'
 import { forwardSending, type AnswerHead, type CollectedAnswer, type RunningSending } from './forward_sending.ts'
@@ -27,8 +28,10 @@
 /** What exchanges are carried out with. */
 export interface ExchangesOptions {
   nowMs (): number
-  /** Host and port of an upstream; undefined where it is no longer registered. */
-  addressOf (upstream: string): string | undefined
+  /** Gives an upstream's registration; undefined where there is none any more. */
+  upstream (id: string): Upstream | undefined
+  /** Proves that an upstream's process is still alive. */
+  proveAlive (upstream: Upstream): Promise<boolean>
   /** Whether callers are asked to connect anew, elsewhere. */
   isDraining (): boolean
   dispatch (event: ServingEvent): void
@@ -67,10 +70,10 @@
     const { request, sending } = effect
     const found = table.get(request.id)
     if (found === undefined) return
-    const address = options.addressOf(effect.upstream)
-    if (address === undefined) return fail(request.id, sending, { failure: 'not_connected', detail: 'not registered' })
+    const upstream = options.upstream(effect.upstream)
+    if (upstream === undefined) return fail(request.id, sending, { failure: 'not_connected', detail: 'not registered' })
     const { exchange } = found
-    const [host = '', port = ''] = address.split(':')
+    const [host = '', port = ''] = upstream.address.split(':')
     const hasBody = !METHODS_WITHOUT_BODY.includes(exchange.method) || exchange.body.length > 0
     const remainingMs = request.deadlineMs - options.nowMs()
     // A kept connection may break for a reason that is none of the request's; only a repeatable one can bear that.
@@ -93,6 +96,7 @@
       body: exchange.body,
       mayReuse,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      proveAlive: () => options.proveAlive(upstream),
       ..._patience(request)
     }, {
       events: (head, chunk, lastEventId) => pass(found, { head, sending }, { chunk, lastEventId }),
--- a/packages/edge/forward_sending.ts
+++ b/packages/edge/forward_sending.ts
@@ -9,6 +9,7 @@
 const KEPT_MS = 1000
 const MAX_KEPT_CONNECTIONS = 64
 const FIRST_SUCCESS = 200
+const NO_CONTENT = 204
 const FIRST_REDIRECT = 300
 const FIRST_FAILURE = 500
 /** Answers that promise that a request has not run, and that an upstream may give only with its own word for it. */
@@ -32,6 +33,12 @@
   readonly firstByteTimeoutMs: number
   /** Longest pause within a stream, in ms; Infinity where only the deadline counts. */
   readonly pauseTimeoutMs: number
+  /**
+   * Proves that the upstream's process is still alive.
+   *
+   * An answer without a length ends with its connection, and so does one whose upstream crashed.
+   */
+  proveAlive (): Promise<boolean>
 }
 
 /** An answer's status line and headers. */
@@ -166,7 +173,7 @@
     })
     incoming.on('end', () => {
       if (!incoming.complete || splitter.hasRest()) return fail('broken', 'stream ended early')
-      settle(() => hooks.ended(head, undefined))
+      whenWhole(incoming, () => hooks.ended(head, undefined))
     })
     incoming.on('error', (error) => fail('broken', error.message))
   }
@@ -182,12 +189,23 @@
     incoming.on('end', () => {
       if (!incoming.complete) return fail('broken', 'answer ended early')
       const body = Buffer.concat(chunks)
-      if (head.status < FIRST_FAILURE) return settle(() => hooks.ended(head, body))
-      settle(() => hooks.failed('upstream_error', `status ${head.status}`, { head, body }))
+      whenWhole(incoming, () => {
+        if (head.status < FIRST_FAILURE) hooks.ended(head, body)
+        else hooks.failed('upstream_error', `status ${head.status}`, { head, body })
+      })
     })
     incoming.on('error', (error) => fail('broken', error.message))
   }
 
+  function whenWhole (incoming: IncomingMessage, report: () => void): void {
+    const framed = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
+    if (framed || incoming.statusCode === NO_CONTENT) return settle(report)
+    sending.proveAlive().then((alive) => {
+      if (alive) settle(report)
+      else fail('broken', 'connection ended an answer without a length, and the upstream is gone')
+    }, (error: unknown) => fail('broken', String(error)))
+  }
+
   return {
     cancel: () => {
       settle(() => {})
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { createServer } from 'node:http'
+import type { Upstream } from '@berylshed/fleet'
 import type { Engines, HostSettings, Registry, Store } from '@berylshed/platform'
 import { createLoop } from '@berylshed/reducer'
 import type { Instant, Lease, OrderOutcome, SchedulerEffect } from '@berylshed/scheduler'
@@ -34,6 +35,8 @@
   readonly registry: Registry
   readonly engines: Engines
   readonly journal: Journal
+  /** Proves that an upstream's process is still alive. */
+  proveAlive (upstream: Upstream, healthPath: string): Promise<boolean>
 }
 
 /** A running instance. */
@@ -54,7 +57,7 @@
  *
  * @example
  * ```ts
- * const edge = await runEdge(settings, { store, registry: store.registry, engines, journal })
+ * const edge = await runEdge(settings, { store, registry: store.registry, engines, journal, proveAlive })
  * await edge.drain()
  * ```
  */
@@ -77,7 +80,8 @@
   const metrics = createEdgeMetrics(() => _gauges(loop.state(), { journal, nowMs: nowMs() }))
   const exchanges = createExchanges({
     nowMs,
-    addressOf: (upstream) => loop.state().list?.upstreams.get(upstream)?.address,
+    upstream: (id) => loop.state().list?.upstreams.get(id),
+    proveAlive: (upstream) => parts.proveAlive(upstream, loop.state().configuration?.services.get(upstream.service)?.healthPath ?? '/'),
     isDraining: () => loop.state().draining,
     dispatch: (event) => loop.dispatch({ subject: 'serving', event })
   })
