--- /dev/null
+++ b/packages/edge/_test_upstream.ts
@@ -0,0 +1,74 @@
+import { createServer, type Server, type Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { forwardSending, type ForwardedSending } from './forward_sending.ts'
+
+/** An upstream that answers each request with given bytes. */
+export interface RawUpstream {
+  readonly port: number
+  /** Requests that have begun to arrive. */
+  arrivals (): readonly string[]
+  close (): Promise<void>
+}
+
+/** Starts an upstream that hands each connection's request to an answerer. */
+export async function startRawUpstream (answer: (socket: Socket, request: string) => void): Promise<RawUpstream> {
+  const arrivals: string[] = []
+  const sockets = new Set<Socket>()
+  const server: Server = createServer((socket) => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => sockets.delete(socket))
+    socket.on('data', (chunk) => {
+      arrivals.push(chunk.toString('latin1'))
+      answer(socket, chunk.toString('latin1'))
+    })
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return {
+    port: (server.address() as AddressInfo).port,
+    arrivals: () => arrivals,
+    close: () => new Promise((resolve) => {
+      for (const socket of sockets) socket.destroy()
+      server.close(() => resolve())
+    })
+  }
+}
+
+/** What a sending came to, in short. */
+export interface SendingOutcome {
+  readonly outcome: string
+  /** What was passed on of a stream, or the whole body. */
+  readonly passed: string
+  readonly lastEventId: string | undefined
+}
+
+/** Sends a request and waits for what becomes of it. */
+export function sendTo (port: number, changes: Partial<ForwardedSending> = {}): Promise<SendingOutcome> {
+  return new Promise((resolve) => {
+    let passed = ''
+    let lastEventId: string | undefined
+    forwardSending({
+      id: 'a1',
+      host: '127.0.0.1',
+      port,
+      method: 'POST',
+      path: '/x',
+      headers: ['Host', 'desk.example', 'Attempt-Id', 'a1', 'Connection', 'close', 'Content-Length', '4'],
+      body: Buffer.from('body'),
+      mayReuse: false,
+      connectTimeoutMs: 2000,
+      firstByteTimeoutMs: 2000,
+      pauseTimeoutMs: 2000,
+      proveAlive: async () => true,
+      ...changes
+    }, {
+      events: (_head, chunk, id) => {
+        passed += chunk.toString()
+        lastEventId = id ?? lastEventId
+        return true
+      },
+      ended: (head, body) => resolve({ outcome: `ended ${head.status}`, passed: body?.toString() ?? passed, lastEventId }),
+      failed: (failure, _detail, answer) => resolve({ outcome: failure, passed: answer?.body.toString() ?? passed, lastEventId })
+    })
+  })
+}
--- /dev/null
+++ b/packages/edge/forward_sending_test.ts
@@ -0,0 +1,55 @@
+import test from 'ava'
+import { sendTo, startRawUpstream } from './_test_upstream.ts'
+
+const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n'
+
+async function outcomeOf (bytes: string, ending: 'keep' | 'end' | 'reset' = 'keep', proveAlive = async (): Promise<boolean> => true): Promise<string> {
+  const upstream = await startRawUpstream((socket) => {
+    socket.write(bytes)
+    if (ending === 'end') socket.end()
+    if (ending === 'reset') setTimeout(() => socket.resetAndDestroy(), 20)
+  })
+  const { outcome, passed } = await sendTo(upstream.port, { proveAlive })
+  await upstream.close()
+  return `${outcome} ${JSON.stringify(passed)}`
+}
+
+test('answers count only if they are whole, signed, plain and the own ones', async (t) => {
+  t.snapshot({
+    whole: await outcomeOf(`${HEAD}Content-Length: 2\r\n\r\nok`),
+    cut: await outcomeOf(`${HEAD}Content-Length: 9\r\n\r\nok`, 'end'),
+    unsigned: await outcomeOf('HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 2\r\n\r\nok'),
+    encoded: await outcomeOf(`${HEAD}Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok`),
+    crossed: await outcomeOf('HTTP/1.1 200 OK\r\nAttempt-Id: b2\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok'),
+    notHttp: await outcomeOf('*** what is this ***\r\n\r\n', 'end'),
+    refused: await outcomeOf('HTTP/1.1 503 Busy\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'),
+    promiseWithoutWord: await outcomeOf('HTTP/1.1 503 Busy\r\nAttempt-Id: a1\r\nContent-Length: 0\r\n\r\n'),
+    misdirected: await outcomeOf('HTTP/1.1 421 Other\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n'),
+    ownFailure: await outcomeOf('HTTP/1.1 500 Oops\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nContent-Length: 4\r\n\r\noops'),
+    silentClose: await outcomeOf('', 'end')
+  })
+})
+
+test('an answer without a length ends well only on an orderly close of an upstream that lives', async (t) => {
+  t.is(await outcomeOf(`${HEAD}\r\nwhole`, 'end'), 'ended 200 "whole"')
+  t.is(await outcomeOf(`${HEAD}\r\npart`, 'end', async () => false), 'broken ""')
+  t.is(await outcomeOf(`${HEAD}\r\npart`, 'reset'), 'broken ""')
+})
+
+test('a stream is passed on in whole events, and half an event is held back', async (t) => {
+  const events = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'
+  const upstream = await startRawUpstream((socket) => {
+    socket.write(`${HEAD}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`)
+    socket.write(`${events.length.toString(16)}\r\n${events}\r\n`)
+    setTimeout(() => socket.resetAndDestroy(), 20)
+  })
+  t.deepEqual(await sendTo(upstream.port), { outcome: 'broken', passed: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', lastEventId: '2' })
+  await upstream.close()
+})
+
+test('silence is found out by the time-out of its stage', async (t) => {
+  const silent = await startRawUpstream(() => {})
+  t.is((await sendTo(silent.port, { firstByteTimeoutMs: 50 })).outcome, 'silent')
+  await silent.close()
+  t.is((await sendTo(1, { connectTimeoutMs: 200 })).outcome, 'not_connected')
+})
--- a/packages/edge/journal.ts
+++ b/packages/edge/journal.ts
@@ -9,14 +9,16 @@
   write (subject: string, line: Line): void
   /** Lines that were dropped so far. */
   dropped (): number
-  /** Writes out what is held back, at the end of the process. */
-  flush (): void
+  /** Writes out what is held back, at the end of the process; what the reader does not take soon is given up. */
+  end (): Promise<void>
 }
 
 /** Text that is gathered before it is written, in bytes; a page saves most of the system calls. */
 const GATHERED_BYTES = 4096
 /** Text that may wait for a reader that has stopped, in bytes. */
 const MAX_HELD_BYTES = 1024 * 1024
+/** Longest wait for the reader at the end of the process, in ms; a small part of the time that the platform grants. */
+const END_MS = 300
 /** Longest time that a line waits to be gathered with others, in ms. */
 const FLUSH_MS = 200
 
@@ -51,9 +53,18 @@
   return {
     write: (subject, line) => logger.info({ subject, ...line }),
     dropped: () => dropped,
-    flush: () => {
+    end: () => new Promise((resolve) => {
       clearInterval(timer)
-      destination.flushSync()
-    }
+      // Left to itself, the destination would write the rest at exit and block on a reader that has stopped.
+      const finish = (): void => {
+        destination.destroy()
+        resolve()
+      }
+      const giveUp = setTimeout(finish, END_MS)
+      destination.flush(() => {
+        clearTimeout(giveUp)
+        finish()
+      })
+    })
   }
 }
--- a/packages/edge/serve.ts
+++ b/packages/edge/serve.ts
@@ -35,14 +35,14 @@
 function stop (): void {
   if (stopping) return
   stopping = true
-  edge.drain().then(() => {
-    journal.flush()
-    process.exit(EXIT_STOPPED)
-  }, (error: unknown) => {
+  const end = async (code: number): Promise<never> => {
+    await journal.end()
+    return process.exit(code)
+  }
+  edge.drain().then(() => end(EXIT_STOPPED), (error: unknown) => {
     journal.write('process', { what: 'drain_failed', reason: String(error) })
-    journal.flush()
-    process.exit(EXIT_FAILED)
-  })
+    return end(EXIT_FAILED)
+  }).catch(() => process.exit(EXIT_FAILED))
 }
 process.on('SIGTERM', stop)
 process.on('SIGINT', stop)
--- /dev/null
+++ b/packages/scheduler/plan_orders_test.ts
@@ -0,0 +1,75 @@
+import test from 'ava'
+import { shortOrder, testModel, testScene, testView, type Wanted } from './_test_fleet.ts'
+import type { EngineView } from './engine_view.ts'
+import { planOrders } from './plan_orders.ts'
+
+const MODELS = [testModel('small-1', 16), testModel('small-2', 16), testModel('small-3', 16), testModel('large-1', 34), testModel('large-2', 34), testModel('large-3', 34)]
+
+function plan (views: readonly EngineView[], wanted: Wanted = {}): readonly string[] {
+  return planOrders(testScene(MODELS, views, wanted)).map(shortOrder)
+}
+
+test('a model that requests wait for is loaded where its copy is, not from the weight store', (t) => {
+  const views = [testView('a', []), testView('b', [], ['large-1'])]
+  t.deepEqual(plan(views, { demand: [{ model: 'large-1', waiting: 1, ratePerS: 0.2 }] })[0], 'load large-1 on b')
+})
+
+test('while the engine with the copy is busy, nothing is asked of the weight store', (t) => {
+  const busy: EngineView = { ...testView('b', [], ['large-1']), restUntilMs: 100 }
+  const orders = plan([testView('a', ['small-1']), busy], { demand: [{ model: 'large-1', waiting: 3, ratePerS: 1, objectiveInMs: -5000 }], storeLoadsUnderWay: 4 })
+  t.deepEqual(orders, [])
+})
+
+test('the cheapest set of victims makes way: one idle large model rather than two small ones', (t) => {
+  const views = [testView('a', ['small-1', 'small-2', 'large-2'], ['large-1'])]
+  const demand = [{ model: 'large-1', waiting: 1, ratePerS: 0.4 }, ...['small-1', 'small-2', 'large-2'].map((model) => ({ model, ratePerS: 0.4 }))]
+  t.deepEqual(plan(views, { demand }), ['unload large-2 on a'])
+})
+
+test('neither a model with running requests nor the last replica that requests wait for makes way', (t) => {
+  const views = [testView('a', ['large-2', 'large-3'], ['large-1'])]
+  const demand = [{ model: 'large-1', waiting: 1, ratePerS: 0.4 }, { model: 'large-2', waiting: 1, ratePerS: 0.4 }, { model: 'large-3', ratePerS: 0.4 }]
+  t.deepEqual(plan(views, { demand, running: { 'a large-3': 1 } }), [])
+})
+
+test('room that was made for a model is not taken by the one that made way', (t) => {
+  const reserved: EngineView = { ...testView('a', ['large-2'], ['large-1', 'large-3']), reserved: { model: 'large-1', untilMs: 400 } }
+  t.deepEqual(plan([reserved]), ['load large-1 on a'])
+})
+
+test('a model for which room is being made elsewhere is not prepared twice', (t) => {
+  const making: EngineView = {
+    ...testView('a', ['large-3'], ['large-1']),
+    open: {
+      id: 'o', expectedSequence: 0, sentAtMs: 0, answeredAtMs: 0, phase: 'running', planned: { upstream: 'a', operation: 'unload', model: 'large-2', adapter: undefined, reason: '', fromStore: false, expectedMs: 60, makesWayFor: 'large-1' }
+    }
+  }
+  t.deepEqual(plan([making, testView('b', ['large-2', 'large-3'], ['large-1'])], { demand: [{ model: 'large-1', waiting: 1 }], running: { 'b large-2': 9, 'b large-3': 9 } }), [])
+})
+
+test('a busy model gets another replica before a rare one is swapped in', (t) => {
+  const views = [testView('a', ['large-1']), testView('b', ['large-2'], ['large-1', 'large-3', 'small-1', 'small-2', 'small-3'])]
+  const demand = [{ model: 'large-1', ratePerS: 20, running: 40 }, { model: 'large-3', waiting: 1, ratePerS: 0.3 }, { model: 'large-2', ratePerS: 0.3 }]
+  t.is(plan(views, { demand, running: { 'a large-1': 40 } })[0], 'load large-1 on b')
+})
+
+test('one waiting request does not take a replica that a busy model needs', (t) => {
+  const views = [testView('a', ['large-1', 'large-2'], ['large-3']), testView('b', ['large-1', 'large-2'])]
+  const demand = [{ model: 'large-1', ratePerS: 30, running: 30 }, { model: 'large-2', ratePerS: 30, running: 30 }, { model: 'large-3', waiting: 1, ratePerS: 0.3 }]
+  t.deepEqual(plan(views, { demand, storeLoadsUnderWay: 4 }), [])
+})
+
+test('spare memory is filled from disk, and the only copies are made from the weight store', (t) => {
+  t.deepEqual(plan([testView('a', ['large-1'], ['small-1'])], { storeLoadsUnderWay: 4 }), ['load small-1 on a'])
+  t.deepEqual(plan([testView('a', ['large-1'])]), ['load small-1 on a from the store'])
+})
+
+test('an adapter goes to a replica with a free place, and the idlest one makes way', (t) => {
+  const full = testView('a', ['large-1'])
+  const adapters = new Map([['a1', { phase: 'loaded' as const, sinceMs: -9000 }], ['a2', { phase: 'loaded' as const, sinceMs: -5000 }]])
+  const crowded: EngineView = { ...full, residents: new Map([['large-1', { phase: 'loaded', sinceMs: -9000, adapters }]]) }
+  const demand = [{ model: 'large-1', waiting: 1, ratePerS: 1, adapters: new Map([['a3', 1]]) }]
+  const big = MODELS.map((model) => ({ ...model, adapterMb: 2 }))
+  t.deepEqual(planOrders(testScene(big, [crowded, { ...testView('b', ['large-1']) }], { demand, storeLoadsUnderWay: 4 })).map(shortOrder), ['load large-1/a3 on b'])
+  t.deepEqual(planOrders(testScene(big, [crowded], { demand, storeLoadsUnderWay: 4 })).map(shortOrder), ['unload large-1/a1 on a'])
+})
--- /dev/null
+++ b/packages/serving/_test_serving.ts
@@ -0,0 +1,78 @@
+import { HashMap } from 'effect'
+import type { Place } from './place.ts'
+import { reduceServing } from './reduce_serving.ts'
+import type { ReceivedRequest } from './request.ts'
+import type { ServingEffect } from './serving_effect.ts'
+import type { ServingEvent } from './serving_event.ts'
+import { newServingState, type ServingState } from './serving_state.ts'
+
+/** A request of a plain service, arrived at time 0. */
+export function testRequest (id: string, changes: Partial<ReceivedRequest> = {}): ReceivedRequest {
+  return {
+    id,
+    callerId: `caller-${id}`,
+    fingerprint: `print-${id}`,
+    route: 'lookups',
+    service: 'orders',
+    model: undefined,
+    adapter: undefined,
+    stream: false,
+    repeatable: true,
+    maxRuns: 2,
+    rank: 1,
+    objectiveMs: 200,
+    arrivedAtMs: 0,
+    deadlineMs: 1000,
+    ...changes
+  }
+}
+
+/** An upstream of the plain service. */
+export function testPlace (upstream: string, changes: Partial<Place> = {}): Place {
+  return { upstream, service: 'orders', incarnation: 1, availabilityZone: 'a', slots: 2, leaving: false, models: undefined, ...changes }
+}
+
+/** An engine that holds models, each with adapters. */
+export function testEnginePlace (upstream: string, models: Readonly<Record<string, readonly string[]>>, usable = true): Place {
+  return testPlace(upstream, {
+    service: 'drafts', slots: 16, models: new Map(Object.entries(models).map(([model, adapters]) => [model, { usable, adapters: new Set(adapters) }]))
+  })
+}
+
+/** An instance's requests under test, with what they asked for. */
+export interface Desk {
+  state (): ServingState
+  /** Reduces an event and gives its effects in short, without records. */
+  apply (event: ServingEvent): readonly string[]
+  records (): readonly string[]
+}
+
+/** Starts an instance that knows some upstreams. */
+export function openDesk (places: readonly Place[], allowance = { ratio: 0.2, extra: 40, windowMs: 10_000 }): Desk {
+  const records: string[] = []
+  let state = newServingState({ availabilityZone: 'a', allowance })
+  function apply (event: ServingEvent): readonly string[] {
+    const reduced = reduceServing(state, event)
+    state = reduced.state
+    for (const effect of reduced.effects) if (effect.kind === 'record') records.push(`${effect.record.what} ${effect.record.reason ?? ''}`.trim())
+    return reduced.effects.filter((effect) => effect.kind !== 'record').map(short)
+  }
+  apply({ kind: 'places_changed', places: new Map(places.map((place) => [place.upstream, place])), expected: new Map(), version: 1, nowMs: 0 })
+  return { state: () => state, apply, records: () => records }
+}
+
+function short (effect: ServingEffect): string {
+  switch (effect.kind) {
+    case 'send': return `send ${effect.request.id}#${effect.sending} to ${effect.upstream}`
+    case 'refuse': return `refuse ${effect.id} ${effect.refusal.status} ${effect.refusal.reason}${effect.refusal.notRun ? ' not run' : ''}`
+    case 'cancel': return `cancel ${effect.id}#${effect.sending}`
+    case 'finish':
+    case 'break_off': return `${effect.kind} ${effect.id}`
+    default: return effect.kind
+  }
+}
+
+/** Counts the requests without an outcome. */
+export function openRequests (desk: Desk): number {
+  return HashMap.size(desk.state().requests)
+}
