--- a/packages/edge/_test_upstream.ts
+++ b/packages/edge/_test_upstream.ts
@@ -1,5 +1,4 @@
-import { createServer, type Server, type Socket } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { forwardSending, type ForwardedSending } from './forward_sending.ts'
 
 /** An upstream that answers each request with given bytes. */
--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -34,6 +34,15 @@
   isPrepared (model: string): boolean
   storeLoadsLeft (): number
   add (view: EngineView, order: DraftOrder): void
+  closures (): readonly PlannedClosure[]
+  close (closure: PlannedClosure): void
+}
+
+/** Models of an engine that are to get no more requests, and the model for which they make way. */
+export interface PlannedClosure {
+  readonly upstream: string
+  readonly models: readonly string[]
+  readonly makesWayFor: string
 }
 
 /** A decided order; what is left out does not apply. */
@@ -50,6 +59,7 @@
   const orders: PlannedOrder[] = []
   const ordered = new Set<string>()
   const added = new Map<string, string[]>()
+  const closures: PlannedClosure[] = []
 
   function replicas (model: string): readonly EngineView[] {
     return scene.views.filter((view) => {
@@ -81,7 +91,9 @@
     replicas,
     isPrepared: (model) => scene.views.some(({ open }) => open?.planned.makesWayFor === model) || orders.some(({ makesWayFor }) => makesWayFor === model),
     storeLoadsLeft: () => scene.storeLoadsAllowed - orders.filter((order) => order.fromStore).length,
-    add
+    add,
+    closures: () => closures,
+    close: (closure) => { closures.push(closure) }
   }
 }
 
--- a/packages/scheduler/_plan_evictions.ts
+++ b/packages/scheduler/_plan_evictions.ts
@@ -20,6 +20,13 @@
 /** Cost of any eviction, so that the fewest models are unloaded, in requests per second. */
 const BASE_COST = 0.02
 
+/** What victims are sought for. */
+export interface EvictionOptions {
+  readonly needMb: number
+  /** Running requests that a victim may still have; none where it is left out. */
+  readonly maxRunning?: number
+}
+
 /** Models on one engine among which victims are sought; all sets of so many are weighed. */
 const MAX_CANDIDATES = 8
 /** Worth of a GB that an eviction frees beyond the need, in requests per second: a small model more may stay. */
@@ -27,11 +34,11 @@
 const MB_PER_GB = 1000
 
 /** Chooses the cheapest models to unload so that an engine has room; undefined where it can't get any. */
-export function planEvictions (draft: PlacementDraft, view: EngineView, options: { readonly needMb: number }): EvictionSet | undefined {
+export function planEvictions (draft: PlacementDraft, view: EngineView, options: EvictionOptions): EvictionSet | undefined {
   const missingMb = options.needMb - draft.freeMb(view)
   if (missingMb <= 0) return { models: [], cost: 0 }
   const candidates = [...view.residents]
-    .map(([model, resident]) => ({ model, sizeMb: residentMb(draft.scene.engine.models.get(model), resident), cost: evictionCost(draft, view, { model }) }))
+    .map(([model, resident]) => ({ model, sizeMb: residentMb(draft.scene.engine.models.get(model), resident), cost: evictionCost(draft, view, { model, maxRunning: options.maxRunning ?? 0 }) }))
     .filter(({ cost }) => cost < Infinity)
     .sort((a, b) => a.cost - b.cost)
     .slice(0, MAX_CANDIDATES)
@@ -51,11 +58,12 @@
 }
 
 /** Rates what the absence of a model from an engine would cost; infinite where it must stay. */
-export function evictionCost (draft: PlacementDraft, view: EngineView, options: { readonly model: string }): number {
+export function evictionCost (draft: PlacementDraft, view: EngineView, options: { readonly model: string, readonly maxRunning: number }): number {
   const { model } = options
   const resident = view.residents.get(model)
   if (resident === undefined || resident.phase !== 'loaded') return Infinity
-  if (draft.runningOn(view, model) > 0) return Infinity
+  if (draft.runningOn(view, model) > options.maxRunning) return Infinity
+  if (isClosed(view, model, draft.scene.nowMs)) return 0
   const demand = draft.demandFor(model)
   const others = draft.replicas(model).filter((other) => other !== view)
   if (others.length === 0 && demand.waiting > 0) return Infinity
@@ -67,6 +75,11 @@
   return BASE_COST + weight * demand.ratePerS + (_hasCopy(draft, model) ? 0 : NO_COPY_COST)
 }
 
+/** Tells whether a model gets no more requests because it is to make way. */
+export function isClosed (view: EngineView, model: string, nowMs: number): boolean {
+  return view.closure !== undefined && nowMs < view.closure.untilMs && view.closure.models.includes(model)
+}
+
 function _hasCopy (draft: PlacementDraft, model: string): boolean {
   return draft.scene.views.some(({ copies }) => copies.onDisk.includes(model) || copies.inMemory.includes(model))
 }
--- a/packages/scheduler/engine_view.ts
+++ b/packages/scheduler/engine_view.ts
@@ -53,6 +53,14 @@
   readonly untilMs: number
 }
 
+/** Models that get no more requests, so that they can make way once the running ones have ended. */
+export interface Closure {
+  readonly models: readonly string[]
+  /** The model for which they make way. */
+  readonly makesWayFor: string
+  readonly untilMs: number
+}
+
 /** What the holder believes of one engine. */
 export interface EngineView {
   readonly upstream: Upstream
@@ -73,6 +81,7 @@
   readonly reportedAtMs: number
   /** The model for which room was made. */
   readonly reserved: Reservation | undefined
+  readonly closure: Closure | undefined
   /** Local time until which no order is sent, after a refusal, in ms. */
   readonly restUntilMs: number
   /** Failed reports in a row. */
@@ -108,6 +117,7 @@
     askedAtMs: -Infinity,
     reportedAtMs: -Infinity,
     reserved: undefined,
+    closure: undefined,
     restUntilMs: -Infinity,
     misses: 0
   }
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -1,11 +1,18 @@
 import type { Model } from '@berylshed/fleet'
-import { createPlacementDraft, loadMs, UNLOAD_MS, weightSource, type PlacementDraft, type Scene, type WeightSource } from './_placement_draft.ts'
+import { createPlacementDraft, loadMs, UNLOAD_MS, weightSource, type PlacementDraft, type PlannedClosure, type Scene, type WeightSource } from './_placement_draft.ts'
 import { planAdapters } from './_plan_adapters.ts'
-import { planEvictions, type EvictionSet } from './_plan_evictions.ts'
+import { isClosed, planEvictions, type EvictionSet } from './_plan_evictions.ts'
 import { wantedReplicas } from './_wanted_replicas.ts'
 import type { EngineView, PlannedOrder } from './engine_view.ts'
 
-export type { Scene } from './_placement_draft.ts'
+export type { PlannedClosure, Scene } from './_placement_draft.ts'
+
+/** What one round of planning decided. */
+export interface Plan {
+  /** Orders, at most one for each engine. */
+  readonly orders: readonly PlannedOrder[]
+  readonly closures: readonly PlannedClosure[]
+}
 
 /** Weight of a request per second that an eviction makes wait, against the duration of a load, in ms. */
 const EVICTION_WEIGHT_MS = 300
@@ -13,6 +20,10 @@
 const RUNNING_WEIGHT_MS = 8
 /** Largest cost of evictions for a model that requests wait for, in requests per second, beside one for each of them. */
 const AWAITED_COST = 5
+/** Expected time from a decision to the first answer of a model that is loaded from disk after an unload, in ms. */
+const SWAP_MS = 700
+/** Running requests up to which a model may be closed; more would take too long to end. */
+const MAX_CLOSED_RUNNING = 3
 /** Factor by which a model's replicas are too few from which they go before models that only some requests wait for. */
 const OVERLOAD = 1.5
 /** Largest cost of evictions for another replica, as a share of the model's requests per second. */
@@ -34,14 +45,14 @@
  * greedy-dual size frequency: Cao and Irani, 1997).
  *
  * @param scene What is known.
- * @returns The orders.
+ * @returns The orders, and the models that are to get no more requests.
  *
  * @example
  * ```ts
- * const orders = planOrders(scene)
+ * const { orders } = planOrders(scene)
  * ```
  */
-export function planOrders (scene: Scene): readonly PlannedOrder[] {
+export function planOrders (scene: Scene): Plan {
   const draft = createPlacementDraft(scene)
   planAdapters(draft)
   for (const model of _understaffed(draft, OVERLOAD)) _planReplica(draft, model)
@@ -49,14 +60,15 @@
   for (const model of _understaffed(draft, 1)) _planReplica(draft, model)
   for (const model of scene.engine.models.values()) _planCopy(draft, model)
   for (const model of _absent(draft)) _planSpare(draft, model)
-  return draft.orders()
+  return { orders: draft.orders(), closures: draft.closures() }
 }
 
-// Models that requests wait for and no engine holds, the most urgent first.
+// Models that requests wait for and no engine holds: first those that can still be in time, the most urgent one first,
+// then the others, the longest overdue one first.
 function _awaited (draft: PlacementDraft): readonly Model[] {
   return [...draft.scene.demand.models.values()]
     .filter(({ waiting, model }) => waiting > 0 && draft.replicas(model).length === 0 && !draft.isPrepared(model))
-    .sort((a, b) => a.objectiveInMs - b.objectiveInMs)
+    .sort((a, b) => Number(a.objectiveInMs < SWAP_MS) - Number(b.objectiveInMs < SWAP_MS) || a.objectiveInMs - b.objectiveInMs)
     .flatMap(({ model }) => draft.scene.engine.models.get(model) ?? [])
 }
 
@@ -90,8 +102,10 @@
 }
 
 function _isReserved (draft: PlacementDraft, view: EngineView, model: Model): boolean {
-  const { reserved } = view
-  return reserved !== undefined && reserved.model !== model.name && draft.scene.nowMs < reserved.untilMs
+  const { reserved, closure } = view
+  const { nowMs } = draft.scene
+  if (reserved !== undefined && reserved.model !== model.name && nowMs < reserved.untilMs) return true
+  return closure !== undefined && closure.makesWayFor !== model.name && closure.models.some((name) => isClosed(view, name, nowMs) && view.residents.has(name))
 }
 
 // An engine with a copy that is busy now is ready before a load from the weight store ends, which blocks its engine for
@@ -107,6 +121,24 @@
     return evictions.cost <= AWAITED_COST + waiting && (source !== 'store' || mayAskStore)
   })
   if (best !== undefined) _carryOut(draft, model, { ...best, reason: 'requests wait' })
+  else _planClosure(draft, model)
+}
+
+// Where every victim has running requests, the cheapest ones get no more, so that they become idle soon. The engine
+// takes other orders meanwhile, which an unload that waits for running requests would not let it.
+function _planClosure (draft: PlacementDraft, model: Model): void {
+  const { views, nowMs } = draft.scene
+  const isClosing = (view: EngineView): boolean => view.closure !== undefined && nowMs < view.closure.untilMs
+  if (views.some((view) => isClosing(view) && view.closure?.makesWayFor === model.name)) return
+  const options = views
+    .filter((view) => view.confirmed && !isClosing(view) && !view.residents.has(model.name) && weightSource(view, model.name) !== 'store')
+    .flatMap((view) => {
+      const evictions = planEvictions(draft, view, { needMb: model.memoryMb, maxRunning: MAX_CLOSED_RUNNING })
+      return evictions === undefined || evictions.models.length === 0 || evictions.cost > AWAITED_COST ? [] : [{ view, evictions }]
+    })
+    .sort((a, b) => a.evictions.cost - b.evictions.cost)
+  const [best] = options
+  if (best !== undefined) draft.close({ upstream: best.view.upstream.id, models: best.evictions.models, makesWayFor: model.name })
 }
 
 function _planReplica (draft: PlacementDraft, model: Model): void {
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -2,11 +2,12 @@
 import { step, type Step } from '@berylshed/reducer'
 import { elapsedMs, failWrite, finishWrite, loseLease, orderDeadline, resolveConflict, seeLease, tendLease } from './_hold_lease.ts'
 import { loadMs, weightSource } from './_placement_draft.ts'
+import { isClosed } from './_plan_evictions.ts'
 import { applyList, applyReport, askEngines, describeChange, endOrder, LOST_MISSES, openOrder } from './_track_engines.ts'
 import { sumDemand } from './demand.ts'
 import type { EngineView, OpenOrder, PlannedOrder } from './engine_view.ts'
 import type { ExpectedLoad, FleetView, PlacedEngine } from './fleet_view.ts'
-import { planOrders } from './plan_orders.ts'
+import { planOrders, type PlannedClosure } from './plan_orders.ts'
 import type { Instant, SchedulerEvent } from './scheduler_event.ts'
 import type { SchedulerEffect } from './scheduler_effect.ts'
 import type { SchedulerState } from './scheduler_state.ts'
@@ -17,6 +18,8 @@
 const STORE_WINDOW_MS = 5000
 /** Share of the weight store's rate that is used, so that a successor's loads fit beside the predecessor's. */
 const STORE_SHARE = 0.6
+/** Time for which closed models get no requests, in ms: most answers of today's deployments end within it. */
+const CLOSURE_MS = 1800
 /** Time after which an adapter that was ordered counts as loaded, in ms: twice the longest of today's loads. */
 const ADAPTER_LOAD_MS = 14
 
@@ -164,12 +167,24 @@
       storeLoadsUnderWay: [...current.engines.values()].filter(({ open }) => open?.planned.fromStore === true).length,
       storeLoadsAllowed: service.engine.loadsPerSecond * STORE_WINDOW_MS / MS_PER_SECOND * STORE_SHARE - current.storeLoads.length
     })
-    return planned.reduce<_Step>((done, order) => _chain(done, (s) => _handOut(s, order, authority)), step(current))
+    const closed = planned.closures.reduce<_Step>((done, closure) => _chain(done, (s) => _close(s, closure, nowMs)), step(current))
+    return planned.orders.reduce<_Step>((done, order) => _chain(done, (s) => _handOut(s, order, authority)), closed)
   }), step({ ...state, storeLoads }))
 }
 
 const MS_PER_SECOND = 1000
 
+function _close (state: SchedulerState, closure: PlannedClosure, nowMs: number): _Step {
+  const view = state.engines.get(closure.upstream)
+  if (view === undefined) return step(state)
+  const { upstream, models, makesWayFor } = closure
+  const next = _withEngine(state, { ...view, closure: { models, makesWayFor, untilMs: nowMs + CLOSURE_MS } })
+  return step(next, [
+    { kind: 'record', record: { what: 'model_closed', upstream, model: models.join(' '), reason: `makes way for ${makesWayFor}` } },
+    { kind: 'placement_changed' }
+  ])
+}
+
 function _handOut (state: SchedulerState, planned: PlannedOrder, authority: _Authority): _Step {
   const view = state.engines.get(planned.upstream)
   if (view === undefined) return step(state)
@@ -232,7 +247,7 @@
     incarnation: view.incarnation,
     models: [...view.residents].map(([model, resident]) => ({
       model,
-      usable: resident.phase === 'loaded',
+      usable: resident.phase === 'loaded' && !isClosed(view, model, nowMs),
       adapters: [...resident.adapters]
         .filter(([, { phase, sinceMs }]) => phase === 'loaded' || (phase === 'loading' && nowMs - sinceMs >= ADAPTER_LOAD_MS))
         .map(([adapter]) => adapter)
--- a/packages/scheduler/scheduler_effect.ts
+++ b/packages/scheduler/scheduler_effect.ts
@@ -6,7 +6,7 @@
 export interface SchedulerRecord {
   readonly what:
     | 'lease_taken' | 'lease_lost' | 'lease_given_up' | 'lease_overdue'
-    | 'order_decided' | 'order_ended' | 'engine_changed' | 'engine_lost' | 'engine_regained'
+    | 'model_closed' | 'order_decided' | 'order_ended' | 'engine_changed' | 'engine_lost' | 'engine_regained'
   readonly fence?: number
   readonly upstream?: string
   readonly model?: string
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -11,8 +11,10 @@
 
 type _Step = Step<ServingState, ServingEffect>
 
-/** Time that a request waits for a place, as a multiple of its latency objective. */
-const PATIENCE = 1.6
+/** Time that a request waits for a place, as a multiple of its latency objective; stream callers leave after four. */
+const PATIENCE = 3.6
+/** The same as a share of the time that the caller gives; one that is refused by then can still come back. */
+const PATIENT_SHARE = 0.4
 /** Shortest time that a request waits for a place, in ms: a load from an engine's disk with the orders before it. */
 const MIN_PATIENCE_MS = 900
 /** Time that is allowed beyond the expected end of a load, in ms. */
@@ -100,10 +102,11 @@
   return refuseRequest(state, request, { reason: _reason(state, request, waiting.search), nowMs, retryAfterMs: _retryAfter(state, request, nowMs) })
 }
 
-// A request waits while its objective can still be met or a load is about to end, not until its deadline.
+// A late answer is worth more to a caller than a refusal, but not a refusal that comes too late to try again.
 function _patienceEnd (state: ServingState, request: Request, nowMs: number): number {
   if (request.phase === 'interrupted') return request.waitingSinceMs + INTERRUPTION_MS
-  const patientMs = request.arrivedAtMs + Math.max(MIN_PATIENCE_MS, request.objectiveMs * PATIENCE)
+  const shareMs = (request.deadlineMs - request.arrivedAtMs) * PATIENT_SHARE
+  const patientMs = request.arrivedAtMs + Math.min(Math.max(MIN_PATIENCE_MS, request.objectiveMs * PATIENCE), Math.max(shareMs, request.objectiveMs))
   const readyInMs = request.model === undefined ? undefined : state.expected.get(request.model)
   if (readyInMs === undefined) return patientMs
   const readyAtMs = state.expectedAtMs + readyInMs + LOAD_SLACK_MS
