Probe the end of an answer without a length by a write

Change: sockets are half open and the end of such an answer is probed by a write; a test with a reset reported as an end.

Conclusion: the write decides.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -30,8 +30,6 @@
   nowMs (): number
   /** Gives an upstream's registration; undefined where there is none any more. */
   upstream (id: string): Upstream | undefined
-  /** Proves that an upstream's process is still alive. */
-  proveAlive (upstream: Upstream): Promise<boolean>
   /** Whether callers are asked to connect anew, elsewhere. */
   isDraining (): boolean
   dispatch (event: ServingEvent): void
@@ -96,7 +94,6 @@
       body: exchange.body,
       mayReuse,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      proveAlive: () => options.proveAlive(upstream),
       ..._patience(request)
     }, {
       events: (head, chunk, lastEventId) => pass(found, { head, sending }, { chunk, lastEventId }),
--- a/packages/edge/_test_upstream.ts
+++ b/packages/edge/_test_upstream.ts
@@ -58,7 +58,6 @@
       connectTimeoutMs: 2000,
       firstByteTimeoutMs: 2000,
       pauseTimeoutMs: 2000,
-      proveAlive: async () => true,
       ...changes
     }, {
       events: (_head, chunk, id) => {
--- a/packages/edge/forward_sending.ts
+++ b/packages/edge/forward_sending.ts
@@ -1,4 +1,5 @@
 import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import { readAnswer } from '@berylshed/platform'
 import type { SendingFailure } from '@berylshed/serving'
 import { createEventSplitter } from './_split_events.ts'
@@ -12,6 +13,11 @@
 const NO_CONTENT = 204
 const FIRST_REDIRECT = 300
 const FIRST_FAILURE = 500
+/**
+ * Written where a connection seems to have ended in order. The event loop reports data and a reset that arrive together
+ * as an orderly end; writing to a connection that was reset fails, while one that was closed takes the bytes and drops them.
+ */
+const PROBE = '\r\n'
 /** Answers that promise that a request has not run, and that an upstream may give only with its own word for it. */
 const PROMISES = [408, 429, 503]
 
@@ -33,12 +39,6 @@
   readonly firstByteTimeoutMs: number
   /** Longest pause within a stream, in ms; Infinity where only the deadline counts. */
   readonly pauseTimeoutMs: number
-  /**
-   * Proves that the upstream's process is still alive.
-   *
-   * An answer without a length ends with its connection, and so does one whose upstream crashed.
-   */
-  proveAlive (): Promise<boolean>
 }
 
 /** An answer's status line and headers. */
@@ -71,7 +71,11 @@
   resume (): void
 }
 
-const keptConnections = new Agent({ keepAlive: true, maxFreeSockets: MAX_KEPT_CONNECTIONS, timeout: KEPT_MS })
+// The agents hand what they don't know on to the sockets: a half open one can still be probed at its end.
+const HALF_OPEN: object = { allowHalfOpen: true }
+/** Connections for one request each. */
+const freshConnections = new Agent({ ...HALF_OPEN, keepAlive: false })
+const keptConnections = new Agent({ ...HALF_OPEN, keepAlive: true, maxFreeSockets: MAX_KEPT_CONNECTIONS, timeout: KEPT_MS })
 
 /**
  * Sends a request to an upstream once, and matches, checks and passes on its answer.
@@ -92,6 +96,7 @@
   let paused = false
   let response: IncomingMessage | undefined
   let timer: NodeJS.Timeout | undefined
+  let ending = Promise.resolve(true)
 
   function settle (report: () => void): void {
     if (settled) return
@@ -116,7 +121,7 @@
     port: sending.port,
     method: sending.method,
     path: sending.path,
-    agent: sending.mayReuse ? keptConnections : false,
+    agent: sending.mayReuse ? keptConnections : freshConnections,
     setHost: false,
     headers: sending.headers
   })
@@ -140,6 +145,7 @@
   })
   request.on('response', (incoming) => {
     response = incoming
+    if (!_isFramed(incoming)) ending = _probeEnd(incoming.socket)
     // An upstream that answers before it has read the body may take the rest of it for another request.
     if (!request.writableFinished) incoming.once('end', () => request.destroy())
     receive(incoming)
@@ -198,11 +204,10 @@
   }
 
   function whenWhole (incoming: IncomingMessage, report: () => void): void {
-    const framed = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
-    if (framed || incoming.statusCode === NO_CONTENT) return settle(report)
-    sending.proveAlive().then((alive) => {
-      if (alive) settle(report)
-      else fail('broken', 'connection ended an answer without a length, and the upstream is gone')
+    if (_isFramed(incoming)) return settle(report)
+    ending.then((orderly) => {
+      if (orderly) settle(report)
+      else fail('broken', 'connection was reset at the end of an answer without a length')
     }, (error: unknown) => fail('broken', String(error)))
   }
 
@@ -220,6 +225,21 @@
   }
 }
 
+// Without a length an answer ends with its connection.
+function _isFramed (incoming: IncomingMessage): boolean {
+  const { headers, statusCode } = incoming
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === NO_CONTENT
+}
+
+// Tells at the end of a connection whether it was closed in order.
+function _probeEnd (socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.prependOnceListener('end', () => {
+      socket.write(PROBE, (error) => resolve(error === undefined || error === null))
+    })
+  })
+}
+
 // Node names the errors of its HTTP parser so.
 function _isProtocolError (error: NodeJS.ErrnoException): boolean {
   return error.code?.startsWith('HPE_') === true
--- a/packages/edge/forward_sending_test.ts
+++ b/packages/edge/forward_sending_test.ts
@@ -1,15 +1,16 @@
+import { Socket } from 'node:net'
 import test from 'ava'
 import { sendTo, startRawUpstream } from './_test_upstream.ts'
 
 const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n'
 
-async function outcomeOf (bytes: string, ending: 'keep' | 'end' | 'reset' = 'keep', proveAlive = async (): Promise<boolean> => true): Promise<string> {
+async function outcomeOf (bytes: string, ending: 'keep' | 'end' | 'reset' = 'keep'): Promise<string> {
   const upstream = await startRawUpstream((socket) => {
     socket.write(bytes)
     if (ending === 'end') socket.end()
     if (ending === 'reset') setTimeout(() => socket.resetAndDestroy(), 20)
   })
-  const { outcome, passed } = await sendTo(upstream.port, { proveAlive })
+  const { outcome, passed } = await sendTo(upstream.port)
   await upstream.close()
   return `${outcome} ${JSON.stringify(passed)}`
 }
@@ -30,12 +31,33 @@
   })
 })
 
-test('an answer without a length ends well only on an orderly close of an upstream that lives', async (t) => {
+test('an answer without a length ends well only on an orderly close', async (t) => {
   t.is(await outcomeOf(`${HEAD}\r\nwhole`, 'end'), 'ended 200 "whole"')
-  t.is(await outcomeOf(`${HEAD}\r\npart`, 'end', async () => false), 'broken ""')
   t.is(await outcomeOf(`${HEAD}\r\npart`, 'reset'), 'broken ""')
 })
 
+// The event loop may report a reset as an orderly end; the socket is told of one here, after its peer has reset it.
+test.serial('a reset that was reported as an orderly end is found out by writing', async (t) => {
+  const upstream = await startRawUpstream((socket) => {
+    socket.write(`${HEAD}\r\npart`)
+    setTimeout(() => socket.resetAndDestroy(), 20)
+  })
+  const { prototype } = Socket
+  const { emit } = prototype
+  prototype.emit = function (this: Socket, event: string | symbol, ...values: unknown[]): boolean {
+    const error = values[0]
+    if (event !== 'error' || !(error instanceof Error) || this.remotePort !== upstream.port) return Reflect.apply(emit, this, [event, ...values])
+    this.write = ((_chunk: unknown, done: (failure: Error) => void) => {
+      done(error)
+      return false
+    }) as Socket['write']
+    return Reflect.apply(emit, this, ['end'])
+  }
+  const { outcome } = await sendTo(upstream.port).finally(() => { prototype.emit = emit })
+  t.is(outcome, 'broken')
+  await upstream.close()
+})
+
 test('a stream is passed on in whole events, and half an event is held back', async (t) => {
   const events = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'
   const upstream = await startRawUpstream((socket) => {
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from 'node:crypto'
 import { createServer } from 'node:http'
-import type { Upstream } from '@berylshed/fleet'
 import type { Engines, HostSettings, Registry, Store } from '@berylshed/platform'
 import { createLoop } from '@berylshed/reducer'
 import type { Instant, Lease, OrderOutcome, SchedulerEffect } from '@berylshed/scheduler'
@@ -35,8 +34,6 @@
   readonly registry: Registry
   readonly engines: Engines
   readonly journal: Journal
-  /** Proves that an upstream's process is still alive. */
-  proveAlive (upstream: Upstream, healthPath: string): Promise<boolean>
 }
 
 /** A running instance. */
@@ -57,7 +54,7 @@
  *
  * @example
  * ```ts
- * const edge = await runEdge(settings, { store, registry: store.registry, engines, journal, proveAlive })
+ * const edge = await runEdge(settings, { store, registry: store.registry, engines, journal })
  * await edge.drain()
  * ```
  */
@@ -81,7 +78,6 @@
   const exchanges = createExchanges({
     nowMs,
     upstream: (id) => loop.state().list?.upstreams.get(id),
-    proveAlive: (upstream) => parts.proveAlive(upstream, loop.state().configuration?.services.get(upstream.service)?.healthPath ?? '/'),
     isDraining: () => loop.state().draining,
     dispatch: (event) => loop.dispatch({ subject: 'serving', event })
   })
