Take removals at once where only this instance was turned away by the store

An instance that the store had turned away held removals back for 2.3 s after its return, as after an outage for all, and its list overrode the others' newer one.

Ruled out: a late exchange; the others knew.

Change: news from other instances during the failure mean that the store served them; the base of a fresh listing is the newest list known; watches wait 1.5 s, so that a silent one is found within 2 s.

--- a/packages/edge/_follow_registry.ts
+++ b/packages/edge/_follow_registry.ts
@@ -1,10 +1,10 @@
-import { changeUpstreams, type Configuration, type RegistrationChange, type UpstreamList } from '@berylshed/fleet'
+import { changeUpstreams, NO_UPSTREAMS, type Configuration, type RegistrationChange, type UpstreamList } from '@berylshed/fleet'
 import type { Registry, RegistryFailure } from '@berylshed/platform'
 import { Effect } from 'effect'
 import type { Result } from 'neverthrow'
 
 /** Longest wait of a watch, in ms; a watch that has gone silent is noticed soon after. */
-const WATCH_MS = 2500
+const WATCH_MS = 1500
 /** Pause after changes of registrations, in ms, so that several changes cost one call. */
 const GATHER_MS = 250
 /** Pause after a failed call, in ms, which a random time up to the same length is added to. */
@@ -20,6 +20,8 @@
   random (): number
   configured (configuration: Configuration): void
   listed (list: UpstreamList): void
+  /** The newest list that is known, from the store or from another instance. */
+  newestList (): UpstreamList | undefined
   lost (what: string, reason: string): void
   regained (what: string): void
 }
@@ -33,16 +35,20 @@
 
 function createHealth (what: string, hooks: RegistryHooks): _Health {
   let failingSinceMs: number | undefined
+  let failingRevision = 0
   let returnedAtMs = -Infinity
   let told = false
   return {
     failed: (failure) => {
+      if (failingSinceMs === undefined) failingRevision = hooks.newestList()?.revision ?? 0
       failingSinceMs ??= hooks.nowMs()
       if (!told) hooks.lost(what, failure.message)
       told = true
     },
     succeeded: () => {
-      if (failingSinceMs !== undefined && hooks.nowMs() - failingSinceMs >= OUTAGE_MS) returnedAtMs = hooks.nowMs()
+      // News from other instances meanwhile show that the store turned away this instance only.
+      const alone = (hooks.newestList()?.revision ?? 0) > failingRevision
+      if (!alone && failingSinceMs !== undefined && hooks.nowMs() - failingSinceMs >= OUTAGE_MS) returnedAtMs = hooks.nowMs()
       failingSinceMs = undefined
       if (told) hooks.regained(what)
       told = false
@@ -92,7 +98,7 @@
     let fresh = false
     let kept = keepLapsed(undefined, { changes: [], revision: 0 }, { nowMs: hooks.nowMs(), returnedAtMs: -Infinity })
     while (true) {
-      const base = known
+      const base = _newer(known, hooks.newestList())
       const answer = yield * ask(async () => base === undefined || !fresh
         ? (await registry.listUpstreams()).map((list) => ({ revision: list.revision, changes: changesBetween(base, list) }))
         : await registry.watchUpstreams({ afterRevision: base.revision, waitMs: kept.lapsed.size > 0 ? GATHER_MS : WATCH_MS }))
@@ -106,7 +112,7 @@
       fresh = true
       kept = keepLapsed(kept, answer.value, { nowMs: hooks.nowMs(), returnedAtMs: health.returnedAtMs() })
       const changed = known === undefined || kept.changes.length > 0
-      known = changeUpstreams(known ?? { revision: 0, upstreams: new Map() }, kept.changes, { revision: answer.value.revision })
+      known = changeUpstreams(base ?? NO_UPSTREAMS, kept.changes, { revision: answer.value.revision })
       if (!changed) continue
       hooks.listed(known)
       yield * Effect.sleep(GATHER_MS)
@@ -114,6 +120,11 @@
   })
 }
 
+function _newer (a: UpstreamList | undefined, b: UpstreamList | undefined): UpstreamList | undefined {
+  if (a === undefined || b === undefined) return a ?? b
+  return a.revision >= b.revision ? a : b
+}
+
 /** Lists what has changed between two listings. */
 export function changesBetween (before: UpstreamList | undefined, after: UpstreamList): readonly RegistrationChange[] {
   const gone = [...before?.upstreams.keys() ?? []].filter((id) => !after.upstreams.has(id))
--- /dev/null
+++ b/packages/edge/follow_registry_test.ts
@@ -0,0 +1,75 @@
+import { NO_UPSTREAMS, type Upstream, type UpstreamList } from '@berylshed/fleet'
+import { Registry, type RegistryFailure } from '@berylshed/platform'
+import test from 'ava'
+import { Effect, Fiber } from 'effect'
+import { err, ok } from 'neverthrow'
+import { followUpstreams, keepLapsed } from './_follow_registry.ts'
+
+const upstream: Upstream = {
+  id: 'u', service: 's', address: '10.0.0.1:80', availabilityZone: 'a', incarnation: 1, slots: 1, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }
+}
+const gone = { id: 'u', upstream: undefined }
+
+test('a removal right after an outage waits for the registration to come back', (t) => {
+  const held = keepLapsed(undefined, { changes: [gone], revision: 2 }, { nowMs: 100, returnedAtMs: 50 })
+  t.deepEqual(held.changes, [])
+  t.deepEqual(keepLapsed(held, { changes: [{ id: 'u', upstream }], revision: 3 }, { nowMs: 900, returnedAtMs: 50 }).lapsed.size, 0)
+  t.deepEqual(keepLapsed(held, { changes: [], revision: 3 }, { nowMs: 2400, returnedAtMs: 50 }).changes, [gone])
+  t.deepEqual(keepLapsed(undefined, { changes: [gone], revision: 2 }, { nowMs: 9000, returnedAtMs: 50 }).changes, [gone])
+})
+
+class ScriptedRegistry extends Registry {
+  readonly #answers: ReadonlyArray<UpstreamList | RegistryFailure>
+  #asked = 0
+
+  constructor (answers: ReadonlyArray<UpstreamList | RegistryFailure>) {
+    super()
+    this.#answers = answers
+  }
+
+  override async readConfiguration () {
+    return ok({ revision: 1, configuration: undefined })
+  }
+
+  override async watchConfiguration () {
+    return ok({ revision: 1, configuration: undefined })
+  }
+
+  override async listUpstreams () {
+    const answer = this.#answers[Math.min(this.#asked, this.#answers.length - 1)]
+    this.#asked += 1
+    if (answer === undefined || 'kind' in answer) return err(answer ?? { kind: 'unavailable' as const, message: '' })
+    return ok(answer)
+  }
+
+  override async watchUpstreams () {
+    return err({ kind: 'unavailable' as const, message: 'turned away' })
+  }
+}
+
+// What an instance lists after it was turned away for a while, with or without news from others meanwhile.
+async function listAfterOutage (othersHeard: boolean): Promise<readonly string[]> {
+  const before: UpstreamList = { revision: 5, upstreams: new Map([['u', upstream]]) }
+  const registry = new ScriptedRegistry([before, { kind: 'unavailable', message: 'turned away' }, { kind: 'unavailable', message: 'turned away' }, { revision: 9, upstreams: new Map() }])
+  let now = 0
+  let newest: UpstreamList = NO_UPSTREAMS
+  const fiber = Effect.runFork(followUpstreams(registry, {
+    nowMs: () => now,
+    random: () => 0,
+    configured: () => {},
+    listed: (list) => { newest = list },
+    newestList: () => newest,
+    lost: () => {
+      now += 5000
+      if (othersHeard) newest = { revision: 7, upstreams: newest.upstreams }
+    },
+    regained: () => {}
+  }))
+  await new Promise((resolve) => setTimeout(resolve, 1800))
+  await Effect.runPromise(Fiber.interrupt(fiber))
+  return [...newest.upstreams.keys()]
+}
+
+test('an upstream that others saw removed is removed at once by an instance that only was turned away', async (t) => {
+  t.deepEqual(await Promise.all([listAfterOutage(true), listAfterOutage(false)]), [[], ['u']])
+})
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -207,6 +207,7 @@
     random: () => Math.random(),
     configured: (configuration) => configured(configuration, 'store'),
     listed: (list) => loop.dispatch({ subject: 'listed', list, from: 'store', at: at() }),
+    newestList: () => loop.state().list,
     lost: (name, reason) => {
       metrics.countDependency(name, 'lost')
       journal.write('dependencies', { what: 'lost', name, reason })
--- a/packages/platform/platform_store.ts
+++ b/packages/platform/platform_store.ts
@@ -26,7 +26,7 @@
 /** Longest wait for an answer that is not a watch's, in ms: 60 times a slow answer of the store (4 ms) and the way. */
 const CALL_TIMEOUT_MS = 800
 /** Time beyond a watch's own wait after which its connection counts as silent, in ms. */
-const WATCH_GRACE_MS = 800
+const WATCH_GRACE_MS = 500
 
 /** How the store is reached, and who hears of entries that can't be read. */
 export interface PlatformStoreOptions {
