Stop taking connections while a stopping instance finishes; test the wire and the process

Ruled out: the balancer, which had left the instance after two misses; the request came directly.

An adapter whose order has no answer yet is not offered. Decoded fields that nothing reads are gone. Tests: a process with in-memory parts, bad entries, settings' findings, headers.

--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -241,12 +241,14 @@
     journal.write('process', { what: 'draining', open: exchanges.size() })
     loop.dispatch({ subject: 'draining', at: at() })
     await _pause(STILL_ARRIVING_MS)
-    callers.server.closeIdleConnections()
+    // What still came after this would be cut at the end of the grace time.
+    const closed = closeServer(callers.server)
     while (nowMs() < endMs && (exchanges.size() > 0 || loop.state().scheduler.held !== undefined)) {
       await _pause(POLL_MS)
       callers.server.closeIdleConnections()
     }
     await close()
+    await closed
   }
 
   return { state: loop.state, drain, close }
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -59,10 +59,6 @@
 /** A group of upstreams that offer the same. */
 export interface Service {
   readonly name: string
-  /** Connections that one upstream accepts from all callers. */
-  readonly maxConnections: number
-  /** Path of the upstreams' health check. */
-  readonly healthPath: string
   /** Traits of the model engines; undefined for a plain service. */
   readonly engine: Engine | undefined
 }
--- a/packages/platform/_decode_configuration.ts
+++ b/packages/platform/_decode_configuration.ts
@@ -48,8 +48,6 @@
   Routes: Schema.Array(WireRoute),
   Services: Schema.Array(Schema.Struct({
     Name: Schema.String,
-    HealthPath: Schema.optionalKey(Schema.String),
-    MaxConnections: Schema.optionalKey(Schema.Number),
     Engine: Schema.optionalKey(WireEngine)
   })),
   Limits: Schema.optionalKey(Schema.Struct({
@@ -64,7 +62,6 @@
 const DEFAULT_OBJECTIVE_MS = 1000
 /** Rank of a route that sets none: behind all that do on today's deployments. */
 const DEFAULT_RANK = 5
-const DEFAULT_MAX_CONNECTIONS = 100
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 const DEFAULT_IDLE_MS = 15_000
 
@@ -75,8 +72,6 @@
     routes: wire.Routes.map(_route),
     services: new Map(wire.Services.map((service): [string, Service] => [service.Name, {
       name: service.Name,
-      maxConnections: service.MaxConnections ?? DEFAULT_MAX_CONNECTIONS,
-      healthPath: service.HealthPath ?? '/',
       engine: service.Engine === undefined ? undefined : _engine(service.Engine)
     }])),
     limits: {
--- a/packages/platform/caller_dialect.ts
+++ b/packages/platform/caller_dialect.ts
@@ -8,10 +8,6 @@
   readonly budgetMs: number | undefined
   /** Last event that the caller has of a stream which it resumes. */
   readonly lastEventId: string | undefined
-  /** Parts of the prompt in order, each as an id; requests share the first ones. */
-  readonly promptParts: readonly string[]
-  /** Tokens of the prompt and most tokens of the answer together. */
-  readonly tokens: number
 }
 
 /** One sending of a request to an upstream. */
@@ -71,15 +67,12 @@
  */
 export function readCaller (headers: _Headers): CallerFacts {
   const [model, adapter] = (_one(headers, 'model') ?? '').split('/')
-  const [promptTokens, answerTokens] = (_one(headers, 'token-count') ?? '').split(',').map(Number)
   return {
     id: _one(headers, 'attempt-id') ?? '',
     model: model === '' ? undefined : model,
     adapter: adapter === '' ? undefined : adapter,
     budgetMs: _positive(_one(headers, 'deadline-ms')),
-    lastEventId: _one(headers, 'last-event-id'),
-    promptParts: (_one(headers, 'prompt-prefix') ?? '').split(',').filter((part) => part !== '').map((part) => part.split(':')[0] ?? part),
-    tokens: (promptTokens || 0) + (answerTokens || 0)
+    lastEventId: _one(headers, 'last-event-id')
   }
 }
 
--- a/packages/platform/host_settings.ts
+++ b/packages/platform/host_settings.ts
@@ -33,11 +33,8 @@
   readonly peerAddress: string
   /** Host and port at which metrics are served. */
   readonly metricsAddress: string
-  /** Peer addresses of at most three instances, which may be out of date. */
-  readonly seeds: readonly string[]
   /** Host and port of the platform's store. */
   readonly storeAddress: string
-  readonly heartbeatMs: number
   readonly bounds: PlatformBounds
 }
 
@@ -48,8 +45,6 @@
   // `Front` takes callers, `Ready` the balancer, `Control` the other instances.
   Listen: Schema.Struct({ Front: Schema.NonEmptyString, Ready: Schema.NonEmptyString, Control: Schema.NonEmptyString }),
   InternalPorts: Schema.Tuple([Schema.Int, Schema.Int]),
-  Seeds: Schema.Array(Schema.String),
-  HeartbeatMs: Schema.Number,
   Bounds: Schema.Struct({
     DrainMs: Schema.Number,
     ConfigMs: Schema.Number,
@@ -87,9 +82,7 @@
     readinessAddress: wire.Listen.Ready,
     peerAddress: wire.Listen.Control,
     metricsAddress: `${wire.Ip}:${wire.InternalPorts[0]}`,
-    seeds: wire.Seeds.filter((seed) => seed !== wire.Listen.Control),
     storeAddress: wire.Platform.Address,
-    heartbeatMs: wire.HeartbeatMs,
     bounds: {
       upstreamDrainMs: wire.Bounds.DrainMs,
       configurationMs: wire.Bounds.ConfigMs,
--- /dev/null
+++ b/packages/platform/platform_wire_test.ts
@@ -0,0 +1,42 @@
+import test from 'ava'
+import { decodeConfiguration } from './_decode_configuration.ts'
+import { decodeReport, decodeUpstream } from './_decode_upstream.ts'
+import { readAnswer, readCaller, sendingHeaders } from './caller_dialect.ts'
+import { readHostSettings } from './host_settings.ts'
+
+const ENTRY = {
+  Service: 'drafts', Address: '10.0.0.1:80', Zone: 'a', Version: 'v1', Slots: 16, State: 'ready', Sequence: 77, born: 5, Models: [{ Name: 'm', Version: 1, Adapters: ['a1@1'] }], unknown: true
+}
+
+test('settings are read, and every finding is reported with its place', (t) => {
+  const findings = readHostSettings('{"NodeName": "", "Ip": 4, "Listen": {"Front": "a:1"}}', 'settings.json').match(() => [], (found) => found.map(({ path, message }) => `${path}: ${message}`))
+  t.snapshot(findings)
+  t.is(readHostSettings('not JSON', 'settings.json').isErr(), true)
+})
+
+test('an entry of another writer gives findings and no upstream', (t) => {
+  const readable = [ENTRY, { ...ENTRY, State: 'resting' }, { ...ENTRY, Slots: 'many' }, { ...ENTRY, born: 1.5 }, {}, 'text', null].map((value) => decodeUpstream('u', value).isOk())
+  t.deepEqual(readable, [true, false, false, false, false, false, false])
+  t.snapshot(decodeUpstream('u', ENTRY)._unsafeUnwrap())
+})
+
+test('a report tells orders, not heartbeats, by its count', (t) => {
+  t.snapshot(decodeReport('u', { Models: [], Busy: true, Sequence: 3, Pending: ['m/a1@1'], Available: { OnDisk: ['m'] } })._unsafeUnwrap())
+})
+
+test('a configuration keeps split routes and engines', (t) => {
+  const decoded = decodeConfiguration({
+    Version: 7,
+    Routes: [{ Name: 'r', Hostname: 'h', PathPrefix: '/p/', RouteKind: 'streaming', Split: [{ Service: 'a', Weight: 90 }, { Service: 'b', Weight: 10 }], Attempts: 2, Resumable: true }],
+    Services: [{ Name: 'a', Engine: { Slots: 2, WeightsMb: 80, AdapterSlots: 8, LoadsPerS: 2.7, Models: [{ Name: 'm', WeightsMb: 16, LoadTimeS: 6, DiskS: 0.5 }] } }, { Name: 'b' }]
+  }, 'test')
+  t.snapshot(decoded._unsafeUnwrap())
+})
+
+test('headers that steer upstreams are an instance\'s own, and the rest is the caller\'s', (t) => {
+  const callerHeaders = ['Host', 'h', 'Attempt-Id', 'a1', 'Model', 'm/a1', 'Hold', 'x', 'Pin-Ms', '9', 'Kv-From', 'y', 'Deadline-Ms', '9000', 'Connection', 'keep-alive', 'Last-Event-Id', '3']
+  const sending = { callerHeaders, upstream: 'i-1', remainingMs: 812.7, rank: 1, bodyBytes: 4, keepAlive: false }
+  t.snapshot({ first: sendingHeaders({ ...sending, lastEventId: undefined }).join(' '), resumed: sendingHeaders({ ...sending, lastEventId: '12' }).join(' ') })
+  t.deepEqual(readCaller({ 'attempt-id': 'a1', model: 'm/a1', 'deadline-ms': '250' }), { id: 'a1', model: 'm', adapter: 'a1', budgetMs: 250, lastEventId: undefined })
+  t.deepEqual(readAnswer(421, {}), { id: undefined, notRun: true, misdirected: true, signed: false, plain: true })
+})
--- a/packages/scheduler/_test_fleet.ts
+++ b/packages/scheduler/_test_fleet.ts
@@ -16,8 +16,6 @@
     routes: [],
     services: new Map([['drafts', {
       name: 'drafts',
-      maxConnections: 100,
-      healthPath: '/healthz',
       engine: { slots: 16, memoryMb: 80, adapterPlaces: 2, loadsPerSecond: 3, models: new Map(models.map((model) => [model.name, model])) }
     }]]),
     limits: { maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -249,7 +249,10 @@
       model,
       usable: resident.phase === 'loaded' && !isClosed(view, model, nowMs),
       adapters: [...resident.adapters]
-        .filter(([, { phase, sinceMs }]) => phase === 'loaded' || (phase === 'loading' && nowMs - sinceMs >= ADAPTER_LOAD_MS))
+        .filter(([adapter, { phase, sinceMs }]) => {
+          const unanswered = view.open?.planned.model === model && view.open.planned.adapter === adapter
+          return phase === 'loaded' || (phase === 'loading' && !unanswered && nowMs - sinceMs >= ADAPTER_LOAD_MS)
+        })
         .map(([adapter]) => adapter)
     })),
     running
