--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -241,6 +241,7 @@
     journal.write('process', { what: 'draining', open: exchanges.size() })
     loop.dispatch({ subject: 'draining', at: at() })
     await _pause(STILL_ARRIVING_MS)
+    loop.dispatch({ subject: 'serving', event: { kind: 'closing', nowMs: nowMs() } })
     // What still came after this would be cut at the end of the grace time.
     const closed = closeServer(callers.server)
     while (nowMs() < endMs && (exchanges.size() > 0 || loop.state().scheduler.held !== undefined)) {
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -26,6 +26,9 @@
 /** When a caller may come back where nothing says when a place will be free, in ms. */
 const RETRY_AFTER_MS = 700
 
+/** When a caller may come back to another instance, in ms: at once, but not all in the same moment. */
+const ELSEWHERE_MS = 50
+
 /** Puts a request into its queue and sends what can be sent. */
 export function enqueueRequest (state: ServingState, request: Request, nowMs: number): _Step {
   const queue = state.waiting.get(request.service) ?? []
@@ -97,6 +100,7 @@
 function _wait (state: ServingState, request: Request, waiting: _Waiting): _Step {
   const { nowMs } = waiting
   if (request.deadlineMs - nowMs <= LEAST_LEFT_MS) return refuseRequest(state, request, { reason: 'deadline_waiting', nowMs })
+  if (state.closing) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: ELSEWHERE_MS })
   const endMs = _patienceEnd(state, request, nowMs)
   if (nowMs < endMs) return step(state)
   return refuseRequest(state, request, { reason: _reason(state, request, waiting.search), nowMs, retryAfterMs: _retryAfter(state, request, nowMs) })
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -32,6 +32,7 @@
     case 'others_heard': return dispatchAll(_hearOthers(state, event), event.nowMs)
     case 'crashes_heard': return step(_hearCrashes(state, event))
     case 'models_known': return step({ ...state, models: event.models })
+    case 'closing': return dispatchAll({ ...state, closing: true }, event.nowMs)
     case 'ticked': return _tick(state, event.nowMs)
     default: return _reduceRequest(state, event)
   }
--- a/packages/serving/reduce_serving_test.ts
+++ b/packages/serving/reduce_serving_test.ts
@@ -120,3 +120,13 @@
   t.deepEqual(ask('a'), ['send a#1 to e1'])
   t.deepEqual(engines.apply(failed('a', 1, 'misdirected')), ['need_changed'])
 })
+
+test('an instance that is about to stop lets nothing wait', (t) => {
+  const desk = openDesk([testEnginePlace('e1', {}), testPlace('u1')])
+  const waiting = testRequest('r', { service: 'drafts', model: 'rare', objectiveMs: 2000, deadlineMs: 20_000 })
+  desk.apply({ kind: 'received', request: testRequest('running'), nowMs: 0 })
+  desk.apply({ kind: 'received', request: waiting, nowMs: 0 })
+  t.deepEqual(desk.apply({ kind: 'closing', nowMs: 100 }), ['refuse r 503 shutting_down not run'])
+  t.deepEqual(desk.apply({ kind: 'received', request: { ...waiting, id: 'late' }, nowMs: 200 }), ['refuse late 503 shutting_down not run'])
+  t.is(openRequests(desk), 1)
+})
--- a/packages/serving/refusal.ts
+++ b/packages/serving/refusal.ts
@@ -6,6 +6,8 @@
   | 'unknown_model'
   /** Neither a replica nor a load of the model is in sight. */
   | 'no_replica'
+  /** The instance is about to stop; another one takes the request. */
+  | 'shutting_down'
   /** All upstreams that could take the request were full for too long. */
   | 'no_capacity'
   | 'deadline_waiting'
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -37,5 +37,7 @@
   | { readonly kind: 'others_heard', readonly loads: readonly OthersLoad[], readonly instances: number }
   | { readonly kind: 'crashes_heard', readonly fingerprints: ReadonlyArray<readonly [fingerprint: string, crashes: number]> }
   | { readonly kind: 'models_known', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
+  /** The instance takes no more requests; those that wait can go to another one. */
+  | { readonly kind: 'closing' }
   | { readonly kind: 'ticked' }
 )
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -38,6 +38,8 @@
   readonly rates: HashMap.HashMap<string, FadingRate>
   /** Local time of the last use of each adapter on each upstream, in ms. */
   readonly adapterUse: HashMap.HashMap<string, number>
+  /** Whether the instance is about to stop, so that nothing waits any more. */
+  readonly closing: boolean
   /** Needs that were last reported, so that only changes are reported at once. */
   readonly reportedNeeds: string
 }
@@ -75,6 +77,7 @@
     crashes: HashMap.empty(),
     rates: HashMap.empty(),
     adapterUse: HashMap.empty(),
+    closing: false,
     reportedNeeds: ''
   }
 }
