Share what stood twice, and drop what nothing reads

Cause: a read of the whole change found the body reader of both callers' servers, the keys of places and adapters, the look-up of the current sending and the look-up of copies written twice or more, a branch that repeated the next one, and a function and a field that nothing reads.

Ruled out: merging the reducers' shared shapes; their logic differs.

Change: readBody in platform, adapterKey and placeKey of scheduler, currentSending beside Request, hasCopy and hasSpareCopy in the placement draft; leaseAge and the address of an exchange are gone. Behaviour is meant to stay as it is.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { chooseService, matchRoute, type Configuration, type Route } from '@berylshed/fleet'
-import { ownHeaders, readCaller, type CallerFacts } from '@berylshed/platform'
+import { ownHeaders, readBody, readCaller, type CallerFacts } from '@berylshed/platform'
 import { refusal, type ReceivedRequest } from '@berylshed/serving'
 import { answerRefusal, type CallerExchange } from './_exchanges.ts'
 import type { EdgeState } from './edge_state.ts'
@@ -61,7 +61,7 @@
       await _discard(request)
       return answerRefusal(response, refusal('not_configured', { mayHaveRun: false, retryAfterMs: NOT_CONFIGURED_RETRY_MS }), { callerId: facts.id, close: state.draining })
     }
-    const body = await _readBody(request, state.configuration.limits.maxBodyBytes)
+    const body = await readBody(request, state.configuration.limits.maxBodyBytes)
     if (body === undefined) return reject(call, 413, 'body_too_large')
     // The newest configuration decides, also for a request that arrived slowly.
     const path = request.url ?? '/'
@@ -123,17 +123,6 @@
   return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
 }
 
-async function _readBody (request: IncomingMessage, limitBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of request) {
-    bytes += (chunk as Buffer).length
-    if (bytes > limitBytes) return undefined
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks)
-}
-
 async function _discard (request: IncomingMessage): Promise<void> {
   request.resume()
   await new Promise((resolve) => request.once('end', resolve).once('close', resolve))
--- a/packages/edge/_peer_router.ts
+++ b/packages/edge/_peer_router.ts
@@ -27,7 +27,6 @@
       upstream: Schema.String, model: Schema.String, adapter: Schema.String, running: Schema.Number, idleMs: Schema.Number
     }))
   }),
-  address: Schema.String,
   configurationVersion: Schema.Number,
   listRevision: Schema.Number,
   crashes: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
--- a/packages/edge/exchange.ts
+++ b/packages/edge/exchange.ts
@@ -3,8 +3,6 @@
 /** What an instance sends to the holder of the lease. */
 export interface ExchangeRequest {
   readonly report: InstanceReport
-  /** Host and port at which the sender takes exchanges. */
-  readonly address: string
   /** Version of the configuration in force at the sender; 0 where there is none. */
   readonly configurationVersion: number
   /** Store revision of the sender's list of upstreams. */
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -285,7 +285,6 @@
   if (to === undefined || to === state.self.address) return step(next)
   const request: ExchangeRequest = {
     report,
-    address: state.self.address,
     configurationVersion: state.configuration?.version ?? 0,
     listRevision: state.list?.revision ?? 0,
     crashes: _crashes(state),
--- a/packages/instance/caller_server.ts
+++ b/packages/instance/caller_server.ts
@@ -1,6 +1,7 @@
 import { createHash, randomBytes } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { ResolvedCustomer } from '@berylshed/configuration'
+import { readBody } from '@berylshed/platform'
 import type { ReceivedRequest, Target } from '@berylshed/requests'
 import { answerError } from './_caller_answers.ts'
 import type { CallerExchange } from './caller_exchanges.ts'
@@ -77,7 +78,7 @@
     const customer = customerOf(options.state(), _keyDigest(call.request))
     if (customer === undefined) return reject(call, { status: 401, code: 'wrong_key', message: 'Cannot accept request: its API key is unknown; send a valid key as a bearer token' })
     if (call.path === '/v1/models') return _answerModels(call.response, options.state(), customer)
-    const body = await _readBody(call.request, options.maxBodyBytes)
+    const body = await readBody(call.request, options.maxBodyBytes)
     if (body === undefined) return reject(call, { status: 413, code: 'body_too_large', message: `Cannot accept request: its body exceeds ${options.maxBodyBytes} bytes; shorten it` })
     const parsed = _parse(call, body, options.state())
     if ('code' in parsed) return reject(call, parsed)
@@ -123,17 +124,6 @@
   return createHash('sha256').update(key).digest('hex')
 }
 
-async function _readBody (request: IncomingMessage, limitBytes: number): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of request) {
-    bytes += (chunk as Buffer).length
-    if (bytes > limitBytes) return undefined
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks)
-}
-
 function _parse (call: _Call, body: Buffer, state: InstanceState): _Parsed | _Rejection {
   if (call.request.method !== 'POST') return { status: 405, code: 'wrong_method', message: `Cannot accept request: ${call.request.method ?? ''} is not supported here; use POST` }
   if (MODEL_PATHS.includes(call.path)) return _parseModelCall(call, body)
--- /dev/null
+++ b/packages/platform/read_body.ts
@@ -0,0 +1,24 @@
+import type { IncomingMessage } from 'node:http'
+
+/**
+ * Collects the body of a request up to a limit.
+ *
+ * @param request The request.
+ * @param limitBytes The longest body that is taken, in bytes.
+ * @returns The body, or undefined where it is longer.
+ *
+ * @example
+ * ```ts
+ * const body = await readBody(request, 1024)
+ * ```
+ */
+export async function readBody (request: IncomingMessage, limitBytes: number): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of request) {
+    bytes += (chunk as Buffer).length
+    if (bytes > limitBytes) return undefined
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks)
+}
--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -30,6 +30,8 @@
   adapterRuns (view: EngineView, model: string, options: { readonly adapter: string }): { readonly running: number, readonly idleMs: number }
   /** Engines that hold a model or are loading it. */
   replicas (model: string): readonly EngineView[]
+  /** Whether an engine other than those that hold a model has a copy of it. */
+  hasSpareCopy (model: string): boolean
   /** Whether room is being made for a model somewhere. */
   isPrepared (model: string): boolean
   storeLoadsLeft (): number
@@ -89,6 +91,7 @@
       return { running: use?.running ?? 0, idleMs: use?.idleMs ?? UNSEEN_ADAPTER_IDLE_MS }
     },
     replicas,
+    hasSpareCopy: (model) => scene.views.some((view) => !view.residents.has(model) && hasCopy(view, model)),
     isPrepared: (model) => scene.views.some(({ open }) => open?.planned.makesWayFor === model) || orders.some(({ makesWayFor }) => makesWayFor === model),
     storeLoadsLeft: () => scene.storeLoadsAllowed - orders.filter((order) => order.fromStore).length,
     add,
@@ -126,6 +129,11 @@
   return view.copies.onDisk.includes(model) ? 'disk' : 'store'
 }
 
+/** Tells whether an engine can load a model without the weight store. */
+export function hasCopy (view: EngineView, model: string): boolean {
+  return weightSource(view, model) !== 'store'
+}
+
 /** Estimates the duration of a load, in ms. */
 export function loadMs (model: Model, source: WeightSource): number {
   if (source === 'memory') return model.memoryLoadMs
--- a/packages/scheduler/_plan_evictions.ts
+++ b/packages/scheduler/_plan_evictions.ts
@@ -1,5 +1,5 @@
 import type { EngineView } from './engine_view.ts'
-import { residentMb, type PlacementDraft } from './_placement_draft.ts'
+import { hasCopy, residentMb, type PlacementDraft } from './_placement_draft.ts'
 import { wantedReplicas } from './_wanted_replicas.ts'
 
 /** Models to unload from one engine, with what their absence is expected to cost. */
@@ -72,14 +72,10 @@
   const wanted = wantedReplicas(draft, model)
   if (others.length >= wanted && others.length > 0) return BASE_COST + SURPLUS_WEIGHT * demand.ratePerS
   const weight = others.length === 0 ? LAST_REPLICA_WEIGHT : 1
-  return BASE_COST + weight * demand.ratePerS + (_hasCopy(draft, model) ? 0 : NO_COPY_COST)
+  return BASE_COST + weight * demand.ratePerS + (draft.scene.views.some((any) => hasCopy(any, model)) ? 0 : NO_COPY_COST)
 }
 
 /** Tells whether a model gets no more requests because it is to make way. */
 export function isClosed (view: EngineView, model: string, nowMs: number): boolean {
   return view.closure !== undefined && nowMs < view.closure.untilMs && view.closure.models.includes(model)
 }
-
-function _hasCopy (draft: PlacementDraft, model: string): boolean {
-  return draft.scene.views.some(({ copies }) => copies.onDisk.includes(model) || copies.inMemory.includes(model))
-}
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -1,5 +1,5 @@
 import type { Model } from '@berylshed/fleet'
-import { createPlacementDraft, loadMs, UNLOAD_MS, weightSource, type PlacementDraft, type PlannedClosure, type Scene, type WeightSource } from './_placement_draft.ts'
+import { createPlacementDraft, hasCopy, loadMs, UNLOAD_MS, weightSource, type PlacementDraft, type PlannedClosure, type Scene, type WeightSource } from './_placement_draft.ts'
 import { planAdapters } from './_plan_adapters.ts'
 import { isClosed, planEvictions, type EvictionSet } from './_plan_evictions.ts'
 import { wantedReplicas } from './_wanted_replicas.ts'
@@ -108,15 +108,11 @@
   return closure !== undefined && closure.makesWayFor !== model.name && closure.models.some((name) => isClosed(view, name, nowMs) && view.residents.has(name))
 }
 
-// An engine with a copy that is busy now is ready before a load from the weight store ends, which blocks its engine for
-// seconds and takes the place of another copy on its disk.
-function _hasCopy (draft: PlacementDraft, model: Model): boolean {
-  return draft.scene.views.some((view) => !view.residents.has(model.name) && weightSource(view, model.name) !== 'store')
-}
-
 function _planAwaited (draft: PlacementDraft, model: Model): void {
   const { waiting } = draft.demandFor(model.name)
-  const mayAskStore = draft.storeLoadsLeft() > 0 && !_hasCopy(draft, model)
+  // An engine with a copy that is busy now is ready before a load from the weight store ends, which blocks its engine for
+  // seconds and takes the place of another copy on its disk.
+  const mayAskStore = draft.storeLoadsLeft() > 0 && !draft.hasSpareCopy(model.name)
   const best = _options(draft, model).find(({ source, evictions }) => {
     return evictions.cost <= AWAITED_COST + waiting && (source !== 'store' || mayAskStore)
   })
@@ -131,7 +127,7 @@
   const isClosing = (view: EngineView): boolean => view.closure !== undefined && nowMs < view.closure.untilMs
   if (views.some((view) => isClosing(view) && view.closure?.makesWayFor === model.name)) return
   const options = views
-    .filter((view) => view.confirmed && !isClosing(view) && !view.residents.has(model.name) && weightSource(view, model.name) !== 'store')
+    .filter((view) => view.confirmed && !isClosing(view) && !view.residents.has(model.name) && hasCopy(view, model.name))
     .flatMap((view) => {
       const evictions = planEvictions(draft, view, { needMb: model.memoryMb, maxRunning: MAX_CLOSED_RUNNING })
       return evictions === undefined || evictions.models.length === 0 || evictions.cost > AWAITED_COST ? [] : [{ view, evictions }]
@@ -143,7 +139,7 @@
 
 function _planReplica (draft: PlacementDraft, model: Model): void {
   const { ratePerS } = draft.demandFor(model.name)
-  const mayAskStore = draft.storeLoadsLeft() > 0 && !_hasCopy(draft, model)
+  const mayAskStore = draft.storeLoadsLeft() > 0 && !draft.hasSpareCopy(model.name)
   const best = _options(draft, model).find(({ source, evictions }) => {
     return evictions.cost <= ratePerS * REPLICA_COST_SHARE && (source !== 'store' || mayAskStore)
   })
@@ -169,7 +165,7 @@
   const planned = draft.orders().filter((order) => order.fromStore).length
   const atOnce = demand.models.size === 0 ? COPY_LOADS_AT_ONCE : COPY_LOADS_IN_TRAFFIC
   if (storeLoadsUnderWay + planned >= atOnce || draft.storeLoadsLeft() <= 0) return
-  if (draft.isPrepared(model.name) || draft.replicas(model.name).length > 0 || views.some((view) => weightSource(view, model.name) !== 'store')) return
+  if (draft.isPrepared(model.name) || draft.replicas(model.name).length > 0 || views.some((view) => hasCopy(view, model.name))) return
   if ((demand.models.get(model.name)?.waiting ?? 0) > 0) return
   const best = [..._options(draft, model)]
     .filter(({ evictions }) => evictions.cost <= COPY_COST)
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -1,6 +1,6 @@
 import type { Configuration } from '@berylshed/fleet'
 import { step, type Step } from '@berylshed/reducer'
-import { elapsedMs, failWrite, finishWrite, loseLease, orderDeadline, resolveConflict, seeLease, tendLease } from './_hold_lease.ts'
+import { failWrite, finishWrite, loseLease, orderDeadline, resolveConflict, seeLease, tendLease } from './_hold_lease.ts'
 import { loadMs, weightSource } from './_placement_draft.ts'
 import { isClosed } from './_plan_evictions.ts'
 import { applyList, applyReport, askEngines, describeChange, endOrder, LOST_MISSES, openOrder } from './_track_engines.ts'
@@ -267,19 +267,3 @@
   const source = view.open.planned.fromStore ? 'store' : weightSource(view, model)
   return [{ model, readyInMs: Math.max(0, loadMs(known, source) - (nowMs - view.open.sentAtMs)) }]
 }
-
-/**
- * Tells for how long this process has held the lease's last proof, for logs and metrics.
- *
- * @param state The scheduler's state.
- * @param at The time by both clocks.
- * @returns The age in ms, or undefined where this process does not hold the lease.
- *
- * @example
- * ```ts
- * const ageMs = leaseAge(state, at)
- * ```
- */
-export function leaseAge (state: SchedulerState, at: Instant): number | undefined {
-  return state.held === undefined ? undefined : elapsedMs(state.held.provenAt, at)
-}
--- a/packages/serving/_fail_sending.ts
+++ b/packages/serving/_fail_sending.ts
@@ -1,10 +1,10 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { enqueueRequest } from './_dispatch_requests.ts'
-import { currentSending, freePlace, learn, putRequest, recordOf, refuseRequest } from './_settle_request.ts'
+import { freePlace, learn, putRequest, recordOf, refuseRequest } from './_settle_request.ts'
 import { needKey, type PlaceLoad } from './place.ts'
 import type { RefusalReason } from './refusal.ts'
-import type { Request, Sending } from './request.ts'
+import { currentSending, type Request, type Sending } from './request.ts'
 import { EMPTY_WINDOW, mayRepeat } from './retry_window.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { SendingFailure } from './serving_event.ts'
@@ -89,7 +89,6 @@
   const { failure, nowMs } = lesson.failed
   const { upstream } = lesson.sending
   if (failure === 'misdirected') return step(changeLoad(state, upstream, (load) => _markAbsent(load, request, nowMs)))
-  if (failure === 'refused') return step(changeLoad(state, upstream, (load) => learn(load, { failed: true, nowMs })))
   if (failure !== 'not_connected' && failure !== 'silent') return step(changeLoad(state, upstream, (load) => learn(load, { failed: true, nowMs })))
   const avoided = changeLoad(state, upstream, (load) => _strike(learn(load, { failed: true, nowMs }), nowMs))
   return step(avoided, [{ kind: 'record', record: { what: 'upstream_avoided', upstream, reason: failure, request: request.callerId } }])
--- a/packages/serving/_settle_request.ts
+++ b/packages/serving/_settle_request.ts
@@ -1,9 +1,9 @@
 import { HashMap } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
-import { adapterUseKey } from './instance_report.ts'
+import { adapterKey } from '@berylshed/scheduler'
 import type { PlaceLoad } from './place.ts'
 import { refusal, type RefusalReason } from './refusal.ts'
-import type { Request, Sending } from './request.ts'
+import { currentSending, type Request } from './request.ts'
 import type { ServingEffect, ServingRecord } from './serving_effect.ts'
 import { changeLoad, type ServingState } from './serving_state.ts'
 
@@ -12,11 +12,6 @@
 /** Weight of the newest outcome in an upstream's averages. */
 const NEWEST_WEIGHT = 0.15
 
-/** Gives the sending that is under way. */
-export function currentSending (request: Request): Sending | undefined {
-  return request.phase === 'sent' || request.phase === 'answering' ? request.sendings.at(-1) : undefined
-}
-
 /** Stores a request. */
 export function putRequest (state: ServingState, request: Request): ServingState {
   return { ...state, requests: HashMap.set(state.requests, request.id, request) }
@@ -44,7 +39,7 @@
 /** Remembers when an adapter was last used. */
 export function markAdapterUse (state: ServingState, request: Request, use: { readonly upstream: string, readonly nowMs: number }): ServingState {
   if (request.model === undefined || request.adapter === undefined) return state
-  const key = adapterUseKey(use.upstream, request.model, request.adapter)
+  const key = adapterKey(use.upstream, request.model, { adapter: request.adapter })
   return { ...state, adapterUse: HashMap.set(state.adapterUse, key, use.nowMs) }
 }
 
--- a/packages/serving/instance_report.ts
+++ b/packages/serving/instance_report.ts
@@ -1,8 +1,8 @@
 import { HashMap, Option } from 'effect'
-import type { AdapterUse, InstanceReport, Load, Need, Use } from '@berylshed/scheduler'
+import { adapterKey, placeKey, type AdapterUse, type InstanceReport, type Load, type Need, type Use } from '@berylshed/scheduler'
 import { canServe } from './choose_upstream.ts'
 import { needKey } from './place.ts'
-import type { Request } from './request.ts'
+import { currentSending, type Request } from './request.ts'
 import type { FadingRate, ServingState } from './serving_state.ts'
 
 /** Time over which a rate is averaged, in ms: demand moves to other models within seconds. */
@@ -118,38 +118,21 @@
 function _loads (state: ServingState): readonly Load[] {
   const loads = new Map<string, Load>()
   for (const request of HashMap.values(state.requests)) {
-    const sending = request.phase === 'sent' || request.phase === 'answering' ? request.sendings.at(-1) : undefined
+    const sending = currentSending(request)
     if (sending === undefined) continue
     const model = request.model ?? ''
-    const key = `${sending.upstream} ${model}`
+    const key = placeKey(sending.upstream, model)
     loads.set(key, { upstream: sending.upstream, model, running: (loads.get(key)?.running ?? 0) + 1 })
   }
   return [...loads.values()]
 }
 
-/**
- * Names an adapter on an upstream.
- *
- * @param upstream The upstream's id.
- * @param model The model.
- * @param adapter The adapter.
- * @returns The key.
- *
- * @example
- * ```ts
- * console.log(adapterUseKey('u1', 'm', 'a1')) // 'u1 m a1'
- * ```
- */
-export function adapterUseKey (upstream: string, model: string, adapter: string): string {
-  return `${upstream} ${model} ${adapter}`
-}
-
 function _adapters (state: ServingState, nowMs: number): readonly AdapterUse[] {
   const running = new Map<string, number>()
   for (const request of HashMap.values(state.requests)) {
-    const sending = request.phase === 'sent' || request.phase === 'answering' ? request.sendings.at(-1) : undefined
+    const sending = currentSending(request)
     if (sending === undefined || request.model === undefined || request.adapter === undefined) continue
-    const key = adapterUseKey(sending.upstream, request.model, request.adapter)
+    const key = adapterKey(sending.upstream, request.model, { adapter: request.adapter })
     running.set(key, (running.get(key) ?? 0) + 1)
   }
   const uses: AdapterUse[] = []
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -53,3 +53,18 @@
   /** Whether an upstream's failed answer is kept, to be delivered if no better one comes. */
   readonly hasAnswer: boolean
 }
+
+/**
+ * Gives the sending that is under way.
+ *
+ * @param request The request.
+ * @returns The sending, or undefined where nothing is on its way.
+ *
+ * @example
+ * ```ts
+ * console.log(currentSending(request)?.upstream)
+ * ```
+ */
+export function currentSending (request: Request): Sending | undefined {
+  return request.phase === 'sent' || request.phase === 'answering' ? request.sendings.at(-1) : undefined
+}
