Leave the built bundle out of the linter

Cause: npm test failed with 35,162 findings in a tree in which the bundle had been built; target/ is generated and not in git, like dist/.

Ruled out: the sources; on a clean clone the linter had no findings.

Change: the linter ignores target/ beside dist/.

Conclusion: README's test command works before and after a build.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard, { plugins } from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
