--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -1,5 +1,5 @@
 import { buildRouteTable, type Configuration, type RouteTable, type UpstreamList } from '@berylshed/fleet'
-import { leaseTimes, newSchedulerState, type FleetView, type Holder, type Instant, type LeaseBounds, type SchedulerState } from '@berylshed/scheduler'
+import { leaseTimes, newSchedulerState, type FleetView, type Holder, type Instant, type LeaseBounds, type PlacementPolicy, type SchedulerState } from '@berylshed/scheduler'
 import { newServingState, type RetryAllowance, type ServingState } from '@berylshed/serving'
 
 /** The newest news from the holder of the lease. */
@@ -35,6 +35,8 @@
   readonly availabilityZone: string
   readonly allowance: RetryAllowance
   readonly leaseBounds: LeaseBounds
+  /** The placement policy, where it is not the one of production. */
+  readonly policy?: PlacementPolicy
 }
 
 /**
@@ -56,7 +58,7 @@
     configuration: undefined,
     routes: buildRouteTable({ version: 0, routes: [], services: new Map(), limits: { maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 } }),
     list: undefined,
-    scheduler: newSchedulerState(self, leaseTimes(options.leaseBounds)),
+    scheduler: newSchedulerState(self, { times: leaseTimes(options.leaseBounds), ...options.policy === undefined ? {} : { policy: options.policy } }),
     serving: newServingState(options),
     heard: undefined,
     exchanging: false,
--- /dev/null
+++ b/packages/replay/replay_day.ts
@@ -0,0 +1,298 @@
+import type { Configuration, Upstream, UpstreamList } from '@berylshed/fleet'
+import { exchangeAnswer, newEdgeState, reduceEdge, type EdgeEffect, type EdgeEvent, type EdgeState, type ExchangeRequest } from '@berylshed/edge'
+import type { Instant, Lease, PlacementPolicy, SchedulerEffect } from '@berylshed/scheduler'
+import type { ReceivedRequest, ServingEffect, ServingEvent } from '@berylshed/serving'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { createVirtualEngine, type EngineSurroundings, type EngineTraits, type VirtualEngine } from './_virtual_engine.ts'
+import { summarizeDay, type DayFigures, type DayOutcome } from './day_figures.ts'
+import type { RecordedRequest } from './recorded_request.ts'
+import { createVirtualClock } from './virtual_clock.ts'
+
+/** A deployment on which a day is replayed. */
+export interface VirtualDeployment {
+  readonly configuration: Configuration
+  readonly upstreams: readonly Upstream[]
+  readonly availabilityZones: readonly string[]
+  readonly instances: number
+  readonly traits: EngineTraits
+  /** Loads from the weight store that run at once at full speed. */
+  readonly loadsAtOnce: number
+  /** Time that instances, engines and the weight store have before the first request, in ms. */
+  readonly leadMs: number
+}
+
+/** A crash of an engine in the course of a day. */
+export interface EngineCrash {
+  readonly atMs: number
+  readonly upstream: string
+}
+
+/** What a day is replayed with. */
+export interface ReplayDayOptions {
+  readonly seed: number
+  readonly policy?: PlacementPolicy
+  readonly crashes?: readonly EngineCrash[]
+}
+
+const TICK_MS = 40
+/** One way between instances, engines and the store, in ms. */
+const HOP_MS = 1
+/** Time after the last request until what is open counts as not served, in ms. */
+const TAIL_MS = 20_000
+/** Share of the time left within which a caller comes back after a refusal. */
+const RETURN_SHARE = 1 / 3
+/** Longest pause in a stream that is still in time, in ms. */
+const PAUSE_AIM_MS = 200
+const SAMPLE_MS = 100
+const WALL_CLOCK_MS = 1_700_000_000_000
+
+interface _Instance {
+  readonly name: string
+  state: EdgeState
+  readonly sendings: Map<string, () => void>
+}
+
+interface _Caller {
+  readonly request: RecordedRequest
+  /** Time of the first arrival, in ms of the clock. */
+  readonly arrivesAtMs: number
+  firstEventAtMs: number | undefined
+  longestPauseMs: number
+  tries: number
+  /** Undefined while the request is open. */
+  outcome: 'answered' | 'refused' | 'broken' | 'left' | undefined
+}
+
+/**
+ * Replays a day of requests through the reducers of all instances, against engines in virtual time.
+ *
+ * Everything that decides is what runs in production; engines, the store and the callers are models of them.
+ *
+ * @param requests The requests in the order of arrival.
+ * @param deployment The deployment.
+ * @param options The seed, the policy and what fails.
+ * @returns The figures of the day.
+ *
+ * @example
+ * ```ts
+ * const figures = replayDay(drawDay(pattern, 7), deployment, { seed: 7 })
+ * console.log(figures.worthShare)
+ * ```
+ */
+export function replayDay (requests: readonly RecordedRequest[], deployment: VirtualDeployment, options: ReplayDayOptions): DayFigures {
+  const generator = xoroshiro128plus(options.seed)
+  const random = (): number => uniformFloat64(generator)
+  const clock = createVirtualClock()
+  const list: UpstreamList = { revision: 1, upstreams: new Map(deployment.upstreams.map((upstream) => [upstream.id, upstream])) }
+  const surroundings: EngineSurroundings = { clock, traits: deployment.traits, loadsAtOnce: deployment.loadsAtOnce, storeLoads: 0, overcommitments: 0 }
+  const engines = new Map<string, VirtualEngine>()
+  for (const upstream of deployment.upstreams) {
+    const engine = deployment.configuration.services.get(upstream.service)?.engine
+    if (engine !== undefined) engines.set(upstream.id, createVirtualEngine(upstream, engine, surroundings))
+  }
+  const callers = new Map(requests.map((request): [string, _Caller] => [request.id, { request, arrivesAtMs: deployment.leadMs + request.atMs, firstEventAtMs: undefined, longestPauseMs: 0, tries: 0, outcome: undefined }]))
+  const instances = Array.from({ length: deployment.instances }, (_, i) => startInstance(i))
+  let stored: { readonly version: number, readonly lease: Lease | undefined } = { version: 0, lease: undefined }
+  let orders = 0
+  let heldMbMs = 0
+  let idleMbMs = 0
+
+  function at (): Instant {
+    return { nowMs: clock.nowMs(), clockMs: WALL_CLOCK_MS + clock.nowMs() }
+  }
+
+  function startInstance (index: number): _Instance {
+    const name = `instance-${index}`
+    const zones = deployment.availabilityZones
+    const state = newEdgeState({ instance: name, incarnation: name, address: name }, {
+      availabilityZone: zones[index % zones.length] ?? '',
+      allowance: { ratio: 0.2, extra: 54, windowMs: 10_000 },
+      leaseBounds: { enginesCheckFence: true, holderChangeMs: 3000 },
+      ...options.policy === undefined ? {} : { policy: options.policy }
+    })
+    return { name, state, sendings: new Map() }
+  }
+
+  function dispatch (instance: _Instance, event: EdgeEvent): void {
+    const reduced = reduceEdge(instance.state, event)
+    instance.state = reduced.state
+    for (const effect of reduced.effects) perform(instance, effect)
+  }
+
+  function perform (instance: _Instance, effect: EdgeEffect): void {
+    switch (effect.subject) {
+      case 'serving': return performServing(instance, effect.effect)
+      case 'scheduler': return performScheduler(instance, effect.effect)
+      case 'exchange': return exchange(instance, effect.to, effect.request)
+      case 'record':
+    }
+  }
+
+  function serve (instance: _Instance, event: _Timeless<ServingEvent>): void {
+    dispatch(instance, { subject: 'serving', event: { ...event, nowMs: clock.nowMs() } })
+  }
+
+  function performServing (instance: _Instance, effect: ServingEffect): void {
+    switch (effect.kind) {
+      case 'send': return send(instance, effect)
+      case 'cancel':
+        instance.sendings.get(effect.id)?.()
+        instance.sendings.delete(effect.id)
+        return
+      case 'finish': return settle(effect.id, 'answered')
+      case 'refuse': return refuse(effect.id, effect.refusal.retryAfterMs)
+      case 'break_off': return settle(effect.id, 'broken')
+      default:
+    }
+  }
+
+  function send (instance: _Instance, effect: Extract<ServingEffect, { kind: 'send' }>): void {
+    const { id } = effect.request
+    const { sending } = effect
+    const caller = callers.get(id)
+    const engine = engines.get(effect.upstream)
+    if (caller === undefined || engine === undefined) return
+    const later = (event: _Timeless<ServingEvent>): void => clock.after(HOP_MS, () => serve(instance, event))
+    let cancelled = false
+    instance.sendings.set(id, () => { cancelled = true })
+    clock.after(HOP_MS, () => {
+      if (cancelled) return
+      const cancel = engine.run({ ...caller.request }, {
+        notRun: (misdirected) => later({ kind: 'sending_failed', id, sending, failure: misdirected ? 'misdirected' : 'refused', detail: '' }),
+        started: () => {
+          caller.firstEventAtMs ??= clock.nowMs()
+          later({ kind: 'answer_started', id, sending })
+        },
+        ended: (longestPauseMs) => {
+          caller.longestPauseMs = longestPauseMs
+          later({ kind: 'answer_ended', id, sending, status: 200 })
+        },
+        broken: () => later({ kind: 'sending_failed', id, sending, failure: 'broken', detail: 'crashed' })
+      })
+      instance.sendings.set(id, cancel)
+    })
+  }
+
+  function settle (id: string, outcome: NonNullable<_Caller['outcome']>): void {
+    const caller = callers.get(id)
+    if (caller !== undefined) caller.outcome ??= outcome
+  }
+
+  // A refused caller comes back once, to another instance, where that leaves it enough time.
+  function refuse (id: string, retryAfterMs: number | undefined): void {
+    const caller = callers.get(id)
+    if (caller === undefined || caller.outcome !== undefined) return
+    const leftMs = caller.arrivesAtMs + caller.request.timeoutMs - clock.nowMs()
+    if (caller.tries > 1 || retryAfterMs === undefined || retryAfterMs > leftMs * RETURN_SHARE) return settle(id, 'refused')
+    clock.after(retryAfterMs + 2 * HOP_MS, () => { if (caller.outcome === undefined) arrive(caller) })
+  }
+
+  function arrive (caller: _Caller): void {
+    const { request } = caller
+    caller.tries += 1
+    const instance = instances[Math.floor(random() * instances.length)]
+    if (instance === undefined) return
+    const nowMs = clock.nowMs()
+    const received: ReceivedRequest = {
+      id: request.id,
+      callerId: request.id,
+      fingerprint: request.id,
+      route: request.route,
+      service: request.service,
+      model: request.model,
+      adapter: request.adapter,
+      stream: true,
+      repeatable: request.resumable,
+      maxRuns: request.maxRuns,
+      rank: request.rank,
+      objectiveMs: request.objectiveMs,
+      arrivedAtMs: nowMs,
+      deadlineMs: caller.arrivesAtMs + request.timeoutMs
+    }
+    serve(instance, { kind: 'received', request: received })
+    clock.after(request.patienceMs, () => { if (caller.firstEventAtMs === undefined) leave(instance, caller) })
+  }
+
+  function leave (instance: _Instance, caller: _Caller): void {
+    if (caller.outcome !== undefined) return
+    settle(caller.request.id, 'left')
+    serve(instance, { kind: 'caller_left', id: caller.request.id })
+  }
+
+  function performScheduler (instance: _Instance, effect: SchedulerEffect): void {
+    const deliver = (event: Extract<EdgeEvent, { subject: 'scheduler' }>['event']): void => {
+      clock.after(2 * HOP_MS, () => dispatch(instance, { subject: 'scheduler', event: { ...event, ...at() } }))
+    }
+    switch (effect.kind) {
+      case 'read_lease': return deliver({ kind: 'lease_read', ...stored, ...at() })
+      case 'write_lease': return deliver(writeLease(effect))
+      case 'ask_engine': {
+        const report = engines.get(effect.upstream.id)?.report()
+        if (report !== undefined) deliver({ kind: 'engine_reported', upstream: effect.upstream.id, askedAtMs: effect.askedAtMs, report, ...at() })
+        return
+      }
+      case 'send_order': {
+        orders += 1
+        const { planned, expectedSequence, id } = effect.order
+        const outcome = engines.get(effect.upstream.id)?.order({ ...planned, expectedSequence, fence: effect.fence }) ?? 'not_sent'
+        return deliver({ kind: 'order_ended', upstream: effect.upstream.id, order: id, outcome, ...at() })
+      }
+      default:
+    }
+  }
+
+  function writeLease (effect: Extract<SchedulerEffect, { kind: 'write_lease' }>): Extract<EdgeEvent, { subject: 'scheduler' }>['event'] {
+    const { writeId } = effect.lease
+    if (stored.version !== effect.expectedVersion) return { kind: 'lease_conflicted', writeId, ...stored, ...at() }
+    stored = { version: stored.version + 1, lease: effect.lease }
+    return { kind: 'lease_written', writeId, version: stored.version, ...at() }
+  }
+
+  function exchange (instance: _Instance, to: string, request: ExchangeRequest): void {
+    const holder = instances.find(({ name }) => name === to)
+    clock.after(HOP_MS, () => {
+      if (holder === undefined) return dispatch(instance, { subject: 'exchange_failed', refused: true, at: at() })
+      dispatch(holder, { subject: 'exchange_asked', request, at: at() })
+      const answer = exchangeAnswer(holder.state, request, at())
+      clock.after(HOP_MS, () => dispatch(instance, { subject: 'exchanged', answer, at: at() }))
+    })
+  }
+
+  function tick (instance: _Instance): void {
+    dispatch(instance, { subject: 'tick', at: at() })
+    clock.after(TICK_MS, () => tick(instance))
+  }
+
+  function sample (): void {
+    for (const engine of engines.values()) {
+      const { heldMb, usedMb } = engine.memory()
+      heldMbMs += heldMb * SAMPLE_MS
+      idleMbMs += (heldMb - usedMb) * SAMPLE_MS
+    }
+    clock.after(SAMPLE_MS, sample)
+  }
+
+  instances.forEach((instance, i) => clock.at(i * TICK_MS / instances.length, () => {
+    dispatch(instance, { subject: 'configured', configuration: deployment.configuration, from: 'store', at: at() })
+    dispatch(instance, { subject: 'listed', list, from: 'store', at: at() })
+    tick(instance)
+  }))
+  for (const caller of callers.values()) clock.at(caller.arrivesAtMs, () => arrive(caller))
+  for (const crash of options.crashes ?? []) clock.at(deployment.leadMs + crash.atMs, () => engines.get(crash.upstream)?.crash())
+  clock.at(deployment.leadMs, sample)
+  clock.runUntil(deployment.leadMs + (requests.at(-1)?.atMs ?? 0) + TAIL_MS)
+
+  const outcomes = [...callers.values()].map(({ request, arrivesAtMs, firstEventAtMs, longestPauseMs, outcome }): DayOutcome => {
+    const waitedMs = firstEventAtMs === undefined ? Infinity : firstEventAtMs + HOP_MS - arrivesAtMs
+    return { request, served: outcome === 'answered', inTime: waitedMs <= request.objectiveMs && longestPauseMs <= PAUSE_AIM_MS, waitedMs }
+  })
+  return summarizeDay(outcomes, {
+    orders,
+    storeLoads: [...engines.values()].reduce((sum, engine) => sum + engine.storeLoads(), 0),
+    overcommitments: surroundings.overcommitments,
+    idleMemoryShare: heldMbMs === 0 ? 0 : idleMbMs / heldMbMs
+  })
+}
+
+type _Timeless<T> = T extends unknown ? Omit<T, 'nowMs'> : never
--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -1,19 +1,7 @@
 import type { Engine, Model } from '@berylshed/fleet'
-import { noDemand, placeKey, adapterKey, type ModelDemand, type ServiceDemand } from './demand.ts'
+import { noDemand, placeKey, adapterKey, type ModelDemand } from './demand.ts'
 import type { EngineView, PlannedOrder, ResidentView } from './engine_view.ts'
-
-/** What the policy sees of one service's engines. */
-export interface Scene {
-  readonly nowMs: number
-  readonly engine: Engine
-  /** Engines that may be given orders or hold models; the ones that are leaving or lost are left out. */
-  readonly views: readonly EngineView[]
-  readonly demand: ServiceDemand
-  /** Loads from the weight store that are under way, over all services. */
-  readonly storeLoadsUnderWay: number
-  /** Loads from the weight store that may begin now, over all services. */
-  readonly storeLoadsAllowed: number
-}
+import type { PlannedClosure, Scene } from './scene.ts'
 
 /** What one round of planning has decided so far, and what that leaves. */
 export interface PlacementDraft {
@@ -40,13 +28,6 @@
   close (closure: PlannedClosure): void
 }
 
-/** Models of an engine that are to get no more requests, and the model for which they make way. */
-export interface PlannedClosure {
-  readonly upstream: string
-  readonly models: readonly string[]
-  readonly makesWayFor: string
-}
-
 /** A decided order; what is left out does not apply. */
 export type DraftOrder = Pick<PlannedOrder, 'operation' | 'model' | 'reason'> & Partial<PlannedOrder>
 
--- a/packages/scheduler/_test_fleet.ts
+++ b/packages/scheduler/_test_fleet.ts
@@ -2,7 +2,7 @@
 import type { EngineView, PlannedOrder, ResidentView } from './engine_view.ts'
 import { newEngineView } from './engine_view.ts'
 import { noDemand, type ModelDemand, type ServiceDemand } from './demand.ts'
-import type { Scene } from './plan_orders.ts'
+import type { Scene } from './scene.ts'
 
 /** A model of a size, with the load times of today's deployments. */
 export function testModel (name: string, memoryMb: number): Model {
--- a/packages/scheduler/_test_world.ts
+++ b/packages/scheduler/_test_world.ts
@@ -71,7 +71,7 @@
   const instances = ['a', 'b', 'c'].map((name): Instance => ({ name, state: fresh(name, 0), alive: true, frozenUntilMs: 0, cutUntilMs: 0, lives: 0 }))
 
   function fresh (name: string, life: number): SchedulerState {
-    const state = newSchedulerState({ instance: name, incarnation: `${name}.${life}`, address: name }, leaseTimes({ enginesCheckFence: true, holderChangeMs: 3000 }))
+    const state = newSchedulerState({ instance: name, incarnation: `${name}.${life}`, address: name }, { times: leaseTimes({ enginesCheckFence: true, holderChangeMs: 3000 }) })
     const at = { nowMs: now, clockMs: now }
     const known = reduceScheduler(state, { kind: 'configured', configuration, ...at }).state
     return reduceScheduler(known, { kind: 'listed', list: testList(engines.map((engine) => engine.upstream)), ...at }).state
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -1,18 +1,11 @@
 import type { Model } from '@berylshed/fleet'
-import { createPlacementDraft, hasCopy, loadMs, UNLOAD_MS, weightSource, type PlacementDraft, type PlannedClosure, type Scene, type WeightSource } from './_placement_draft.ts'
+import { createPlacementDraft, hasCopy, loadMs, UNLOAD_MS, weightSource, type PlacementDraft, type WeightSource } from './_placement_draft.ts'
 import { planAdapters } from './_plan_adapters.ts'
 import { isClosed, planEvictions, type EvictionSet } from './_plan_evictions.ts'
 import { wantedReplicas } from './_wanted_replicas.ts'
-import type { EngineView, PlannedOrder } from './engine_view.ts'
-
-export type { PlannedClosure, Scene } from './_placement_draft.ts'
-
-/** What one round of planning decided. */
-export interface Plan {
-  /** Orders, at most one for each engine. */
-  readonly orders: readonly PlannedOrder[]
-  readonly closures: readonly PlannedClosure[]
-}
+import type { EngineView } from './engine_view.ts'
+import { PlacementPolicy } from './placement_policy.ts'
+import type { Plan, Scene } from './scene.ts'
 
 /** Weight of a request per second that an eviction makes wait, against the duration of a load, in ms. */
 const EVICTION_WEIGHT_MS = 300
@@ -186,3 +179,12 @@
   }
   draft.add(choice.view, { operation: 'load', model: model.name, reason: choice.reason, fromStore: choice.source === 'store', expectedMs: loadMs(model, choice.source) })
 }
+
+/** Places models by the requests that wait and the demand of the last seconds; what runs in production. */
+export class DemandPolicy extends PlacementPolicy {
+  override readonly name = 'demand'
+
+  override plan (scene: Scene): Plan {
+    return planOrders(scene)
+  }
+}
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -7,7 +7,7 @@
 import { sumDemand } from './demand.ts'
 import type { EngineView, OpenOrder, PlannedOrder } from './engine_view.ts'
 import type { ExpectedLoad, FleetView, PlacedEngine } from './fleet_view.ts'
-import { planOrders, type PlannedClosure } from './plan_orders.ts'
+import type { PlannedClosure } from './scene.ts'
 import type { Instant, SchedulerEvent } from './scheduler_event.ts'
 import type { SchedulerEffect } from './scheduler_effect.ts'
 import type { SchedulerState } from './scheduler_state.ts'
@@ -159,7 +159,7 @@
     const views = [...current.engines.values()].filter((view) => {
       return view.upstream.service === service.name && !view.upstream.leaving && view.misses < LOST_MISSES
     })
-    const planned = planOrders({
+    const planned = current.policy.plan({
       nowMs,
       engine: service.engine,
       views,
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -2,6 +2,8 @@
 import type { ReceivedReport } from './demand.ts'
 import type { EngineView } from './engine_view.ts'
 import type { Holder, Lease, LeaseTimes } from './lease.ts'
+import type { PlacementPolicy } from './placement_policy.ts'
+import { DemandPolicy } from './plan_orders.ts'
 import type { Instant } from './scheduler_event.ts'
 
 /** A conditional update of the lease without an answer. */
@@ -25,6 +27,7 @@
 export interface SchedulerState {
   readonly self: Holder
   readonly times: LeaseTimes
+  readonly policy: PlacementPolicy
   readonly configuration: Configuration | undefined
   readonly list: UpstreamList
   readonly lease: Lease | undefined
@@ -48,23 +51,30 @@
   readonly stopping: boolean
 }
 
+/** What a scheduler's state is built from. */
+export interface SchedulerOptions {
+  readonly times: LeaseTimes
+  readonly policy?: PlacementPolicy
+}
+
 /**
  * Builds the state of a process that knows nothing yet.
  *
  * @param self The process.
- * @param times The lease times.
+ * @param options The lease times, and the policy where it is not the one of production.
  * @returns The state.
  *
  * @example
  * ```ts
- * const state = newSchedulerState(self, leaseTimes(bounds))
+ * const state = newSchedulerState(self, { times: leaseTimes(bounds) })
  * console.log(state.held) // undefined
  * ```
  */
-export function newSchedulerState (self: Holder, times: LeaseTimes): SchedulerState {
+export function newSchedulerState (self: Holder, options: SchedulerOptions): SchedulerState {
   return {
     self,
-    times,
+    times: options.times,
+    policy: options.policy ?? new DemandPolicy(),
     configuration: undefined,
     list: NO_UPSTREAMS,
     lease: undefined,
