Rate placements by the answers they bring in time

Change: every load is rated by the answers that it brings in time, every eviction by those that it makes late, in the same unit; replicas by how full the batches are; models are closed only for requests that starve; rates follow two seconds. Needs tell when each waiting request becomes late.

--- a/packages/edge/_peer_router.ts
+++ b/packages/edge/_peer_router.ts
@@ -18,8 +18,7 @@
       model: Schema.String,
       adapter: Schema.UndefinedOr(Schema.String).pipe(Schema.optional),
       waiting: Schema.Number,
-      oldestMs: Schema.Number,
-      objectiveInMs: Schema.Number
+      dueInMs: Schema.Array(Schema.Number)
     })),
     uses: Schema.Array(Schema.Struct({ service: Schema.String, model: Schema.String, ratePerS: Schema.Number })),
     loads: Schema.Array(Schema.Struct({ upstream: Schema.String, model: Schema.String, running: Schema.Number })),
--- a/packages/replay/_virtual_engine.ts
+++ b/packages/replay/_virtual_engine.ts
@@ -1,4 +1,4 @@
-import type { Copies, Engine, EngineReport, Upstream } from '@berylshed/fleet'
+import type { Engine, EngineReport, Upstream } from '@berylshed/fleet'
 import type { EngineOrderAnswer } from '@berylshed/platform'
 import type { VirtualClock } from './virtual_clock.ts'
 
@@ -98,7 +98,7 @@
 export function createVirtualEngine (upstream: Upstream, engine: Engine, surroundings: EngineSurroundings): VirtualEngine {
   const { clock, traits } = surroundings
   const held = new Map<string, _Held>(upstream.residents.map(({ model }) => [model, { phase: 'loaded', adapters: new Map() }]))
-  let copies: Copies = { inMemory: [], onDisk: upstream.residents.map(({ model }) => model) }
+  let { copies } = upstream
   let runs: _Running[] = []
   let sequence = 0
   let fence = 0
--- a/packages/replay/day_figures.ts
+++ b/packages/replay/day_figures.ts
@@ -38,8 +38,13 @@
 export interface DayFigures extends DayTotals {
   readonly worthShare: number
   readonly routes: readonly RouteFigures[]
+  /** Share of the worth that was earned of the requests of each two seconds. */
+  readonly windows: readonly number[]
 }
 
+/** Length of a window, in ms: as long as a model shift takes to be noticed and answered. */
+const WINDOW_MS = 2000
+
 /**
  * Summarises a replayed day.
  *
@@ -57,6 +62,7 @@
   return {
     worthShare: _worthShare(outcomes),
     routes: names.map((route) => _routeFigures(route, outcomes.filter(({ request }) => request.route === route))),
+    windows: _windows(outcomes),
     ...totals,
     idleMemoryShare: _rounded(totals.idleMemoryShare)
   }
@@ -79,6 +85,16 @@
   }
 }
 
+function _windows (outcomes: readonly DayOutcome[]): readonly number[] {
+  const windows: DayOutcome[][] = []
+  for (const outcome of outcomes) {
+    const index = Math.floor(outcome.request.atMs / WINDOW_MS)
+    while (windows.length <= index) windows.push([])
+    windows[index]?.push(outcome)
+  }
+  return windows.map(_worthShare)
+}
+
 function _worthShare (outcomes: readonly DayOutcome[]): number {
   const owed = outcomes.reduce((sum, { request }) => sum + request.worth, 0)
   const earned = outcomes.reduce((sum, { request, served, inTime }) => sum + (served ? inTime ? request.worth : request.lateWorth : 0), 0)
--- a/packages/replay/example_days.ts
+++ b/packages/replay/example_days.ts
@@ -1,4 +1,6 @@
 import type { Configuration, Model, Upstream } from '@berylshed/fleet'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import type { EngineTraits } from './_virtual_engine.ts'
 import type { DayPattern, RoutePattern } from './draw_day.ts'
 import type { VirtualDeployment } from './replay_day.ts'
@@ -14,22 +16,25 @@
 const SMALL_MB = 16.1 * GB
 const LARGE_MB = 34.3 * GB
 const ADAPTERS = 12
-const BUSY_MODELS = 5
 const DAY_MS = 34_000
 const LEAD_MS = 12_000
 
-const TRAITS: EngineTraits = {
-  stepMs: 4.73, stepPerRunMs: 0.0138, prefillTokensPerMs: 38.4, tokensPerEvent: 6, reportLagMs: 100, hostMb: 55 * GB, diskMb: 320 * GB
-}
+/** Speed of the engines of both desks. */
+const SPEED = { stepMs: 4.73, stepPerRunMs: 0.0138, prefillTokensPerMs: 38.4, tokensPerEvent: 6 }
 
 interface _Size {
+  /** Sizes of the models: S for a small one, L for a large one; the busy ones come first. */
+  readonly models: string
+  readonly busyModels: number
+  /** Shares of the busy models' requests that the busiest models get. */
+  readonly busyShares: readonly number[]
   readonly engines: number
   readonly memoryMb: number
   readonly slots: number
-  readonly models: number
+  /** Models that each engine holds at the start. */
+  readonly residents: number
   readonly loadsPerSecond: number
-  readonly loadsAtOnce: number
-  readonly instances: number
+  readonly traits: EngineTraits
 }
 
 interface _Rates {
@@ -38,49 +43,86 @@
   readonly lines: number
 }
 
+const INSTANCES = 4
+const LOADS_AT_ONCE = 4
+
 /**
- * Gives the speech desk: six engines of 83 GB before 30 models.
+ * Gives the speech desk: six engines of 83 GB before 30 models, two of which are busy at a time.
  *
+ * @param seed Deals the models that engines hold and have copies of.
  * @returns The deployment and its pattern.
  *
  * @example
  * ```ts
- * const { pattern, deployment } = speechDesk()
+ * const { pattern, deployment } = speechDesk(7)
  * ```
  */
-export function speechDesk (): ExampleDay {
+export function speechDesk (seed: number): ExampleDay {
   return _example(
-    { engines: 6, memoryMb: 83 * GB, slots: 96, models: 30, loadsPerSecond: 2.7, loadsAtOnce: 4, instances: 4 },
-    { drafts: 25.8, digests: 11.1, lines: 19.8 },
-    { drafts: [2.6, 0.77], digests: [9.3, 1.4], lines: [1.5, 0.44] })
+    seed,
+    {
+      models: 'SLLSLSLLLSSSLLLSLSLSSLLSSSLLSS',
+      busyModels: 5,
+      busyShares: [0.73, 0.27],
+      engines: 6,
+      memoryMb: 83 * GB,
+      slots: 96,
+      residents: 2,
+      loadsPerSecond: 2.7,
+      traits: { ...SPEED, reportLagMs: 100, hostMb: 55 * GB, diskMb: 320 * GB }
+    },
+    { rates: { drafts: 25.8, digests: 11.1, lines: 19.8 }, worths: { drafts: [2.6, 0.77], digests: [9.3, 1.4], lines: [1.5, 0.44] } })
 }
 
 /**
- * Gives the order desk: eight engines of 58 GB before 28 models, with fewer and dearer rare requests.
+ * Gives the order desk: eight engines of 58 GB before 28 models, four of which are busy at a time.
  *
+ * @param seed Deals the models that engines hold and have copies of.
  * @returns The deployment and its pattern.
  *
  * @example
  * ```ts
- * const { pattern, deployment } = orderDesk()
+ * const { pattern, deployment } = orderDesk(7)
  * ```
  */
-export function orderDesk (): ExampleDay {
+export function orderDesk (seed: number): ExampleDay {
   return _example(
-    { engines: 8, memoryMb: 58 * GB, slots: 64, models: 28, loadsPerSecond: 4.6, loadsAtOnce: 4, instances: 4 },
-    { drafts: 30, digests: 6, lines: 23 },
-    { drafts: [2.6, 1.2], digests: [18, 2.7], lines: [1.5, 0.77] })
+    seed,
+    {
+      models: 'SLLLLLLLLSSSSSLSSSLSLLLLSLLL',
+      busyModels: 10,
+      busyShares: [0.42, 0.23, 0.19, 0.16],
+      engines: 8,
+      memoryMb: 58 * GB,
+      slots: 64,
+      residents: 1,
+      loadsPerSecond: 4.6,
+      traits: { ...SPEED, reportLagMs: 200, hostMb: 60 * GB, diskMb: 230 * GB }
+    },
+    { rates: { drafts: 29.1, digests: 10.5, lines: 24.2 }, worths: { drafts: [2.6, 1.3], digests: [11, 1.6], lines: [1.4, 0.7] } })
 }
 
-type _Worths = Readonly<Record<keyof _Rates, readonly [inTime: number, late: number]>>
+interface _Load {
+  readonly rates: _Rates
+  readonly worths: Readonly<Record<keyof _Rates, readonly [inTime: number, late: number]>>
+}
 
-function _example (size: _Size, rates: _Rates, worths: _Worths): ExampleDay {
-  const names = Array.from({ length: size.models }, (_, i) => `m${i}`)
-  // The sizes repeat in the order of the users' list; the first model is a small one.
-  const models = names.map((name, i): Model => {
-    const small = [0, 2, 3].includes(i % 5)
-    return { name, memoryMb: small ? SMALL_MB : LARGE_MB, storeLoadMs: 6000, diskLoadMs: small ? 350 : 510, memoryLoadMs: small ? 270 : 390, adapterMb: small ? 14 : 40 }
+function _example (seed: number, size: _Size, load: _Load): ExampleDay {
+  const { rates, worths } = load
+  const generator = xoroshiro128plus(seed)
+  const unit = (): number => uniformFloat64(generator)
+  const models = [...size.models].map((letter, i): Model => {
+    const small = letter === 'S'
+    return {
+      name: `m${i}`,
+      memoryMb: small ? SMALL_MB : LARGE_MB,
+      storeLoadMs: 6000,
+      diskLoadMs: small ? 350 : 510,
+      memoryLoadMs: small ? 270 : 390,
+      adapterMb: small ? 14 : 40
+    }
   })
+  const names = models.map(({ name }) => name)
   const configuration: Configuration = {
     version: 1,
     routes: [],
@@ -99,8 +141,7 @@
     incarnation: 1,
     slots: size.slots,
     leaving: false,
-    residents: _firstResidents(models, size, i),
-    copies: { inMemory: [], onDisk: [] }
+    ..._deal(models, size, unit)
   }))
   const routes = [
     _route('drafts', { ratePerS: rates.drafts, objectiveMs: 500, timeoutMs: 12_000, patienceMs: 2000, rank: 1, worth: worths.drafts, busy: true, adapterShare: 0.1, resumable: true, tokens: [715, 280], spread: 0.8 }),
@@ -108,13 +149,13 @@
     _route('lines', { ratePerS: rates.lines, objectiveMs: 1500, timeoutMs: 4000, patienceMs: 4000, rank: 0, worth: worths.lines, busy: true, adapterShare: 0.5, resumable: true, tokens: [383, 45], spread: 1.2 })
   ]
   return {
-    deployment: { configuration, upstreams, availabilityZones: zones, instances: size.instances, traits: TRAITS, loadsAtOnce: size.loadsAtOnce, leadMs: LEAD_MS },
+    deployment: { configuration, upstreams, availabilityZones: zones, instances: INSTANCES, traits: size.traits, loadsAtOnce: LOADS_AT_ONCE, leadMs: LEAD_MS },
     pattern: {
       durationMs: DAY_MS,
       routes,
-      busyModels: names.slice(0, BUSY_MODELS).map((model) => ({ model, adapters: Array.from({ length: ADAPTERS }, (_, i) => `a${i + 1}`) })),
-      busyShares: [0.73, 0.27],
-      rareModels: names.slice(BUSY_MODELS),
+      busyModels: names.slice(0, size.busyModels).map((model) => ({ model, adapters: Array.from({ length: ADAPTERS }, (_, i) => `a${i + 1}`) })),
+      busyShares: size.busyShares,
+      rareModels: names.slice(size.busyModels),
       shifts: [{ atMs: 1000, forMs: 6000 }, { atMs: 16_000, forMs: 5500 }, { atMs: 24_000, forMs: 5000 }],
       bursts: [{ route: 'digests', atMs: 9000, forMs: 6000, factor: 2 }]
     }
@@ -140,12 +181,22 @@
   return { route, service: SERVICE, maxRuns: facts.resumable ? 2 : 1, promptTokensMean, answerTokensMean, ...rest, worth, lateWorth }
 }
 
-// The first model on every engine, the others one after the other as far as there is room.
-function _firstResidents (models: readonly Model[], size: _Size, index: number): Upstream['residents'] {
-  const held = models.slice(0, 1)
-  for (const model of models.slice(1).filter((_, i) => i % size.engines === index)) {
-    const usedMb = held.reduce((sum, { memoryMb }) => sum + memoryMb, 0)
-    if (usedMb + model.memoryMb <= size.memoryMb) held.push(model)
+// Each engine starts with a few models and a disk full of copies, dealt at random.
+function _deal (models: readonly Model[], size: _Size, unit: () => number): Pick<Upstream, 'residents' | 'copies'> {
+  const shuffled = models.map((model) => ({ model, key: unit() })).sort((a, b) => a.key - b.key).map(({ model }) => model)
+  const onDisk = _fill(shuffled, size.traits.diskMb)
+  const held = _fill(onDisk, size.memoryMb).slice(0, size.residents)
+  return {
+    residents: held.map(({ name }) => ({ model: name, adapters: [] })),
+    copies: { inMemory: [], onDisk: onDisk.map(({ name }) => name) }
   }
-  return held.map(({ name }) => ({ model: name, adapters: [] }))
+}
+
+function _fill (models: readonly Model[], roomMb: number): readonly Model[] {
+  let leftMb = roomMb
+  return models.filter(({ memoryMb }) => {
+    if (memoryMb > leftMb) return false
+    leftMb -= memoryMb
+    return true
+  })
 }
--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -13,17 +13,18 @@
   freeMb (view: EngineView): number
   freeAdapterPlaces (view: EngineView): number
   runningOn (view: EngineView, model: string): number
-  /** Requests of all models that run on an engine. */
-  runningTotal (view: EngineView): number
   adapterRuns (view: EngineView, model: string, options: { readonly adapter: string }): { readonly running: number, readonly idleMs: number }
   /** Engines that hold a model or are loading it. */
   replicas (model: string): readonly EngineView[]
-  /** Whether an engine other than those that hold a model has a copy of it. */
-  hasSpareCopy (model: string): boolean
+  /** Whether any engine can load a model without the weight store. */
+  hasCopyAnywhere (model: string): boolean
   /** Whether room is being made for a model somewhere. */
   isPrepared (model: string): boolean
   storeLoadsLeft (): number
   add (view: EngineView, order: DraftOrder): void
+  /** Keeps an engine for a model that waits until the engine's present order has ended. */
+  take (view: EngineView): void
+  isTaken (view: EngineView): boolean
   closures (): readonly PlannedClosure[]
   close (closure: PlannedClosure): void
 }
@@ -66,18 +67,22 @@
     freeMb: (view) => scene.engine.memoryMb - usedMb(scene.engine, view),
     freeAdapterPlaces: (view) => scene.engine.adapterPlaces - countAdapters(view),
     runningOn: (view, model) => scene.demand.running.get(placeKey(view.upstream.id, model)) ?? 0,
-    runningTotal: (view) => [...view.residents.keys()].reduce((sum, model) => sum + (scene.demand.running.get(placeKey(view.upstream.id, model)) ?? 0), 0),
     adapterRuns: (view, model, { adapter }) => {
       const use = scene.demand.adapterUse.get(adapterKey(view.upstream.id, model, { adapter }))
       return { running: use?.running ?? 0, idleMs: use?.idleMs ?? UNSEEN_ADAPTER_IDLE_MS }
     },
     replicas,
-    hasSpareCopy: (model) => scene.views.some((view) => !view.residents.has(model) && hasCopy(view, model)),
+    hasCopyAnywhere: (model) => scene.views.some((view) => hasCopy(view, model)),
     isPrepared: (model) => scene.views.some(({ open }) => open?.planned.makesWayFor === model) || orders.some(({ makesWayFor }) => makesWayFor === model),
     storeLoadsLeft: () => scene.storeLoadsAllowed - orders.filter((order) => order.fromStore).length,
     add,
+    take: (view) => { ordered.add(view.upstream.id) },
+    isTaken: (view) => ordered.has(view.upstream.id),
     closures: () => closures,
-    close: (closure) => { closures.push(closure) }
+    close: (closure) => {
+      ordered.add(closure.upstream)
+      closures.push(closure)
+    }
   }
 }
 
--- /dev/null
+++ b/packages/scheduler/_plan_copies.ts
@@ -0,0 +1,51 @@
+import type { Model } from '@berylshed/fleet'
+import { loadMs, type PlacementDraft } from './_placement_draft.ts'
+import { placementOptions, type PlacementOption } from './_placement_options.ts'
+
+/** Largest cost of evictions for a copy that nobody waits for, in answers that come late. */
+const COPY_COST = 1.5
+/** Loads from the weight store at once for copies that nobody waits for; the store's full speed allows 2 to 4. */
+const COPY_LOADS_AT_ONCE = 4
+/** The same while there are requests: the engine takes no other order meanwhile. */
+const COPY_LOADS_IN_TRAFFIC = 1
+
+/** Brings models of which there is no copy onto some engine's disk, so that a miss costs a fraction of a second. */
+export function planCopies (draft: PlacementDraft): void {
+  for (const model of draft.scene.engine.models.values()) _planCopy(draft, model)
+}
+
+function _planCopy (draft: PlacementDraft, model: Model): void {
+  const { storeLoadsUnderWay, demand } = draft.scene
+  const planned = draft.orders().filter((order) => order.fromStore).length
+  const atOnce = demand.models.size === 0 ? COPY_LOADS_AT_ONCE : COPY_LOADS_IN_TRAFFIC
+  if (storeLoadsUnderWay + planned >= atOnce || draft.storeLoadsLeft() <= 0) return
+  if (draft.isPrepared(model.name) || draft.replicas(model.name).length > 0 || draft.hasCopyAnywhere(model.name)) return
+  const best = placementOptions(draft, model, { maxRunning: 0, busyEngines: false })
+    .filter(({ evictions }) => evictions.cost <= COPY_COST)
+    .sort((a, b) => a.evictions.cost - b.evictions.cost || a.view.copies.onDisk.length - b.view.copies.onDisk.length)[0]
+  if (best !== undefined) _order(draft, model, { ...best, reason: 'no copy on any disk' })
+}
+
+/** Fills memory that nothing else needs with models that no engine holds, so that their next requests do not wait. */
+export function planSpareMemory (draft: PlacementDraft): void {
+  const absent = [...draft.scene.engine.models.values()]
+    .filter(({ name }) => draft.replicas(name).length === 0 && !draft.isPrepared(name))
+    .sort((a, b) => draft.demandFor(b.name).ratePerS - draft.demandFor(a.name).ratePerS)
+  for (const model of absent) {
+    const best = placementOptions(draft, model, { maxRunning: 0, busyEngines: false })
+      .filter(({ source, evictions }) => source !== 'store' && evictions.models.length === 0)
+      .sort((a, b) => a.readyInMs - b.readyInMs)[0]
+    if (best !== undefined) _order(draft, model, { ...best, reason: 'spare memory' })
+  }
+}
+
+interface _Choice extends PlacementOption {
+  readonly reason: string
+}
+
+function _order (draft: PlacementDraft, model: Model, choice: _Choice): void {
+  const { view, evictions, source, reason } = choice
+  const [victim] = evictions.models
+  if (victim === undefined) draft.add(view, { operation: 'load', model: model.name, reason, fromStore: source === 'store', expectedMs: loadMs(model, source) })
+  else draft.add(view, { operation: 'unload', model: victim, reason: `makes way for ${model.name}: ${reason}`, makesWayFor: model.name })
+}
--- a/packages/scheduler/demand.ts
+++ b/packages/scheduler/demand.ts
@@ -5,10 +5,8 @@
   /** The adapter, where the model alone does not do. */
   readonly adapter: string | undefined
   readonly waiting: number
-  /** Time since the first of them arrived, in ms. */
-  readonly oldestMs: number
-  /** Time until the first of them misses its latency objective, in ms; negative where it has. */
-  readonly objectiveInMs: number
+  /** Time until each of them misses its latency objective, in ms, negative where it has; of the first ones only. */
+  readonly dueInMs: readonly number[]
 }
 
 /** How one instance uses a model. */
@@ -56,8 +54,8 @@
 export interface ModelDemand {
   readonly model: string
   readonly waiting: number
-  /** Time until the first waiting request misses its latency objective, in ms. */
-  readonly objectiveInMs: number
+  /** Time until each waiting request misses its latency objective, in ms, negative where it has; of the first ones only. */
+  readonly dueInMs: readonly number[]
   readonly ratePerS: number
   readonly running: number
   /** Adapters that requests wait for, with the number of those requests. */
@@ -168,7 +166,7 @@
  * ```
  */
 export function noDemand (model: string): ModelDemand {
-  return { model, waiting: 0, objectiveInMs: Infinity, ratePerS: 0, running: 0, adapters: new Map() }
+  return { model, waiting: 0, dueInMs: [], ratePerS: 0, running: 0, adapters: new Map() }
 }
 
 function _addNeed (known: ModelDemand, need: Need, ageMs: number): ModelDemand {
@@ -177,7 +175,7 @@
   return {
     ...known,
     waiting: known.waiting + need.waiting,
-    objectiveInMs: Math.min(known.objectiveInMs, need.objectiveInMs - ageMs),
+    dueInMs: [...known.dueInMs, ...need.dueInMs.map((dueMs) => dueMs - ageMs)],
     adapters
   }
 }
--- a/packages/serving/instance_report.ts
+++ b/packages/serving/instance_report.ts
@@ -6,11 +6,13 @@
 import type { FadingRate, ServingState } from './serving_state.ts'
 
 /** Time over which a rate is averaged, in ms: demand moves to other models within seconds. */
-const RATE_TIME_MS = 5000
+const RATE_TIME_MS = 2000
 /** Rate below which a model counts as unused, in requests per second. */
 const MIN_RATE_PER_S = 0.01
 /** Time after which the last use of an adapter no longer matters, in ms. */
 const ADAPTER_MEMORY_MS = 20_000
+/** Due times that one need tells; more waiting requests than these decide nothing else. */
+const MAX_DUE_TIMES = 16
 const MS_PER_SECOND = 1000
 
 /** Who reports. */
@@ -73,15 +75,14 @@
 }
 
 function _addNeed (known: Need | undefined, request: Request, nowMs: number): Need {
-  const oldestMs = nowMs - request.arrivedAtMs
-  const objectiveInMs = request.arrivedAtMs + request.objectiveMs - nowMs
+  const dueInMs = request.arrivedAtMs + request.objectiveMs - nowMs
+  const told = known?.dueInMs ?? []
   return {
     service: request.service,
     model: request.model ?? '',
     adapter: request.adapter,
     waiting: (known?.waiting ?? 0) + 1,
-    oldestMs: Math.max(known?.oldestMs ?? 0, oldestMs),
-    objectiveInMs: Math.min(known?.objectiveInMs ?? Infinity, objectiveInMs)
+    dueInMs: told.length < MAX_DUE_TIMES ? [...told, dueInMs] : told
   }
 }
 
