--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -20,7 +20,10 @@
   copyHolders (model: string): readonly EngineView[]
   /** Whether room is being made for a model somewhere. */
   isPrepared (model: string): boolean
+  /** Loads from the weight store that may still begin. */
   storeLoadsLeft (): number
+  /** Loads from the weight store that are under way or planned. */
+  storeLoadsUnderWay (): number
   add (view: EngineView, order: DraftOrder): void
   /** Keeps an engine for a model that waits until the engine's present order has ended. */
   take (view: EngineView): void
@@ -50,6 +53,7 @@
   const orders: PlannedOrder[] = []
   const taken = new Set<string>()
   const closures: PlannedClosure[] = []
+  let storeLoads = 0
   const replicas = _indexReplicas(scene.views)
   const copyHolders = _indexCopies(scene.views)
   const prepared = new Set(scene.views.flatMap(({ open }) => open?.planned.makesWayFor ?? []))
@@ -59,6 +63,7 @@
     const { id } = view.upstream
     taken.add(id)
     orders.push({ adapter: undefined, fromStore: false, makesWayFor: undefined, expectedMs: UNLOAD_MS, ...order, upstream: id })
+    if (order.fromStore === true) storeLoads += 1
     if (order.makesWayFor !== undefined) prepared.add(order.makesWayFor)
     if (order.operation === 'load' && order.adapter === undefined) replicas.set(order.model, [...replicas.get(order.model) ?? NONE, view])
   }
@@ -78,7 +83,8 @@
     replicas: (model) => replicas.get(model) ?? NONE,
     copyHolders: (model) => copyHolders.get(model) ?? NONE,
     isPrepared: (model) => prepared.has(model),
-    storeLoadsLeft: () => scene.storeLoadsAllowed - orders.filter((order) => order.fromStore).length,
+    storeLoadsLeft: () => scene.storeLoadsAllowed - storeLoads,
+    storeLoadsUnderWay: () => scene.storeLoadsUnderWay + storeLoads,
     add,
     take: (view) => { taken.add(view.upstream.id) },
     isTaken: (view) => taken.has(view.upstream.id),
--- a/packages/scheduler/_plan_copies.ts
+++ b/packages/scheduler/_plan_copies.ts
@@ -18,10 +18,8 @@
 }
 
 function _planCopy (draft: PlacementDraft, model: Model): void {
-  const { storeLoadsUnderWay, demand } = draft.scene
-  const planned = draft.orders().filter((order) => order.fromStore).length
-  const atOnce = demand.models.size === 0 ? COPY_LOADS_AT_ONCE : COPY_LOADS_IN_TRAFFIC
-  if (storeLoadsUnderWay + planned >= atOnce || draft.storeLoadsLeft() <= 0) return
+  const atOnce = draft.scene.demand.models.size === 0 ? COPY_LOADS_AT_ONCE : COPY_LOADS_IN_TRAFFIC
+  if (draft.storeLoadsUnderWay() >= atOnce || draft.storeLoadsLeft() <= 0) return
   if (draft.isPrepared(model.name) || draft.replicas(model.name).length > 0) return
   const best = placementOptions(draft, model, { engines: draft.scene.views, maxRunning: 0, busyEngines: false })
     .filter(({ evictions }) => evictions.cost <= COPY_COST)
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -1,16 +1,19 @@
 import type { Model } from '@berylshed/fleet'
-import { isStarving, loadGain, replicaGain } from './_model_value.ts'
+import { isShort, isStarving, loadGain, replicaGain, type LoadPlan } from './_model_value.ts'
 import { createPlacementDraft, loadMs, type PlacementDraft } from './_placement_draft.ts'
 import { placementOptions, type PlacementOption } from './_placement_options.ts'
 import { planAdapters } from './_plan_adapters.ts'
 import { planCopies, planSpareMemory } from './_plan_copies.ts'
+import type { EngineView } from './engine_view.ts'
 import { PlacementPolicy } from './placement_policy.ts'
 import type { Plan, Scene } from './scene.ts'
 
+/** A load that takes no time, by which models are put in order. */
+const AT_ONCE: LoadPlan = { source: 'disk', readyInMs: 0 }
 /** Running requests up to which a model may be closed; more would take too long to end. */
 const MAX_CLOSED_RUNNING = 2
-/** Requests per second from which a model may come from the weight store although engines have copies. */
-const STORE_RATE_PER_S = 4
+/** Loads from the weight store at once for models that requests wait for; more would slow each other down. */
+const STORE_LOADS_AT_ONCE = 2
 /** Gain beyond the cost of evictions from which a swap is made. */
 const MIN_NET_GAIN = 0.1
 
@@ -40,8 +43,8 @@
 
 interface _Wanted {
   readonly model: Model
-  /** Rates a load by the time until it has ended, in ms. */
-  gain (readyInMs: number): number
+  /** Rates a way to load it. */
+  gain (plan: LoadPlan): number
 }
 
 // Models that are wanted on one engine more, those that gain most first.
@@ -51,10 +54,10 @@
       const model = draft.scene.engine.models.get(demand.model)
       if (model === undefined || draft.isPrepared(model.name)) return []
       const held = draft.replicas(model.name).length > 0
-      if (held) return [{ model, gain: (readyInMs) => replicaGain(draft, model.name, readyInMs) }]
-      return demand.waiting === 0 ? [] : [{ model, gain: (readyInMs) => loadGain(demand, readyInMs) }]
+      if (held) return [{ model, gain: (way) => replicaGain(draft, model.name, way) }]
+      return demand.waiting === 0 ? [] : [{ model, gain: (way) => loadGain(demand, way) }]
     })
-    .sort((a, b) => b.gain(0) - a.gain(0))
+    .sort((a, b) => b.gain(AT_ONCE) - a.gain(AT_ONCE))
 }
 
 interface _Rated {
@@ -63,17 +66,29 @@
 }
 
 function _planLoad (draft: PlacementDraft, model: Model, gain: _Wanted['gain']): void {
-  // A load from the weight store takes seconds of an engine, and the place of another copy on its disk.
-  const mayAskStore = draft.storeLoadsLeft() > 0 && (draft.copyHolders(model.name).length === 0 || (draft.replicas(model.name).length === 0 && draft.demandFor(model.name).ratePerS > STORE_RATE_PER_S))
+  const best = _best(draft, model, { engines: draft.copyHolders(model.name), gain }) ?? _bestFromStore(draft, model, gain)
+  if (best !== undefined) _carryOut(draft, model, best)
+}
+
+interface _Search {
+  readonly engines: readonly EngineView[]
+  readonly gain: _Wanted['gain']
+}
+
+function _best (draft: PlacementDraft, model: Model, { engines, gain }: _Search): PlacementOption | undefined {
   // Closing a model makes its own requests wait, so that it is the last resort.
   const maxRunning = isStarving(draft.demandFor(model.name)) ? MAX_CLOSED_RUNNING : 0
-  const engines = mayAskStore ? draft.scene.views : draft.copyHolders(model.name)
-  const rated = placementOptions(draft, model, { engines, maxRunning, busyEngines: true })
-    .map((option): _Rated => ({ option, net: gain(option.readyInMs) - option.evictions.cost }))
+  const [best] = placementOptions(draft, model, { engines, maxRunning, busyEngines: true })
+    .map((option): _Rated => ({ option, net: gain(option) - option.evictions.cost }))
     .sort((a, b) => b.net - a.net || a.option.readyInMs - b.option.readyInMs)
-  const [best] = rated
-  if (best === undefined || best.net < MIN_NET_GAIN) return
-  _carryOut(draft, model, best.option)
+  return best !== undefined && best.net >= MIN_NET_GAIN ? best.option : undefined
+}
+
+// A load from the weight store takes seconds of an engine, the place of another copy on its disk, and the store's pace.
+function _bestFromStore (draft: PlacementDraft, model: Model, gain: _Wanted['gain']): PlacementOption | undefined {
+  if (draft.copyHolders(model.name).length > 0 && !isShort(draft, model.name)) return undefined
+  if (draft.storeLoadsLeft() <= 0 || draft.storeLoadsUnderWay() >= STORE_LOADS_AT_ONCE) return undefined
+  return _best(draft, model, { engines: draft.scene.views, gain })
 }
 
 // Room is made first; the load follows in a later round, once the room is there.
--- a/packages/scheduler/plan_orders_test.ts
+++ b/packages/scheduler/plan_orders_test.ts
@@ -102,3 +102,18 @@
   const demand = [{ model: 'large-1', waiting: 1, dueInMs: [1500], ratePerS: 0.5 }, ...['small-1', 'small-2', 'small-3', 'small-4'].map((model) => ({ model, ratePerS: 0.5 }))]
   t.deepEqual(plan(views, { demand, storeLoadsUnderWay: 4 }), [])
 })
+
+test('a busy model whose only engine with a copy is overfull comes from the weight store, one that is merely busy does not', (t) => {
+  const views = [testView('a', ['large-1'], ['large-1']), testView('b', ['small-1'])]
+  const wanted = (running: number, waiting: number): Wanted => ({
+    demand: [{ model: 'large-1', ratePerS: 30, running, waiting, dueInMs: Array.from({ length: waiting }, () => -100) }], running: { 'a large-1': running }
+  })
+  t.deepEqual(plan(views, wanted(16, 40)), ['load large-1 on b from the store'])
+  t.deepEqual(plan(views, { ...wanted(12, 0), storeLoadsUnderWay: 4 }), [])
+})
+
+test('loads from the weight store for waiting requests do not slow each other down', (t) => {
+  const views = [testView('a', ['large-1'], ['large-1']), testView('b', ['small-1'])]
+  const demand = [{ model: 'large-1', ratePerS: 30, running: 16, waiting: 40, dueInMs: Array.from({ length: 16 }, () => -100) }]
+  t.deepEqual(plan(views, { demand, running: { 'a large-1': 16 }, storeLoadsUnderWay: 2 }), [])
+})
--- a/packages/serving/instance_report.ts
+++ b/packages/serving/instance_report.ts
@@ -1,6 +1,5 @@
 import { HashMap, Option } from 'effect'
 import { adapterKey, placeKey, type AdapterUse, type InstanceReport, type Load, type Need, type Use } from '@berylshed/scheduler'
-import { canServe } from './choose_upstream.ts'
 import { needKey } from './place.ts'
 import { currentSending, type Request } from './request.ts'
 import type { FadingRate, ServingState } from './serving_state.ts'
@@ -46,7 +45,7 @@
 }
 
 /**
- * Lists what waiting requests need and no upstream offers.
+ * Lists what requests wait for: models and adapters that no upstream offers, or whose upstreams are all full.
  *
  * @param state The state of the requests.
  * @param nowMs The local time in ms.
@@ -62,7 +61,7 @@
   for (const queue of state.waiting.values()) {
     for (const id of queue) {
       const request = Option.getOrUndefined(HashMap.get(state.requests, id))
-      if (request?.model === undefined || _isOffered(state, request, nowMs)) continue
+      if (request?.model === undefined) continue
       const key = `${request.service} ${needKey(request.model, request.adapter)}`
       found.set(key, _addNeed(found.get(key), request, nowMs))
     }
@@ -70,10 +69,6 @@
   return [...found.values()]
 }
 
-function _isOffered (state: ServingState, request: Request, nowMs: number): boolean {
-  return [...state.places.values()].some((place) => canServe(state, place, { request, nowMs }))
-}
-
 function _addNeed (known: Need | undefined, request: Request, nowMs: number): Need {
   const dueInMs = request.arrivedAtMs + request.objectiveMs - nowMs
   const told = known?.dueInMs ?? []
--- a/packages/serving/reduce_serving_test.ts
+++ b/packages/serving/reduce_serving_test.ts
@@ -130,3 +130,11 @@
   t.deepEqual(desk.apply({ kind: 'received', request: { ...waiting, id: 'late' }, nowMs: 200 }), ['refuse late 503 shutting_down not run'])
   t.is(openRequests(desk), 1)
 })
+
+test('requests that wait because every replica is full are told, too', (t) => {
+  const desk = openDesk([testEnginePlace('e1', { m: [] })])
+  const ask = (id: string) => desk.apply({ kind: 'received', request: testRequest(id, { service: 'drafts', model: 'm', objectiveMs: 500, deadlineMs: 9000 }), nowMs: 0 })
+  const sent = Array.from({ length: 18 }, (_, i) => ask(`r${i}`)).flat()
+  t.is(sent.filter((effect) => effect.startsWith('send')).length, 16)
+  t.deepEqual(instanceReport(desk.state(), { instance: 'i', incarnation: 'x' }, { nowMs: 0 }).needs, [{ service: 'drafts', model: 'm', adapter: undefined, waiting: 2, dueInMs: [500, 500] }])
+})
