Name the prompt parts and the digest of requests whose attempts fail

Cause: the lines could not tell a part that crashes engines from a request that does, nor from lost connections. Change: a failed line names the ids of the prompt's parts, the digest of the request and the time since the response began. The ids come decoded with the other request metadata; ids only, no text. Test: platform_wire_test.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -82,6 +82,7 @@
       id: identified.id,
       callerId: facts.id,
       fingerprint: _fingerprint(request, identified.body),
+      promptParts: facts.promptParts,
       route: route.name,
       service: chooseService(route, options.random()),
       model: facts.model,
--- a/packages/platform/http_headers.ts
+++ b/packages/platform/http_headers.ts
@@ -8,6 +8,8 @@
   readonly callerTimeoutMs: number | undefined
   /** Last event that the caller received of the stream that it resumes. */
   readonly lastEventId: string | undefined
+  /** Ids of the parts of the prompt, in order; the last one belongs to the request or its session alone. */
+  readonly promptParts: readonly string[]
 }
 
 /** One attempt to forward a request to an upstream. */
@@ -73,7 +75,8 @@
     model: model === '' ? undefined : model,
     adapter: adapter === '' ? undefined : adapter,
     callerTimeoutMs: _positive(_firstValue(headers, 'deadline-ms')),
-    lastEventId: _firstValue(headers, 'last-event-id')
+    lastEventId: _firstValue(headers, 'last-event-id'),
+    promptParts: _promptParts(_firstValue(headers, 'prompt-prefix'))
   }
 }
 
@@ -168,6 +171,12 @@
   return typeof value === 'string' ? value : value?.[0]
 }
 
+// Each part is an id, a colon and the number of its tokens.
+function _promptParts (text: string | undefined): readonly string[] {
+  if (text === undefined) return []
+  return text.split(',').map((part) => part.split(':')[0]?.trim() ?? '').filter((id) => id !== '')
+}
+
 function _positive (text: string | undefined): number | undefined {
   const value = Number(text)
   return Number.isFinite(value) && value > 0 ? value : undefined
--- a/packages/replay/replay_workload.ts
+++ b/packages/replay/replay_workload.ts
@@ -203,6 +203,7 @@
       id: request.id,
       callerId: request.id,
       fingerprint: request.id,
+      promptParts: [],
       route: request.route,
       service: request.service,
       model: request.model,
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -6,7 +6,7 @@
 import type { RefusalReason } from './refusal.ts'
 import { currentAttempt, type Request, type Attempt } from './request.ts'
 import { EMPTY_RETRY_WINDOW, isRetryAllowed } from './retry_window.ts'
-import type { ServingEffect } from './serving_effect.ts'
+import type { ServingEffect, ServingRecord } from './serving_effect.ts'
 import type { AttemptFailure } from './serving_event.ts'
 import { updateTargetLoad, type ServingState } from './serving_state.ts'
 
@@ -64,11 +64,19 @@
   }
   const observed = _observeFailure(putRequest(releaseSlot(state, request, nowMs), next), request, { attempt, failed })
   const crashed = failure === 'broken' ? _countCrash(observed.state, request.fingerprint, nowMs) : observed.state
-  const record = requestRecord('failed', next, { nowMs, upstream: attempt.upstream, reason: failure, detail, sending: attempt.number, runs: next.runs })
+  const record = requestRecord('failed', next, { nowMs, upstream: attempt.upstream, reason: failure, detail, sending: attempt.number, runs: next.runs, ..._traceFields(request, failed) })
   const followUp = _retryOrRefuse(crashed, next, failed)
   return step(followUp.state, [record, ...observed.effects, ...followUp.effects])
 }
 
+// What requests with failed attempts have in common tells a request that breaks upstreams from an upstream that breaks.
+function _traceFields (request: Request, failed: FailedAttempt): Pick<ServingRecord, 'fingerprint' | 'parts' | 'respondingMs'> {
+  if (NOT_RUN_FAILURES.includes(failed.failure)) return {}
+  const parts = request.promptParts.length === 0 ? {} : { parts: request.promptParts.join(',') }
+  const responding = request.respondingSinceMs === undefined ? {} : { respondingMs: failed.nowMs - request.respondingSinceMs }
+  return { fingerprint: request.fingerprint, ...parts, ...responding }
+}
+
 function _retryOrRefuse (state: ServingState, request: Request, failed: FailedAttempt): _Step {
   const { nowMs, failure } = failed
   const stop = (reason: RefusalReason): _Step => refuseRequest(state, request, { reason, nowMs, detail: failed.detail })
--- a/packages/serving/_test_serving.ts
+++ b/packages/serving/_test_serving.ts
@@ -12,6 +12,7 @@
     id,
     callerId: `caller-${id}`,
     fingerprint: `fingerprint-${id}`,
+    promptParts: [],
     route: 'lookups',
     service: 'orders',
     model: undefined,
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -59,7 +59,7 @@
 
 function _admit (state: ServingState, received: ReceivedRequest, nowMs: number): _Step {
   const request: Request = {
-    ...received, phase: 'waiting', attempts: [], runs: 0, abandoned: false, waitingSinceMs: nowMs, hasErrorResponse: false
+    ...received, phase: 'waiting', attempts: [], runs: 0, abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, hasErrorResponse: false
   }
   const { model, service } = request
   const counted = model === undefined ? state : _countRequest(state, `${service} ${model}`, nowMs)
@@ -80,7 +80,7 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = _observeSuccess(state, request, event.nowMs)
-  return step(putRequest(observed, { ...request, phase: 'responding' }))
+  return step(putRequest(observed, { ...request, phase: 'responding', respondingSinceMs: event.nowMs }))
 }
 
 function _observeSuccess (state: ServingState, request: Request, nowMs: number): ServingState {
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -6,6 +6,8 @@
   readonly callerId: string
   /** Digest of path, body and caller; the same whenever the caller repeats the request. */
   readonly fingerprint: string
+  /** Ids of the parts of the prompt, in order; the last one belongs to the request or its session alone. */
+  readonly promptParts: readonly string[]
   readonly route: string
   readonly service: string
   readonly model: string | undefined
@@ -55,6 +57,8 @@
   readonly abandoned: boolean
   /** Local time at which the request was last queued, in ms. */
   readonly waitingSinceMs: number
+  /** Local time at which the response to the caller started, in ms; undefined before. */
+  readonly respondingSinceMs: number | undefined
   /** Whether an upstream's error response is kept, to be delivered if no later attempt succeeds. */
   readonly hasErrorResponse: boolean
 }
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -26,6 +26,12 @@
   readonly placement?: number
   /** Number of upstreams that were eligible for the request. */
   readonly candidates?: number
+  /** Digest of path, body and caller of a request whose attempt failed. */
+  readonly fingerprint?: string
+  /** Ids of the parts of the prompt of a request whose attempt failed, separated by commas. */
+  readonly parts?: string
+  /** Time since the response started when the attempt failed, in ms; absent if it had not started. */
+  readonly respondingMs?: number
 }
 
 /** Action for the caller of the reducer to carry out. */
