--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server } from 'node:http'
 import type { SchedulerRecord } from '@berylshed/scheduler'
-import type { ServingRecord } from '@berylshed/serving'
+import { isRequestKey, type ServingRecord } from '@berylshed/serving'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Buckets of the latency histograms, in seconds. Latency objectives range from 0.1 to 2 s, deadlines up to 20 s. */
@@ -40,6 +40,7 @@
   const attempts = new Counter({ name: 'berylshed_sendings_total', help: 'Sendings to upstreams, first ones and repeats', labelNames: ['kind'], registers })
   const failedAttempts = new Counter({ name: 'berylshed_failed_sendings_total', help: 'Sendings that failed, by reason', labelNames: ['reason'], registers })
   const avoided = new Counter({ name: 'berylshed_upstreams_avoided_total', help: 'Times that an upstream was avoided, by reason', labelNames: ['reason'], registers })
+  const quarantines = new Counter({ name: 'berylshed_quarantines_total', help: 'Requests and parts of prompts that were quarantined as they crash upstreams', labelNames: ['kind'], registers })
   const orders = new Counter({ name: 'berylshed_orders_total', help: 'Orders to engines, by operation and outcome', labelNames: ['operation', 'outcome'], registers })
   const leases = new Counter({ name: 'berylshed_lease_changes_total', help: 'Changes of the lease at this instance', labelNames: ['change'], registers })
   const dependencies = new Counter({ name: 'berylshed_dependency_changes_total', help: 'Dependencies lost and regained', labelNames: ['name', 'change'], registers })
@@ -60,6 +61,7 @@
       case 'broken_off': return brokenOff.inc({ reason })
       case 'left': return callersLeft.inc()
       case 'upstream_avoided': return avoided.inc({ reason })
+      case 'quarantined': return quarantines.inc({ kind: isRequestKey(reason) ? 'request' : 'part' })
       default:
     }
   }
--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -1,7 +1,7 @@
 import type { Configuration, Upstream } from '@berylshed/fleet'
 import { step, type Step } from '@berylshed/reducer'
 import { expectedLoads, reduceScheduler, type Instant, type PlacedEngine, type SchedulerEvent } from '@berylshed/scheduler'
-import { reduceServing, type TargetModel, type RoutingTarget, type ServingEvent } from '@berylshed/serving'
+import { reduceServing, type TargetModel, type RoutingTarget, type ServingEffect, type ServingEvent } from '@berylshed/serving'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { EdgeState } from './edge_state.ts'
 
@@ -17,12 +17,16 @@
   return step(second.state, [...first.effects, ...second.effects])
 }
 
-/** Reduces an event of request serving; a change of demand makes a heartbeat due. */
+/** Effects of request serving that only make a heartbeat due. */
+const REPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['demand_changed', 'evidence_changed']
+
+/** Reduces an event of request serving; a change of demand or crash evidence makes a heartbeat due. */
 export function applyServingEvent (state: EdgeState, event: ServingEvent): EdgeStep {
   const reduced = reduceServing(state.serving, event)
-  const effects = reduced.effects.filter((effect) => effect.kind !== 'demand_changed').map((effect): EdgeEffect => ({ subject: 'serving', effect }))
-  const heartbeatDue = state.heartbeatDue || reduced.effects.some((effect) => effect.kind === 'demand_changed')
-  return step({ ...state, serving: reduced.state, heartbeatDue }, effects)
+  const effects = reduced.effects.filter((effect) => !REPORTED_EFFECTS.includes(effect.kind)).map((effect): EdgeEffect => ({ subject: 'serving', effect }))
+  const heartbeatDue = state.heartbeatDue || reduced.effects.some((effect) => REPORTED_EFFECTS.includes(effect.kind))
+  const scheduler = { ...state.scheduler, quarantines: reduced.state.evidence.quarantines }
+  return step({ ...state, serving: reduced.state, scheduler, heartbeatDue }, effects)
 }
 
 /** Reduces an event of the scheduler, and updates the routing targets if the placement changed. */
--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -1,4 +1,5 @@
 import type { AdapterUsage, InstanceReport, ReplicaLoad, UnmetDemand, RequestRate } from '@berylshed/scheduler'
+import type { EvidenceUpdate } from '@berylshed/serving'
 import { Schema } from 'effect'
 import superjson from 'superjson'
 import type { HeartbeatAnswer, HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
@@ -12,18 +13,34 @@
   adapters: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.String, Schema.Number, Schema.Number]))
 })
 
+const EvidenceWire = Schema.Struct({
+  origin: Schema.String,
+  version: Schema.Number,
+  suspicions: Schema.Array(Schema.Tuple([
+    Schema.String, Schema.NullOr(Schema.Number), Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number, Schema.Number]))
+  ])),
+  quarantines: Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.Number]))
+})
+
 /** Wire format of a heartbeat. Tuples keep it small, as an instance sends several per second. */
 export const HeartbeatWire = Schema.Struct({
   report: ReportWire,
   configurationVersion: Schema.Number,
   listRevision: Schema.Number,
   heard: Schema.Tuple([Schema.String, Schema.Number]),
+  // Releases before the exchange of crash evidence require this list; it stays empty.
   crashes: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
+  receivedEvidence: Schema.optional(Schema.Tuple([Schema.String, Schema.Number])),
+  evidence: Schema.optional(EvidenceWire),
   news: Schema.NullOr(Schema.String)
 })
 
 /** Wire format of an answer. The view needs no encoding, as it consists of strings and numbers. */
-export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs'> & {
+export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence'> & {
+  /** Empty; releases before the exchange of crash evidence require it. */
+  readonly crashes: readonly []
+  /** Absent if there are no changes or an earlier release answers. */
+  readonly evidence?: EvidenceUpdate
   readonly news: string | null
   /** Null if the holder never read the store. */
   readonly registryAgeMs: number | null
@@ -31,9 +48,12 @@
 
 /** Encodes a heartbeat. */
 export function encodeHeartbeat (request: HeartbeatRequest): typeof HeartbeatWire.Type {
-  const { report, receivedView, update, ...rest } = request
+  const { report, receivedView, receivedEvidence, evidence, update, ...rest } = request
   return {
     ...rest,
+    crashes: [],
+    receivedEvidence: [receivedEvidence.origin, receivedEvidence.version],
+    ...evidence === undefined ? {} : { evidence },
     heard: [receivedView.holder, receivedView.version],
     report: {
       instance: report.instance,
@@ -49,8 +69,16 @@
 
 /** Decodes a heartbeat. */
 export function decodeHeartbeat (wire: typeof HeartbeatWire.Type): HeartbeatRequest {
-  const { report, heard: [holder, version], news, ...rest } = wire
-  return { ...rest, receivedView: { holder, version }, report: _decodeReport(report), update: news === null ? undefined : _decodeUpdate(news) }
+  const { report, heard: [holder, version], receivedEvidence: [origin, evidenceVersion] = ['', 0], configurationVersion, listRevision, news } = wire
+  return {
+    configurationVersion,
+    listRevision,
+    receivedView: { holder, version },
+    receivedEvidence: { origin, version: evidenceVersion },
+    evidence: wire.evidence,
+    report: _decodeReport(report),
+    update: news === null ? undefined : _decodeUpdate(news)
+  }
 }
 
 function _decodeReport (wire: typeof ReportWire.Type): InstanceReport {
@@ -66,14 +94,14 @@
 
 /** Encodes the answer to a heartbeat. */
 export function encodeHeartbeatAnswer (answer: HeartbeatAnswer): AnswerWire {
-  const { update, registryAgeMs, ...rest } = answer
-  return { ...rest, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
+  const { update, registryAgeMs, evidence, ...rest } = answer
+  return { ...rest, crashes: [], ...evidence === undefined ? {} : { evidence }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
 }
 
 /** Decodes the answer to a heartbeat. */
 export function decodeHeartbeatAnswer (wire: AnswerWire): HeartbeatAnswer {
-  const { news, registryAgeMs, ...rest } = wire
-  return { ...rest, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+  const { news, registryAgeMs, crashes: _unused, evidence, ...rest } = wire
+  return { ...rest, evidence, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
 }
 
 function _roundRate (ratePerS: number): number {
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -1,12 +1,11 @@
-import { HashMap } from 'effect'
 import { upstreamUpdateSince } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
 import { fleetView, type Instant, type PlacedEngine } from '@berylshed/scheduler'
-import { instanceReport } from '@berylshed/serving'
+import { evidenceUpdateSince, instanceReport, type EvidenceUpdate } from '@berylshed/serving'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
-import type { ReceivedView, EdgeState } from './edge_state.ts'
-import type { FingerprintCrashes, HeartbeatAnswer, HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
+import type { EvidenceExchange, ReceivedView, EdgeState } from './edge_state.ts'
+import type { HeartbeatAnswer, HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
 
 /** Interval between heartbeats without unmet demand, in ms: the age of an engine's own report. */
 const HEARTBEAT_MS = 200
@@ -14,8 +13,6 @@
 const URGENT_HEARTBEAT_MS = 40
 /** Interval added per instance while requests wait, in ms, which limits the holder to 250 heartbeats per second. */
 const URGENT_MS_PER_INSTANCE = 4
-/** Maximum number of crash counts in one heartbeat. */
-const MAX_REPORTED_CRASHES = 50
 /** Time after which an instance that reported nothing no longer counts, in ms. */
 const INSTANCE_LIFE_MS = 4000
 /**
@@ -35,15 +32,18 @@
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
   const { received, updateWantedSince } = state
+  const evidence = _evidenceUpdate(state, { since: _acknowledgedVersion(state), relay: false, nowMs: at.nowMs })
   const request: HeartbeatRequest = {
     report,
     configurationVersion: state.configuration?.version ?? 0,
     listRevision: state.list?.revision ?? 0,
     receivedView: { holder: received?.view.holder.incarnation ?? '', version: received?.view.version ?? 0 },
-    crashes: _crashes(state),
+    receivedEvidence: { origin: state.evidenceExchange.holder, version: state.evidenceExchange.receivedVersion },
+    evidence,
     update: updateWantedSince === undefined ? undefined : _update(state, { configurationVersion: 0, listRevision: updateWantedSince })
   }
-  return step({ ...next, heartbeatInFlight: true }, [{ subject: 'heartbeat', to, request }])
+  const evidenceExchange = { ...state.evidenceExchange, sentVersion: evidence?.version ?? state.serving.evidence.version }
+  return step({ ...next, heartbeatInFlight: true, evidenceExchange }, [{ subject: 'heartbeat', to, request }])
 }
 
 function _intervalMs (state: EdgeState): number {
@@ -64,14 +64,27 @@
   return newer === undefined && upstreams === undefined ? undefined : { configuration: newer, upstreams }
 }
 
-function _crashes (state: EdgeState): readonly FingerprintCrashes[] {
-  return HashMap.toEntries(state.serving.crashes).slice(-MAX_REPORTED_CRASHES).map(([fingerprint, { crashes }]) => [fingerprint, crashes])
+// A new holder has acknowledged nothing.
+function _acknowledgedVersion (state: EdgeState): number {
+  const { holder, acknowledgedVersion } = state.evidenceExchange
+  return holder === state.scheduler.lease?.holder?.incarnation ? acknowledgedVersion : 0
+}
+
+function _evidenceUpdate (state: EdgeState, options: { readonly since: number, readonly relay: boolean, readonly nowMs: number }): EvidenceUpdate | undefined {
+  const { evidence } = state.serving
+  if (evidence.version <= options.since) return undefined
+  return evidenceUpdateSince(evidence, { origin: state.self.incarnation, ...options }, options)
+}
+
+function _applyEvidence (state: EdgeState, evidence: EvidenceUpdate | undefined, at: Instant): EdgeStep {
+  if (evidence === undefined) return step(state)
+  return applyServingEvent(state, { kind: 'evidence_received', update: evidence, nowMs: at.nowMs })
 }
 
 /** Applies the report in the heartbeat of another instance. */
 export function applyReport (state: EdgeState, request: HeartbeatRequest, at: Instant): EdgeStep {
   const reported = applySchedulerEvent(state, { kind: 'instance_reported', report: request.report, ...at })
-  return chain(reported, (s) => applyServingEvent(s, { kind: 'crashes_received', fingerprints: request.crashes, nowMs: at.nowMs }))
+  return chain(reported, (s) => _applyEvidence(s, request.evidence, at))
 }
 
 /**
@@ -94,7 +107,7 @@
   return {
     view: fleetView(state.scheduler, at, { requester: request.report.instance, since }),
     instances: instancesOf(state, at),
-    crashes: _crashes(state),
+    evidence: _evidenceUpdate(state, { since: request.receivedEvidence.origin === state.self.incarnation ? request.receivedEvidence.version : 0, relay: true, nowMs: at.nowMs }),
     update: _update(state, request),
     wantsNews: (state.configuration?.version ?? 0) < request.configurationVersion || listRevision < request.listRevision,
     listRevision,
@@ -130,12 +143,25 @@
     heartbeatInFlight: false,
     heartbeatAtMs: at.nowMs,
     updateWantedSince: answer.wantsNews ? answer.listRevision : undefined,
-    received: view.validMs > 0 ? _merge(state.received, answer, at) : state.received
+    received: view.validMs > 0 ? _merge(state.received, answer, at) : state.received,
+    evidenceExchange: _exchangeWith(state, answer)
   }
   const extended = chain(step(next, found), (s) => applySchedulerEvent(s, { kind: 'holder_reached', fence: view.fence, validMs: view.validMs, ...at }))
   const targeted = chain(extended, (s) => updateTargets(s, at))
-  const counted = chain(targeted, (s) => applyServingEvent(s, { kind: 'crashes_received', fingerprints: answer.crashes, nowMs: at.nowMs }))
-  return chain(counted, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
+  const informed = chain(targeted, (s) => _applyEvidence(s, answer.evidence, at))
+  return chain(informed, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
+}
+
+function _exchangeWith (state: EdgeState, answer: HeartbeatAnswer): EvidenceExchange {
+  const { evidenceExchange: before } = state
+  const holder = answer.view.holder.incarnation
+  const assumed = state.scheduler.lease?.holder?.incarnation
+  return {
+    ...before,
+    holder,
+    receivedVersion: answer.evidence?.version ?? (before.holder === holder ? before.receivedVersion : 0),
+    acknowledgedVersion: assumed === holder ? before.sentVersion : 0
+  }
 }
 
 // The view lists only the engines changed since the version stated in the heartbeat. A new holder starts from an empty base.
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -20,6 +20,18 @@
   readonly upstreams: number
 }
 
+/** How far this instance and the lease holder have exchanged their crash evidence. */
+export interface EvidenceExchange {
+  /** Incarnation of the holder; empty if there was no exchange. */
+  readonly holder: string
+  /** Version of the holder's evidence that arrived here. */
+  readonly receivedVersion: number
+  /** Version of this instance's evidence that the holder acknowledged. */
+  readonly acknowledgedVersion: number
+  /** Version of this instance's evidence in the heartbeat without an answer. */
+  readonly sentVersion: number
+}
+
 /** State of an entry instance. */
 export interface EdgeState {
   readonly self: Holder
@@ -37,7 +49,8 @@
   /** The holder's list revision if it requested a registry update, otherwise undefined. */
   readonly updateWantedSince: number | undefined
   readonly registryReads: RegistryReads
-  /** Whether demand changed since the last heartbeat, so that the next one is sent without waiting. */
+  readonly evidenceExchange: EvidenceExchange
+  /** Whether demand or crash evidence changed since the last heartbeat, so that the next one is sent without waiting. */
   readonly heartbeatDue: boolean
   /** Counts the updates of the routing targets. */
   readonly targetsVersion: number
@@ -82,6 +95,7 @@
     heartbeatAtMs: -Infinity,
     updateWantedSince: undefined,
     registryReads: { configuration: -Infinity, upstreams: -Infinity },
+    evidenceExchange: { holder: '', receivedVersion: 0, acknowledgedVersion: 0, sentVersion: 0 },
     heartbeatDue: false,
     targetsVersion: 0,
     tickedAt: { nowMs: 0, clockMs: 0 },
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,8 +1,6 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
 import type { FleetView, InstanceReport } from '@berylshed/scheduler'
-
-/** How often a request's fingerprint has crashed upstreams. */
-export type FingerprintCrashes = readonly [fingerprint: string, crashes: number]
+import type { EvidenceUpdate } from '@berylshed/serving'
 
 /** Changes of the registry that one instance relays to another. */
 export interface RegistryUpdate {
@@ -19,7 +17,10 @@
   readonly listRevision: number
   /** Holder and version of the view that the sender received last; an empty name and 0 if there is none. */
   readonly receivedView: { readonly holder: string, readonly version: number }
-  readonly crashes: readonly FingerprintCrashes[]
+  /** Sender and version of the crash evidence that the sender received last; an empty origin and 0 if there is none. */
+  readonly receivedEvidence: { readonly origin: string, readonly version: number }
+  /** Changes of the sender's crash evidence that the holder has not acknowledged. */
+  readonly evidence: EvidenceUpdate | undefined
   /** Registry update, if the holder requested one. */
   readonly update: RegistryUpdate | undefined
 }
@@ -29,7 +30,8 @@
   readonly view: FleetView
   /** Number of instances that share limits, including the holder. */
   readonly instances: number
-  readonly crashes: readonly FingerprintCrashes[]
+  /** Changes of the holder's crash evidence that the sender lacks. */
+  readonly evidence: EvidenceUpdate | undefined
   /** Registry update that the sender lacks. */
   readonly update: RegistryUpdate | undefined
   /** Whether the sender knows something newer and is to send it. */
--- a/packages/edge/peer_heartbeat_test.ts
+++ b/packages/edge/peer_heartbeat_test.ts
@@ -1,51 +1,8 @@
-import { applyRegistrationChanges, NO_UPSTREAMS, type Configuration, type Upstream } from '@berylshed/fleet'
-import type { Instant } from '@berylshed/scheduler'
 import test from 'ava'
 import { decodeHeartbeatAnswer, decodeHeartbeat, encodeHeartbeatAnswer, encodeHeartbeat } from './_heartbeat_codec.ts'
 import { answerHeartbeat, isRegistryRelayed } from './_peer_heartbeat.ts'
-import { newEdgeState, type EdgeState } from './edge_state.ts'
-import type { EdgeEvent } from './edge_event.ts'
 import type { HeartbeatRequest } from './heartbeat.ts'
-import { reduceEdge } from './reduce_edge.ts'
-
-const upstream: Upstream = {
-  id: 'e1', service: 'drafts', address: '10.0.0.1:80', availabilityZone: 'a', incarnation: 1, slots: 16, leaving: false, residents: [{ model: 'm', adapters: [] }], copies: { inMemory: [], onDisk: ['m'] }
-}
-const configuration: Configuration = {
-  version: 4,
-  routes: [],
-  services: new Map([['drafts', { name: 'drafts', engine: { slots: 16, memoryMb: 80, adapterPlaces: 2, loadsPerSecond: 3, models: new Map() } }]]),
-  limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
-}
-
-function at (nowMs: number): Instant {
-  return { nowMs, clockMs: nowMs }
-}
-
-function start (name: string): EdgeState {
-  return newEdgeState({ instance: name, incarnation: name, address: name }, {
-    availabilityZone: 'a', retryBudget: { ratio: 0.2, minRetries: 40, windowMs: 10_000 }, leaseBounds: { enginesCheckFence: true, holderChangeMs: 3000 }
-  })
-}
-
-function apply (state: EdgeState, ...events: readonly EdgeEvent[]): EdgeState {
-  return events.reduce((known, event) => reduceEdge(known, event).state, state)
-}
-
-// Returns a lease holder that last read the store at 1,000 ms.
-function startHolder (): EdgeState {
-  const list = applyRegistrationChanges(NO_UPSTREAMS, [{ id: 'e1', upstream }], { revision: 9 })
-  const known = apply(start('holder'),
-    { subject: 'configured', configuration, from: 'store', at: at(0) },
-    { subject: 'listed', list, at: at(0) },
-    { subject: 'scheduler', event: { kind: 'lease_read', version: 0, lease: undefined, ...at(0) } },
-    { subject: 'tick', at: at(0) })
-  const writeId = known.scheduler.pending?.lease.writeId ?? ''
-  return apply(known,
-    { subject: 'scheduler', event: { kind: 'lease_written', writeId, version: 1, ...at(5) } },
-    { subject: 'registry_read', what: 'configuration', at: at(1000) },
-    { subject: 'registry_read', what: 'upstreams', at: at(1000) })
-}
+import { apply, at, configuration, start, startHolder } from './_test_instances.ts'
 
 function request (changes: Partial<HeartbeatRequest> = {}): HeartbeatRequest {
   return {
@@ -53,7 +10,8 @@
     configurationVersion: 0,
     listRevision: 0,
     receivedView: { holder: '', version: 0 },
-    crashes: [['print', 2]],
+    receivedEvidence: { origin: '', version: 0 },
+    evidence: { origin: 'other', version: 2, suspicions: [['part 5c1e', null, [['print', 'e1#1', 60, 10]]]], quarantines: [['part 91bd', 1, 9000]] },
     update: undefined,
     ...changes
   }
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -1,6 +1,6 @@
 import { applyUpstreamUpdate, buildRouteTable, NO_UPSTREAMS, type Upstream } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
-import { fleetView, type Instant } from '@berylshed/scheduler'
+import { fleetView, type Instant, type SchedulerEvent } from '@berylshed/scheduler'
 import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, instancesOf } from './_peer_heartbeat.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect, EdgeRecord } from './edge_effect.ts'
@@ -30,7 +30,7 @@
 function _reduce (state: EdgeState, event: EdgeEvent): EdgeStep {
   switch (event.subject) {
     case 'serving': return applyServingEvent(state, event.event)
-    case 'scheduler': return applySchedulerEvent(state, event.event)
+    case 'scheduler': return chain(applySchedulerEvent(state, event.event), (s) => _applyLeasedQuarantines(s, event.event))
     case 'configured': return _applyConfiguration(state, event)
     case 'listed': return _applyList(state, event.list, { from: 'store', at: event.at })
     case 'upstreams_updated': return _applyList(state, applyUpstreamUpdate(state.list ?? NO_UPSTREAMS, event.update), { from: 'peer', at: event.at })
@@ -43,6 +43,12 @@
   }
 }
 
+function _applyLeasedQuarantines (state: EdgeState, event: SchedulerEvent): EdgeStep {
+  const quarantines = event.kind === 'lease_read' || event.kind === 'lease_conflicted' ? event.lease?.quarantines ?? [] : []
+  if (quarantines.length === 0) return step(state)
+  return applyServingEvent(state, { kind: 'evidence_received', update: { suspicions: [], quarantines }, nowMs: event.nowMs })
+}
+
 // Derives the wall-clock time from the last tick, so that the reducer stays deterministic.
 function _instantOf (state: EdgeState, event: EdgeEvent): Instant {
   if ('at' in event) return event.at
--- a/packages/scheduler/_hold_lease.ts
+++ b/packages/scheduler/_hold_lease.ts
@@ -1,5 +1,6 @@
 import { step, type Step } from '@berylshed/reducer'
 import type { Lease } from './lease.ts'
+import { quarantineRecords } from './quarantine.ts'
 import type { Instant } from './scheduler_event.ts'
 import type { SchedulerEffect } from './scheduler_effect.ts'
 import type { SchedulerState } from './scheduler_state.ts'
@@ -73,8 +74,8 @@
   return _startWrite(state, { fence: state.held.fence, holder: null }, at)
 }
 
-function _startWrite (state: SchedulerState, lease: Omit<Lease, 'writeId'>, at: Instant): _Step {
-  const newLease: Lease = { ...lease, writeId: `${state.self.incarnation}#${state.nextId}` }
+function _startWrite (state: SchedulerState, lease: Pick<Lease, 'fence' | 'holder'>, at: Instant): _Step {
+  const newLease: Lease = { ...lease, writeId: `${state.self.incarnation}#${state.nextId}`, quarantines: quarantineRecords(state.quarantines, at.nowMs) }
   const expectedVersion = state.leaseVersion ?? 0
   const pending = { lease: newLease, expectedVersion, startedAt: at, retryAtMs: at.nowMs + state.times.writeTimeoutMs }
   return step({ ...state, pending, nextId: state.nextId + 1 }, [{ kind: 'write_lease', expectedVersion, lease: newLease }])
--- a/packages/scheduler/lease.ts
+++ b/packages/scheduler/lease.ts
@@ -1,3 +1,5 @@
+import type { QuarantineRecord } from './quarantine.ts'
+
 /** A process that may hold the lease; the incarnation distinguishes it from earlier processes of the same instance. */
 export interface Holder {
   readonly instance: string
@@ -14,6 +16,8 @@
   readonly holder: Holder | null
   /** Identifies the write, so that its writer recognizes it if the response was lost. */
   readonly writeId: string
+  /** Quarantines that the holder knew of, so that they outlast all processes; absent if an earlier release wrote the lease. */
+  readonly quarantines?: readonly QuarantineRecord[]
 }
 
 /** Timing parameters of the lease. */
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -4,6 +4,7 @@
 import type { Holder, Lease, LeaseTimes } from './lease.ts'
 import type { PlacementPolicy } from './placement_policy.ts'
 import { DemandPolicy } from './plan_orders.ts'
+import type { Quarantine } from './quarantine.ts'
 import type { Instant } from './scheduler_event.ts'
 import { EMPTY_PLACEMENT, type PublishedPlacement } from './published_placement.ts'
 
@@ -47,6 +48,8 @@
   readonly holderRefusesConnections: boolean
   /** Write of the lease without a response. */
   readonly pending: PendingLeaseWrite | undefined
+  /** Quarantines that the next write of the lease includes, by what is banned. */
+  readonly quarantines: ReadonlyMap<string, Quarantine>
   /** Set while this process holds the lease. */
   readonly held: HeldLease | undefined
   readonly lastTick: Instant | undefined
@@ -98,6 +101,7 @@
     holderReachedAtMs: -Infinity,
     holderRefusesConnections: false,
     pending: undefined,
+    quarantines: new Map(),
     held: undefined,
     lastTick: undefined,
     engines: new Map(),
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -1,6 +1,7 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { dequeueRequest, recordAdapterUse, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
+import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
 import { chooseUpstream, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
 import { unmetDemand } from './instance_report.ts'
 import type { RefusalReason } from './refusal.ts'
@@ -48,10 +49,7 @@
   let next = state
   const effects: ServingEffect[] = []
   for (const request of _byUrgency(state, service)) {
-    const search = chooseUpstream(next, request, nowMs)
-    const dispatched = search.kind === 'chosen'
-      ? _send(next, request, { choice: search.choice, nowMs })
-      : _waitOrRefuse(next, request, { search, nowMs })
+    const dispatched = _dispatchRequest(next, request, nowMs)
     next = dispatched.state
     effects.push(...dispatched.effects)
   }
@@ -59,6 +57,25 @@
   return step(reported.state, [...effects, ...reported.effects])
 }
 
+function _dispatchRequest (state: ServingState, request: Request, nowMs: number): _Step {
+  const quarantined = request.phase === 'interrupted' ? undefined : quarantinedKey(state.evidence, request, nowMs)
+  if (quarantined !== undefined) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
+  const search: UpstreamSearch = _isHeldBack(state, request) ? { kind: 'suspected' } : chooseUpstream(state, request, nowMs)
+  if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, nowMs })
+  return _waitOrRefuse(state, request, { search, nowMs })
+}
+
+function _refuseQuarantined (state: ServingState, request: Request, options: { readonly key: string, readonly nowMs: number }): _Step {
+  const { key, nowMs } = options
+  const retryAfterMs = (state.evidence.quarantines.get(key)?.untilMs ?? nowMs) - nowMs
+  return refuseRequest(state, request, { reason: 'suspected_crash', nowMs, detail: key, retryAfterMs })
+}
+
+// A request that may have crashed an upstream waits until the responses to others or further crashes tell whether it did.
+function _isHeldBack (state: ServingState, request: Request): boolean {
+  return request.phase === 'waiting' && request.runs > 0 && hasSuspectedPart(state.evidence, request)
+}
+
 // Orders interrupted streams first, then by priority rank, then by the time at which the latency objective is missed.
 function _byUrgency (state: ServingState, service: string): readonly Request[] {
   const requests = (state.waiting.get(service) ?? []).flatMap((id) => Option.toArray(HashMap.get(state.requests, id)))
@@ -118,6 +135,7 @@
 
 function _refusalReason (state: ServingState, request: Request, search: UpstreamSearch): RefusalReason {
   if (search.kind === 'full') return 'no_capacity'
+  if (search.kind === 'suspected') return 'suspected_crash'
   const offered = [...state.targets.values()].some((target) => target.service === request.service && !target.leaving)
   return offered && request.model !== undefined ? 'no_replica' : 'no_upstream'
 }
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -1,6 +1,7 @@
-import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { enqueueRequest } from './_dispatch_requests.ts'
+import { changeEvidence } from './_change_evidence.ts'
+import { isSuspectedRequest, recordCrash } from './_weigh_evidence.ts'
 import { releaseSlot, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { demandKey, type TargetLoad } from './routing_target.ts'
 import type { RefusalReason } from './refusal.ts'
@@ -20,10 +21,6 @@
 const ABSENT_MS = 400
 /** Maximum number of attempts per request, regardless of their outcome. */
 const MAX_ATTEMPTS = 6
-/** Crashed upstreams from which requests of one fingerprint are refused. */
-export const MAX_CRASHES = 3
-/** Time for which a crash is remembered, in ms; longer than callers keep retrying. */
-const CRASH_RETENTION_MS = 120_000
 
 const REASONS: Readonly<Record<AttemptFailure, RefusalReason>> = {
   not_connected: 'no_upstream',
@@ -63,10 +60,10 @@
     hasErrorResponse: request.hasErrorResponse || failure === 'upstream_error'
   }
   const observed = _observeFailure(putRequest(releaseSlot(state, request, nowMs), next), request, { attempt, failed })
-  const crashed = failure === 'broken' ? _countCrash(observed.state, request.fingerprint, nowMs) : observed.state
+  const blamed = failure === 'broken' && !responding ? _blame(observed.state, request, { attempt, nowMs }) : step<ServingState, ServingEffect>(observed.state)
   const record = requestRecord('failed', next, { nowMs, upstream: attempt.upstream, reason: failure, detail, sending: attempt.number, runs: next.runs, ..._traceFields(request, failed) })
-  const followUp = _retryOrRefuse(crashed, next, failed)
-  return step(followUp.state, [record, ...observed.effects, ...followUp.effects])
+  const followUp = _retryOrRefuse(blamed.state, next, failed)
+  return step(followUp.state, [record, ...observed.effects, ...blamed.effects, ...followUp.effects])
 }
 
 // What requests with failed attempts have in common tells a request that breaks upstreams from an upstream that breaks.
@@ -83,7 +80,7 @@
   if (request.abandoned) return stop(REASONS[failure])
   if (request.runs > 0 && !request.retryable) return stop(REASONS[failure])
   if (request.runs >= request.maxRuns || request.attempts.length >= MAX_ATTEMPTS) return stop(REASONS[failure])
-  if (isSuspected(state, request.fingerprint, nowMs)) return stop('suspected_crash')
+  if (isSuspectedRequest(state.evidence, request)) return stop('suspected_crash')
   const window = state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW
   const arrived = failure !== 'not_connected'
   if (arrived && !isRetryAllowed(window, state.retryBudget, { instances: state.instances, nowMs })) return stop('retry_budget')
@@ -117,18 +114,8 @@
   return { ...load, absentUntilMs: new Map(current).set(demandKey(request.model, request.adapter), nowMs + ABSENT_MS) }
 }
 
-function _countCrash (state: ServingState, fingerprint: string, nowMs: number): ServingState {
-  const known = crashesOf(state, fingerprint, nowMs)
-  return { ...state, crashes: HashMap.set(state.crashes, fingerprint, { crashes: known + 1, atMs: nowMs }) }
-}
-
-/** Returns the number of recent crashes attributed to a fingerprint. */
-export function crashesOf (state: ServingState, fingerprint: string, nowMs: number): number {
-  const known = Option.getOrUndefined(HashMap.get(state.crashes, fingerprint))
-  return known === undefined || nowMs - known.atMs > CRASH_RETENTION_MS ? 0 : known.crashes
-}
-
-/** Reports whether requests with a fingerprint are refused because of suspected crashes. */
-export function isSuspected (state: ServingState, fingerprint: string, nowMs: number): boolean {
-  return crashesOf(state, fingerprint, nowMs) >= MAX_CRASHES
+// Responses that had begun show that an upstream survives the request, so its crash has another cause.
+function _blame (state: ServingState, request: Request, crash: { readonly attempt: Attempt, readonly nowMs: number }): _Step {
+  const incarnation = state.targets.get(crash.attempt.upstream)?.incarnation ?? 0
+  return changeEvidence(state, recordCrash(state.evidence, request, { ...crash, incarnation }), crash.nowMs)
 }
--- a/packages/serving/_test_serving.ts
+++ b/packages/serving/_test_serving.ts
@@ -43,7 +43,7 @@
 /** Runs the reducer of an instance's requests and keeps its state and records. */
 export interface ServingHarness {
   state (): ServingState
-  /** Applies an event and returns a summary of each effect except records. */
+  /** Applies an event and returns a summary of each effect except records and reports to other instances. */
   apply (event: ServingEvent): readonly string[]
   /** Lists the decisions recorded so far, each with its reason. */
   records (): readonly string[]
@@ -57,7 +57,7 @@
     const reduced = reduceServing(state, event)
     state = reduced.state
     for (const effect of reduced.effects) if (effect.kind === 'record') records.push(`${effect.record.what} ${effect.record.reason ?? ''}`.trim())
-    return reduced.effects.filter((effect) => effect.kind !== 'record').map(summarizeEffect)
+    return reduced.effects.filter((effect) => effect.kind !== 'record' && effect.kind !== 'evidence_changed').map(summarizeEffect)
   }
   apply({ kind: 'targets_changed', targets: new Map(targets.map((target) => [target.upstream, target])), loadEstimatesMs: new Map(), version: 1, nowMs: 0 })
   return { state: () => state, apply, records: () => records }
--- /dev/null
+++ b/packages/serving/_weigh_evidence.ts
@@ -0,0 +1,166 @@
+import { combinedKey, countCrashes, crashKeys, isPartKey, isRequestKey, matchesKey, type Crash, type CrashEvidence, type KnownQuarantine, type Suspicion } from './crash_evidence.ts'
+import type { Attempt, ReceivedRequest } from './request.ts'
+
+/** Independent crashes after which a request is quarantined. */
+export const MAX_REQUEST_CRASHES = 3
+/** Independent crashes after which a part is quarantined, together with the parts that were present at the same crashes. */
+export const MAX_PART_CRASHES = 3
+/** Independent crashes after which a request is not sent to another upstream. */
+const MAX_RETRIED_CRASHES = 1
+/** Time after which the evidence of a crash has arrived from all instances, in ms: a heartbeat interval and a round trip. */
+const SETTLE_MS = 250
+/** Duration of the first quarantine, in ms. */
+const QUARANTINE_MS = 120_000
+const MAX_QUARANTINE_MS = 3_600_000
+/** Time for which a crash is remembered, in ms. */
+const CRASH_RETENTION_MS = 120_000
+/** Time for which a cleared suspicion is kept, in ms; longer than a report of the same crash is under way. */
+const CLEARED_RETENTION_MS = 10_000
+const MAX_SUSPICIONS = 1000
+const MAX_QUARANTINES = 250
+/** Maximum number of crashes kept per suspicion; more do not change any decision. */
+const MAX_CRASHES_PER_SUSPICION = 8
+
+/** Records that an upstream broke the connection of an attempt before the response began. */
+export function recordCrash (evidence: CrashEvidence, request: ReceivedRequest, options: { readonly attempt: Attempt, readonly incarnation: number, readonly nowMs: number }): CrashEvidence {
+  const { attempt, incarnation, nowMs } = options
+  const observed = { process: `${attempt.upstream}#${incarnation}`, sentAtMs: attempt.sentAtMs, atMs: nowMs }
+  const added = crashKeys(request).reduce((known, key) => {
+    const source = isPartKey(key) ? request.callerId : `${request.callerId}#${attempt.number}`
+    return addCrashes(known, key, { crashes: [{ ...observed, source }], clearedAtMs: -Infinity, own: true })
+  }, evidence)
+  return quarantineCulprits(_prune(added, nowMs), nowMs)
+}
+
+/** Records that a response began, which clears all that the request shares with others. */
+export function recordResponse (evidence: CrashEvidence, request: ReceivedRequest, nowMs: number): CrashEvidence {
+  if (evidence.suspicions.size === 0 && evidence.quarantines.size === 0) return evidence
+  const keys = crashKeys(request)
+  const cleared = keys.reduce((known, key) => addCrashes(known, key, { crashes: [], clearedAtMs: nowMs, own: true }), evidence)
+  const lifted = [...cleared.quarantines.keys()].filter((key) => matchesKey(keys, key))
+  const rest = lifted.length === 0 ? cleared : { ...cleared, quarantines: _without(cleared.quarantines, lifted) }
+  // A part that had as many crashes as others may now be the only one left.
+  return rest.version === evidence.version ? rest : quarantineCulprits(rest, nowMs)
+}
+
+/** Returns the key for which a request is quarantined, or undefined if it may be sent. */
+export function quarantinedKey (evidence: CrashEvidence, request: ReceivedRequest, nowMs: number): string | undefined {
+  if (evidence.quarantines.size === 0) return undefined
+  const keys = crashKeys(request)
+  return [...evidence.quarantines].find(([key, { untilMs }]) => untilMs > nowMs && matchesKey(keys, key))?.[0]
+}
+
+/** Reports whether upstreams have crashed on a request repeatedly, whatever it shares with others. */
+export function isSuspectedRequest (evidence: CrashEvidence, request: ReceivedRequest): boolean {
+  return crashKeys(request).some((key) => isRequestKey(key) && _crashCount(evidence, key) > MAX_RETRIED_CRASHES)
+}
+
+/** Reports whether upstreams have crashed repeatedly on requests that share a part with this one, and none has responded since. */
+export function hasSuspectedPart (evidence: CrashEvidence, request: ReceivedRequest): boolean {
+  if (evidence.suspicions.size === 0) return false
+  return crashKeys(request).some((key) => isPartKey(key) && _crashCount(evidence, key) > MAX_RETRIED_CRASHES)
+}
+
+// Counts the crashes whose evidence has had time to arrive from all instances.
+function _settledCount (evidence: CrashEvidence, key: string, nowMs: number): number {
+  return countCrashes((evidence.suspicions.get(key)?.crashes ?? []).filter(({ atMs }) => nowMs - atMs >= SETTLE_MS))
+}
+
+function _crashCount (evidence: CrashEvidence, key: string): number {
+  return countCrashes(evidence.suspicions.get(key)?.crashes ?? [])
+}
+
+/** Adds crashes and a response to a suspicion; the result does not depend on the order in which they became known. */
+export function addCrashes (evidence: CrashEvidence, key: string, found: Pick<Suspicion, 'crashes' | 'clearedAtMs' | 'own'>): CrashEvidence {
+  const before = evidence.suspicions.get(key)
+  if (before === undefined && found.crashes.length === 0) return evidence
+  const clearedAtMs = Math.max(before?.clearedAtMs ?? -Infinity, found.clearedAtMs)
+  const known = before?.crashes ?? []
+  const added = found.crashes.filter((crash) => !known.some((other) => _isSame(crash, other)))
+  const crashes = [...known, ...added].filter((crash) => crash.atMs > clearedAtMs).slice(-MAX_CRASHES_PER_SUSPICION)
+  const unchanged = before !== undefined && crashes.length === known.length && crashes.every((crash, i) => crash === known[i])
+  if (unchanged && clearedAtMs === before.clearedAtMs) return evidence
+  const version = unchanged ? evidence.version : evidence.version + 1
+  const next: Suspicion = { crashes, clearedAtMs, version: unchanged ? before.version : version, own: unchanged ? before.own : found.own }
+  return { ...evidence, version, suspicions: new Map(evidence.suspicions).set(key, next) }
+}
+
+function _isSame (a: Crash, b: Crash): boolean {
+  return a.source === b.source && a.process === b.process
+}
+
+/** Quarantines what the crashes are attributed to, and clears the other parts that were present at the crashes of a single part. */
+export function quarantineCulprits (evidence: CrashEvidence, nowMs: number): CrashEvidence {
+  const culprits = _culprits(evidence, nowMs)
+  if (culprits.length === 0) return evidence
+  const version = evidence.version + 1
+  const quarantined = culprits.map((culprit): [string, KnownQuarantine] => {
+    const { key } = culprit
+    const offences = (evidence.quarantines.get(key)?.offences ?? 0) + 1
+    return [key, { offences, untilMs: nowMs + Math.min(MAX_QUARANTINE_MS, QUARANTINE_MS * 2 ** (offences - 1)), version, own: true, crashes: culprit.crashes }]
+  })
+  const imposed: CrashEvidence = { ...evidence, version, quarantines: _limit([...evidence.quarantines, ...quarantined]) }
+  return culprits.filter(({ key }) => isPartKey(key)).reduce((known, { key }) => _clearNeighbours(known, key, nowMs), imposed)
+}
+
+function _limit (quarantines: ReadonlyArray<[string, KnownQuarantine]>): CrashEvidence['quarantines'] {
+  const byKey = new Map(quarantines)
+  if (byKey.size <= MAX_QUARANTINES) return byKey
+  return new Map([...byKey].sort(([, a], [, b]) => b.untilMs - a.untilMs).slice(0, MAX_QUARANTINES))
+}
+
+interface _Culprit {
+  readonly key: string
+  readonly crashes: number
+}
+
+function _culprits (evidence: CrashEvidence, nowMs: number): readonly _Culprit[] {
+  const isFree = (key: string): boolean => (evidence.quarantines.get(key)?.untilMs ?? -Infinity) <= nowMs
+  const counted = [...evidence.suspicions]
+    .filter(([, { crashes }]) => crashes.length > 0)
+    .map(([key, { crashes }]) => ({ key, crashes: countCrashes(crashes) }))
+  const offenders = counted.filter(({ key }) => _isRepeatedOffender(evidence, key, nowMs))
+  const requests = counted.filter(({ key, crashes }) => isRequestKey(key) && crashes >= MAX_REQUEST_CRASHES)
+  const parts = counted.filter(({ key }) => isPartKey(key) && _settledCount(evidence, key, nowMs) >= MAX_PART_CRASHES)
+  const culprits = [...offenders, ...requests, ..._blamedParts(evidence, parts)].filter(({ key }) => isFree(key))
+  return [...new Map(culprits.map((culprit) => [culprit.key, culprit])).values()]
+}
+
+function _isRepeatedOffender (evidence: CrashEvidence, key: string, nowMs: number): boolean {
+  const endedAtMs = evidence.quarantines.get(key)?.untilMs ?? Infinity
+  return endedAtMs <= nowMs && evidence.suspicions.get(key)?.crashes.some(({ atMs }) => atMs > endedAtMs) === true
+}
+
+// Parts that were present at the same crashes cannot be told apart, so that only requests with all of them are blamed.
+function _blamedParts (evidence: CrashEvidence, parts: readonly _Culprit[]): readonly _Culprit[] {
+  return parts.map(({ key, crashes }) => {
+    const processes = _processes(evidence, key)
+    const inseparable = parts.filter((other) => [..._processes(evidence, other.key)].filter((process) => processes.has(process)).length >= MAX_PART_CRASHES)
+    return { key: combinedKey(inseparable.map((part) => part.key)), crashes }
+  })
+}
+
+function _processes (evidence: CrashEvidence, key: string): ReadonlySet<string> {
+  return new Set(evidence.suspicions.get(key)?.crashes.map(({ process }) => process))
+}
+
+function _clearNeighbours (evidence: CrashEvidence, culprit: string, nowMs: number): CrashEvidence {
+  const explained = _processes(evidence, culprit)
+  const neighbours = [...evidence.suspicions].filter(([key, { crashes }]) => key !== culprit && crashes.some(({ process }) => explained.has(process)))
+  return neighbours.reduce((known, [key]) => addCrashes(known, key, { crashes: [], clearedAtMs: nowMs, own: true }), evidence)
+}
+
+function _prune (evidence: CrashEvidence, nowMs: number): CrashEvidence {
+  const kept = [...evidence.suspicions].filter(([, { crashes, clearedAtMs }]) => {
+    return crashes.some(({ atMs }) => nowMs - atMs < CRASH_RETENTION_MS) || nowMs - clearedAtMs < CLEARED_RETENTION_MS
+  })
+  const newest = kept.length <= MAX_SUSPICIONS ? kept : kept.sort(([, a], [, b]) => b.version - a.version).slice(0, MAX_SUSPICIONS)
+  const lapsed = [...evidence.quarantines].filter(([, { untilMs }]) => nowMs - untilMs > MAX_QUARANTINE_MS).map(([key]) => key)
+  return { ...evidence, suspicions: new Map(newest), quarantines: lapsed.length === 0 ? evidence.quarantines : _without(evidence.quarantines, lapsed) }
+}
+
+function _without<T> (map: ReadonlyMap<string, T>, keys: readonly string[]): ReadonlyMap<string, T> {
+  const rest = new Map(map)
+  for (const key of keys) rest.delete(key)
+  return rest
+}
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -25,6 +25,8 @@
   | { readonly kind: 'chosen', readonly choice: UpstreamChoice }
   /** Eligible upstreams exist, but those considered are at capacity. */
   | { readonly kind: 'full' }
+  /** The request may have crashed an upstream, so that no other one is risked for now. */
+  | { readonly kind: 'suspected' }
   /** No upstream is eligible. */
   | { readonly kind: 'absent' }
 
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 export * from './choose_upstream.ts'
+export * from './crash_evidence.ts'
+export * from './evidence_update.ts'
 export * from './instance_report.ts'
 export * from './routing_target.ts'
 export * from './reduce_serving.ts'
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -1,8 +1,11 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
-import { crashesOf, failAttempt, isSuspected } from './_fail_attempt.ts'
+import { changeEvidence } from './_change_evidence.ts'
+import { failAttempt } from './_fail_attempt.ts'
+import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
 import { observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
+import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
@@ -30,7 +33,7 @@
     case 'received': return _admit(state, event.request, event.nowMs)
     case 'targets_changed': return _changeTargets(state, event)
     case 'peer_loads_received': return dispatchAll(_applyPeerLoads(state, event), event.nowMs)
-    case 'crashes_received': return step(_applyCrashes(state, event))
+    case 'evidence_received': return _applyEvidence(state, event)
     case 'models_changed': return step({ ...state, models: event.models })
     case 'shutdown_started': return dispatchAll({ ...state, shuttingDown: true }, event.nowMs)
     case 'ticked': return _tick(state, event.nowMs)
@@ -63,7 +66,6 @@
   }
   const { model, service } = request
   const counted = model === undefined ? state : _countRequest(state, `${service} ${model}`, nowMs)
-  if (isSuspected(state, request.fingerprint, nowMs)) return refuseRequest(counted, request, { reason: 'suspected_crash', nowMs })
   const models = state.models.get(service)
   if (model !== undefined && models !== undefined && !models.has(model)) return refuseRequest(counted, request, { reason: 'unknown_model', nowMs })
   return enqueueRequest(counted, request, nowMs)
@@ -80,7 +82,8 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = _observeSuccess(state, request, event.nowMs)
-  return step(putRequest(observed, { ...request, phase: 'responding', respondingSinceMs: event.nowMs }))
+  const responding = putRequest(observed, { ...request, phase: 'responding', respondingSinceMs: event.nowMs })
+  return changeEvidence(responding, recordResponse(responding.evidence, request, event.nowMs), event.nowMs)
 }
 
 function _observeSuccess (state: ServingState, request: Request, nowMs: number): ServingState {
@@ -98,11 +101,11 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = request.phase === 'responding' ? state : _observeSuccess(state, request, event.nowMs)
-  const cleared = { ...observed, crashes: HashMap.remove(observed.crashes, request.fingerprint) }
-  const removed = removeRequest(cleared, request, event.nowMs)
+  const cleared = changeEvidence(observed, recordResponse(observed.evidence, request, event.nowMs), event.nowMs)
+  const removed = removeRequest(cleared.state, request, event.nowMs)
   const ended = step<ServingState, ServingEffect>(removed, request.abandoned
-    ? []
-    : [{ kind: 'finish', id: request.id }, requestRecord('answered', request, {
+    ? cleared.effects
+    : [...cleared.effects, { kind: 'finish', id: request.id }, requestRecord('answered', request, {
         nowMs: event.nowMs, upstream: attempt.upstream, status: event.status, sending: attempt.number, runs: request.runs
       })])
   return _thenDispatch(ended, request.service, event.nowMs)
@@ -144,16 +147,16 @@
   }, updated)
 }
 
-type _CrashesReceived = Extract<ServingEvent, { kind: 'crashes_received' }>
+type _EvidenceReceived = Extract<ServingEvent, { kind: 'evidence_received' }>
 
-function _applyCrashes (state: ServingState, event: _CrashesReceived): ServingState {
-  return event.fingerprints.reduce((result, [fingerprint, crashes]) => {
-    if (crashesOf(result, fingerprint, event.nowMs) >= crashes) return result
-    return { ...result, crashes: HashMap.set(result.crashes, fingerprint, { crashes, atMs: event.nowMs }) }
-  }, state)
+// The instance that sent the evidence already has it, so that it need not be reported at once.
+function _applyEvidence (state: ServingState, event: _EvidenceReceived): _Step {
+  const changed = changeEvidence(state, applyEvidenceUpdate(state.evidence, event.update, event.nowMs), event.nowMs)
+  return step(changed.state, changed.effects.filter((effect) => effect.kind !== 'evidence_changed'))
 }
 
-// Enforces the deadlines of running requests; dispatching enforces those of waiting requests.
+// Enforces the deadlines of running requests and weighs crashes that have settled; dispatching enforces the deadlines of waiting
+// requests.
 function _tick (state: ServingState, nowMs: number): _Step {
   const overdue = [...HashMap.values(state.requests)].filter((request) => {
     return request.deadlineMs <= nowMs && (request.phase !== 'waiting' || request.abandoned)
@@ -162,6 +165,7 @@
     const refused = refuseRequest(result.state, request, { reason: 'deadline_running', nowMs })
     return step(refused.state, [...result.effects, ...refused.effects])
   }, step(state))
-  const dispatched = dispatchAll(ended.state, nowMs)
-  return step(dispatched.state, [...ended.effects, ...dispatched.effects])
+  const weighed = changeEvidence(ended.state, quarantineCulprits(ended.state.evidence, nowMs), nowMs)
+  const dispatched = dispatchAll(weighed.state, nowMs)
+  return step(dispatched.state, [...ended.effects, ...weighed.effects, ...dispatched.effects])
 }
--- a/packages/serving/reduce_serving_test.ts
+++ b/packages/serving/reduce_serving_test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { newServingHarness, openRequests, testEngineTarget, testTarget, testRequest } from './_test_serving.ts'
-import { MAX_CRASHES } from './_fail_attempt.ts'
+import { MAX_REQUEST_CRASHES } from './_weigh_evidence.ts'
 import { instanceReport } from './instance_report.ts'
 import type { AttemptFailure } from './serving_event.ts'
 
@@ -94,10 +94,10 @@
     const received = harness.apply({ kind: 'received', request: testRequest(`r${i}`, { fingerprint: 'crashing' }), nowMs: i * 100 })
     return [...received, ...harness.apply(failed(`r${i}`, 1, 'broken', i * 100 + 10)), ...harness.apply(failed(`r${i}`, 2, 'broken', i * 100 + 20))].at(-1)
   })
-  t.is(MAX_CRASHES, 3)
+  t.is(MAX_REQUEST_CRASHES, 3)
   t.deepEqual(outcomes, ['refuse r0 502 upstream_broken', 'refuse r1 502 suspected_crash', 'refuse r2 503 suspected_crash not run'])
   const cleared = newServingHarness([testTarget('u1'), testTarget('u2')])
-  cleared.apply({ kind: 'crashes_received', fingerprints: [['fingerprint-r', 2]], nowMs: 0 })
+  cleared.apply({ kind: 'evidence_received', update: { suspicions: [['request fingerprint-r', null, [['x#1', 'u8#1', 20, 10], ['y#1', 'u9#1', 9, 1]]]], quarantines: [] }, nowMs: 0 })
   cleared.apply({ kind: 'received', request: testRequest('r'), nowMs: 0 })
   cleared.apply({ kind: 'response_ended', id: 'r', attempt: 1, status: 200, nowMs: 5 })
   t.deepEqual(cleared.apply({ kind: 'received', request: testRequest('r'), nowMs: 10 }), ['send r#1 to u1'])
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -3,7 +3,7 @@
 
 /** Record of a decision about a request, for logs and counters. */
 export interface ServingRecord {
-  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared'
+  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'quarantined' | 'quarantine_lifted'
   readonly request?: string
   readonly route?: string
   readonly upstream?: string
@@ -24,6 +24,10 @@
   readonly load?: number
   /** Version of the placement on which the decision was based. */
   readonly placement?: number
+  /** How often the same requests were quarantined. */
+  readonly offences?: number
+  /** Independent crashes on which a quarantine is based. */
+  readonly crashes?: number
   /** Number of upstreams that were eligible for the request. */
   readonly candidates?: number
   /** Digest of path, body and caller of a request whose attempt failed. */
@@ -47,4 +51,6 @@
   | { readonly kind: 'abort', readonly id: string }
   /** The models and adapters that requests wait for have changed, and at least one request waits. */
   | { readonly kind: 'demand_changed' }
+  /** This instance observed a crash or a response that changes what other instances should suspect. */
+  | { readonly kind: 'evidence_changed' }
   | { readonly kind: 'record', readonly record: ServingRecord }
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,3 +1,4 @@
+import type { EvidenceUpdate } from './evidence_update.ts'
 import type { RoutingTarget } from './routing_target.ts'
 import type { ReceivedRequest } from './request.ts'
 
@@ -35,7 +36,8 @@
   | { readonly kind: 'caller_left', readonly id: string }
   | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
-  | { readonly kind: 'crashes_received', readonly fingerprints: ReadonlyArray<readonly [fingerprint: string, crashes: number]> }
+  /** Another instance sent changes of its crash evidence, or the lease names quarantines. */
+  | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines'> }
   | { readonly kind: 'models_changed', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
   /** The instance is shutting down; callers of waiting requests can retry at another one. */
   | { readonly kind: 'shutdown_started' }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -1,4 +1,5 @@
 import { HashMap, Option } from 'effect'
+import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
 import type { RetryBudget, RetryWindow } from './retry_window.ts'
@@ -11,13 +12,6 @@
   readonly atMs: number
 }
 
-/** Crashes of upstreams while they ran requests with one fingerprint. */
-export interface CrashCount {
-  readonly crashes: number
-  /** Local time of the last crash, in ms. */
-  readonly atMs: number
-}
-
 /** State of an instance's requests and of the upstreams that serve them. */
 export interface ServingState {
   readonly availabilityZone: string
@@ -37,7 +31,7 @@
   readonly models: ReadonlyMap<string, ReadonlySet<string>>
   readonly loads: HashMap.HashMap<string, TargetLoad>
   readonly retryWindows: ReadonlyMap<string, RetryWindow>
-  readonly crashes: HashMap.HashMap<string, CrashCount>
+  readonly evidence: CrashEvidence
   /** Requests per second by service and model. */
   readonly requestRates: HashMap.HashMap<string, DecayingRate>
   /** Local time of the last use of each adapter on each upstream, in ms, by `adapterKey`. */
@@ -78,7 +72,7 @@
     models: new Map(),
     loads: HashMap.empty(),
     retryWindows: new Map(),
-    crashes: HashMap.empty(),
+    evidence: NO_CRASH_EVIDENCE,
     requestRates: HashMap.empty(),
     adapterUsedAtMs: HashMap.empty(),
     shuttingDown: false,
