Blame a common part alone only when the evidence of a crash has settled

Cause: instances learn of one crash at different moments. One had three crashes of the common part, but only two of the crashing one, whose third report was still under way, so the common part seemed to be the only culprit. Evidence: the quarantined lines of the holder and its peer within 20 ms of each other; crash_evidence_test, "a common part is not quarantined alone", failed before: it returned part common. Change: a part that was at all crashes but one counts as inseparable; a part is blamed alone only for crashes older than 250 ms; they are weighed again at each tick. A cleared or quarantined neighbour no longer leaves the other one as the only culprit. Check replaced: a with three and b with two of the same crashes now means their combination, as the third may be under way; a alone against b with one crash, and with five against three, are checked instead, and the settled moment besides. Conclusion: sound requests keep their service while the evidence is incomplete.

--- a/packages/serving/_weigh_evidence.ts
+++ b/packages/serving/_weigh_evidence.ts
@@ -116,13 +116,12 @@
 
 function _culprits (evidence: CrashEvidence, nowMs: number): readonly _Culprit[] {
   const isFree = (key: string): boolean => (evidence.quarantines.get(key)?.untilMs ?? -Infinity) <= nowMs
-  const counted = [...evidence.suspicions]
-    .filter(([, { crashes }]) => crashes.length > 0)
+  const offenders = [...evidence.quarantines.keys()].filter((key) => _isRepeatedOffender(evidence, key, nowMs)).map((key) => ({ key, crashes: _crashCount(evidence, key) }))
+  const requests = [...evidence.suspicions]
+    .filter(([key, { crashes }]) => crashes.length >= MAX_REQUEST_CRASHES && isRequestKey(key))
     .map(([key, { crashes }]) => ({ key, crashes: countCrashes(crashes) }))
-  const offenders = counted.filter(({ key }) => _isRepeatedOffender(evidence, key, nowMs))
-  const requests = counted.filter(({ key, crashes }) => isRequestKey(key) && crashes >= MAX_REQUEST_CRASHES)
-  const parts = counted.filter(({ key }) => isPartKey(key) && _settledCount(evidence, key, nowMs) >= MAX_PART_CRASHES)
-  const culprits = [...offenders, ...requests, ..._blamedParts(evidence, parts)].filter(({ key }) => isFree(key))
+    .filter(({ crashes }) => crashes >= MAX_REQUEST_CRASHES)
+  const culprits = [...offenders, ...requests, ..._blamedParts(evidence, nowMs)].filter(({ key }) => isFree(key))
   return [...new Map(culprits.map((culprit) => [culprit.key, culprit])).values()]
 }
 
@@ -131,13 +130,30 @@
   return endedAtMs <= nowMs && evidence.suspicions.get(key)?.crashes.some(({ atMs }) => atMs > endedAtMs) === true
 }
 
-// Parts that were present at the same crashes cannot be told apart, so that only requests with all of them are blamed.
-function _blamedParts (evidence: CrashEvidence, parts: readonly _Culprit[]): readonly _Culprit[] {
-  return parts.map(({ key, crashes }) => {
-    const processes = _processes(evidence, key)
-    const inseparable = parts.filter((other) => [..._processes(evidence, other.key)].filter((process) => processes.has(process)).length >= MAX_PART_CRASHES)
-    return { key: combinedKey(inseparable.map((part) => part.key)), crashes }
+// Parts that were present at the same crashes cannot be told apart, so that only requests with all of them are blamed. Evidence
+// of the newest crash may still be under way from other instances, so one crash of difference does not tell parts apart, and a
+// part is blamed alone only for crashes that have settled.
+function _blamedParts (evidence: CrashEvidence, nowMs: number): readonly _Culprit[] {
+  const suspects = [...evidence.suspicions].filter(([key, { crashes }]) => crashes.length >= MAX_PART_CRASHES && isPartKey(key)).map(([key]) => key)
+  const groups = suspects.map((part) => _inseparableParts(evidence, part)).filter(({ crashes }) => crashes >= MAX_PART_CRASHES)
+  const alone = groups.filter(({ members }) => members.length === 1).flatMap(({ members }) => members)
+  const combined = groups.filter(({ members }) => members.length > 1 && !members.some((part) => alone.includes(part)))
+  const settled = groups.filter(({ members }) => members.length === 1 && members.every((part) => _settledCount(evidence, part, nowMs) >= MAX_PART_CRASHES))
+  return [...settled, ...combined].map(({ members, crashes }) => ({ key: combinedKey(members), crashes }))
+}
+
+interface _PartGroup {
+  readonly members: readonly string[]
+  readonly crashes: number
+}
+
+function _inseparableParts (evidence: CrashEvidence, part: string): _PartGroup {
+  const crashes = _crashCount(evidence, part)
+  const processes = _processes(evidence, part)
+  const members = [...evidence.suspicions.keys()].filter((other) => {
+    return isPartKey(other) && [..._processes(evidence, other)].filter((process) => processes.has(process)).length >= crashes - 1
   })
+  return { members, crashes }
 }
 
 function _processes (evidence: CrashEvidence, key: string): ReadonlySet<string> {
