Treat a stream that ends before its first event as broken

What callers would see: a whole, empty 200 where an engine ended while it was about to write, if it answers without a length. Cause: the end of the connection is the end of such an answer, and no event was incomplete. Evidence: forward_attempt_test, "a stream without a length that ends inside an event or before its first one", failed before with ended 200. Change: a stream needs at least one whole event; without one the attempt is broken, and another upstream may be tried.

--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -169,17 +169,20 @@
 
   function relayEvents (incoming: IncomingMessage, head: ResponseHead): void {
     const splitter = createEventSplitter()
+    let hasEvents = false
     incoming.on('data', (chunk: Buffer) => {
       if (settled) return
       const whole = splitter.push(chunk)
       if (whole === undefined) return
+      hasEvents = true
       arm(attempt.eventTimeoutMs, 'silent')
       if (hooks.events(head, whole.bytes, whole.lastId)) return
       paused = true
       incoming.pause()
     })
     incoming.on('end', () => {
-      if (!incoming.complete || splitter.hasPartialEvent()) return fail('broken', 'stream ended prematurely')
+      // Without a length, a stream that was cut before its first event looks like a whole one.
+      if (!incoming.complete || splitter.hasPartialEvent() || !hasEvents) return fail('broken', 'stream ended prematurely')
       whenComplete(incoming, () => hooks.ended(head, undefined))
     })
     incoming.on('error', (error) => fail('broken', error.message))
--- a/packages/edge/forward_attempt_test.ts
+++ b/packages/edge/forward_attempt_test.ts
@@ -69,6 +69,13 @@
   await upstream.close()
 })
 
+test('a stream without a length that ends inside an event or before its first one is broken', async (t) => {
+  const head = `${HEAD}Content-Type: text/event-stream\r\n\r\n`
+  t.is(await outcomeOf(`${head}id: 1\ndata: a\n\n`, 'end'), 'ended 200 "id: 1\\ndata: a\\n\\n"')
+  t.is(await outcomeOf(`${head}id: 1\ndata: a\n\nid: 2\nda`, 'end'), 'broken "id: 1\\ndata: a\\n\\n"')
+  t.is(await outcomeOf(head, 'end'), 'broken ""')
+})
+
 test('each phase of an attempt has its own timeout', async (t) => {
   const silent = await startRawUpstream(() => {})
   t.is((await sendAttempt(silent.port, { firstByteTimeoutMs: 50 })).outcome, 'silent')
