Bound answers without end in a head, an event or a body

What callers would see: an instance that runs out of memory, as an event without end was kept and copied whole at each chunk, and bodies of several requests could add up to more than its memory; a request that may not be retried was held until its deadline by interim responses without end. Cause: only a single collected body had a limit; heads are bounded by Node. Evidence: forward_attempt_test, "bytes without end", did not end within 20 s before. Change: an event has at most 1 MiB and a response at most 16 interim ones; above 48 MiB of collected bodies in all, each may have 256 KiB only. After: each attempt ends as malformed after less than 32 MiB were written.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -140,11 +140,9 @@
   }
 
   function completeAttempt (entry: _OpenExchange, source: _AttemptResponse, body: Buffer | undefined): void {
-    const { response, id } = entry.exchange
+    const { id } = entry.exchange
     entry.running = undefined
     if (body !== undefined) entry.buffered = { head: source.head, body }
-    // A stream without events still has a status and headers to deliver.
-    else if (!response.headersSent) entry.buffered = { head: source.head, body: Buffer.alloc(0) }
     options.dispatch({ kind: 'response_ended', id, attempt: source.attempt, status: source.head.status, nowMs: options.nowMs() })
     removeIfAbandoned(entry)
   }
--- a/packages/edge/_split_events.ts
+++ b/packages/edge/_split_events.ts
@@ -11,8 +11,12 @@
   push (chunk: Buffer): CompleteEvents | undefined
   /** Reports whether an incomplete event is buffered. */
   hasPartialEvent (): boolean
+  /** Reports whether an incomplete event exceeds the maximum size. */
+  isOversize (): boolean
 }
 
+/** Maximum size of an event, in bytes; events hold a few tokens. */
+const MAX_EVENT_BYTES = 1024 * 1024
 const EVENT_END = Buffer.from('\n\n')
 const ID_FIELD = 'id:'
 
@@ -32,7 +36,7 @@
     return { bytes, lastId: _lastId(bytes) }
   }
 
-  return { push, hasPartialEvent: () => partial.length > 0 }
+  return { push, hasPartialEvent: () => partial.length > 0, isOversize: () => partial.length > MAX_EVENT_BYTES }
 }
 
 function _lastId (events: Buffer): string | undefined {
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -6,6 +6,12 @@
 
 /** Maximum size of a buffered response body, in bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+/** Maximum size of a buffered response body while many bytes are buffered, in bytes. */
+const MAX_CONTENDED_RESPONSE_BYTES = 256 * 1024
+/** Size of all buffered response bodies together from which the lower limit applies, in bytes: a tenth of an instance's memory. */
+const CONTENDED_BYTES = 48 * 1024 * 1024
+/** Maximum number of interim responses (status 1xx) to a request. */
+const MAX_INTERIM_RESPONSES = 16
 /** Time after which an idle connection is closed, in ms. Upstreams close idle connections after 1,500 ms or more. */
 const MAX_IDLE_CONNECTION_MS = 1000
 const MAX_IDLE_CONNECTIONS = 64
@@ -76,6 +82,8 @@
 const HALF_OPEN: object = { allowHalfOpen: true }
 /** Opens a connection for each request. */
 const freshConnections = new Agent({ ...HALF_OPEN, keepAlive: false })
+/** Size of the bodies of all responses that are being collected, in bytes. */
+let bufferedBytes = 0
 const keptConnections = new Agent({ ...HALF_OPEN, keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, timeout: MAX_IDLE_CONNECTION_MS })
 
 /**
@@ -144,6 +152,13 @@
     const reused = request.reusedSocket ? ' on a reused connection' : ''
     fail(!connected ? 'not_connected' : _isProtocolError(error) ? 'malformed' : 'broken', `${error.message}${reused}`)
   })
+  let interimResponses = 0
+  const countInterim = (): void => {
+    interimResponses += 1
+    if (interimResponses > MAX_INTERIM_RESPONSES) fail('malformed', `more than ${MAX_INTERIM_RESPONSES} interim responses`)
+  }
+  request.on('information', countInterim)
+  request.on('continue', countInterim)
   request.on('response', (incoming) => {
     response = incoming
     if (!_isFramed(incoming)) cleanEnd = _probeEnd(incoming.socket)
@@ -173,6 +188,7 @@
     incoming.on('data', (chunk: Buffer) => {
       if (settled) return
       const whole = splitter.push(chunk)
+      if (splitter.isOversize()) return fail('malformed', 'event exceeds the maximum size')
       if (whole === undefined) return
       hasEvents = true
       arm(attempt.eventTimeoutMs, 'silent')
@@ -192,10 +208,14 @@
     const chunks: Buffer[] = []
     let bytes = 0
     incoming.on('data', (chunk: Buffer) => {
+      if (settled) return
       bytes += chunk.length
+      bufferedBytes += chunk.length
       chunks.push(chunk)
-      if (bytes > MAX_RESPONSE_BYTES) fail('malformed', `response exceeds ${MAX_RESPONSE_BYTES} bytes`)
+      const limitBytes = bufferedBytes > CONTENDED_BYTES ? MAX_CONTENDED_RESPONSE_BYTES : MAX_RESPONSE_BYTES
+      if (bytes > limitBytes) fail('malformed', `response exceeds ${limitBytes} bytes`)
     })
+    incoming.once('close', () => { bufferedBytes -= bytes })
     incoming.on('end', () => {
       if (!incoming.complete) return fail('broken', 'response body ended prematurely')
       const body = Buffer.concat(chunks)
--- a/packages/edge/forward_attempt_test.ts
+++ b/packages/edge/forward_attempt_test.ts
@@ -1,6 +1,6 @@
 import { Socket } from 'node:net'
 import test from 'ava'
-import { sendAttempt, startRawUpstream } from './_test_upstream.ts'
+import { sendAttempt, startRawUpstream, type RawUpstream } from './_test_upstream.ts'
 
 const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n'
 
@@ -76,6 +76,45 @@
   t.is(await outcomeOf(head, 'end'), 'broken ""')
 })
 
+// Writes without end until the attempt closes its connection, and returns the outcome and the bytes written in MiB.
+async function outcomeOfEndless (start: string, repeated: string): Promise<readonly [outcome: string, mebibytes: number]> {
+  let written = 0
+  const piece = Buffer.from(repeated.repeat(Math.ceil(16_384 / repeated.length)))
+  const closed = new Promise<void>((resolve) => {
+    startRawUpstream((socket) => {
+      socket.once('close', () => resolve())
+      socket.write(start)
+      const flood = (): void => {
+        if (socket.destroyed) return
+        written += piece.length
+        if (socket.write(piece)) setImmediate(flood)
+        else socket.once('drain', flood)
+      }
+      flood()
+    }).then((started) => { sendAttempt(started.port, { firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity }).then((result) => { outcome = result.outcome; upstream = started }) })
+  })
+  let outcome = ''
+  let upstream: RawUpstream | undefined
+  await closed
+  await upstream?.close()
+  return [outcome, Math.round(written / 1024 / 1024)]
+}
+
+test('bytes without end in a head, an interim response, an event or a body end the attempt', async (t) => {
+  const endless = {
+    head: await outcomeOfEndless('HTTP/1.1 200 OK\r\n', 'X-Filler: 0123456789abcdef\r\n'),
+    line: await outcomeOfEndless('HTTP/1.1 200 OK\r\nX: ', 'x'),
+    noise: await outcomeOfEndless('', 'noise'),
+    interim: await outcomeOfEndless('', 'HTTP/1.1 102 Processing\r\n\r\n'),
+    event: await outcomeOfEndless(`${HEAD}Content-Type: text/event-stream\r\n\r\ndata: `, 'x'),
+    body: await outcomeOfEndless(`${HEAD}\r\n`, 'x')
+  }
+  for (const [where, [outcome, mebibytes]] of Object.entries(endless)) {
+    t.is(outcome, 'malformed', where)
+    t.true(mebibytes < 32, `${where}: ${mebibytes} MiB`)
+  }
+})
+
 test('each phase of an attempt has its own timeout', async (t) => {
   const silent = await startRawUpstream(() => {})
   t.is((await sendAttempt(silent.port, { firstByteTimeoutMs: 50 })).outcome, 'silent')
