--- a/packages/edge/forward_attempt_test.ts
+++ b/packages/edge/forward_attempt_test.ts
@@ -1,6 +1,6 @@
 import { Socket } from 'node:net'
 import test from 'ava'
-import { sendAttempt, startRawUpstream, type RawUpstream } from './_test_upstream.ts'
+import { sendAttempt, startRawUpstream } from './_test_upstream.ts'
 
 const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n'
 
@@ -80,23 +80,22 @@
 async function outcomeOfEndless (start: string, repeated: string): Promise<readonly [outcome: string, mebibytes: number]> {
   let written = 0
   const piece = Buffer.from(repeated.repeat(Math.ceil(16_384 / repeated.length)))
-  const closed = new Promise<void>((resolve) => {
-    startRawUpstream((socket) => {
-      socket.once('close', () => resolve())
-      socket.write(start)
-      const flood = (): void => {
-        if (socket.destroyed) return
-        written += piece.length
-        if (socket.write(piece)) setImmediate(flood)
-        else socket.once('drain', flood)
-      }
-      flood()
-    }).then((started) => { sendAttempt(started.port, { firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity }).then((result) => { outcome = result.outcome; upstream = started }) })
+  let close = (): void => {}
+  const closed = new Promise<void>((resolve) => { close = resolve })
+  const upstream = await startRawUpstream((socket) => {
+    socket.once('close', close)
+    socket.write(start)
+    const flood = (): void => {
+      if (socket.destroyed) return
+      written += piece.length
+      if (socket.write(piece)) setImmediate(flood)
+      else socket.once('drain', flood)
+    }
+    flood()
   })
-  let outcome = ''
-  let upstream: RawUpstream | undefined
+  const { outcome } = await sendAttempt(upstream.port, { firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity })
   await closed
-  await upstream?.close()
+  await upstream.close()
   return [outcome, Math.round(written / 1024 / 1024)]
 }
 
