Log the limits that upstreams name in their responses

Cause: the lines could not tell a limit that is not read from one that is kept by each instance alone. Change: the limit is decoded with the other metadata of a response and kept by upstream; a line and a counter tell when one is named, changed or lifted. Rates keep two decimals in the lines. Nothing is limited yet.

--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -41,6 +41,7 @@
   const failedAttempts = new Counter({ name: 'berylshed_failed_sendings_total', help: 'Sendings that failed, by reason', labelNames: ['reason'], registers })
   const avoided = new Counter({ name: 'berylshed_upstreams_avoided_total', help: 'Times that an upstream was avoided, by reason', labelNames: ['reason'], registers })
   const quarantines = new Counter({ name: 'berylshed_quarantines_total', help: 'Requests and parts of prompts that were quarantined as they crash upstreams', labelNames: ['kind'], registers })
+  const limits = new Counter({ name: 'berylshed_upstream_limits_total', help: 'Limits that upstreams named or lifted in their responses', labelNames: ['change'], registers })
   const orders = new Counter({ name: 'berylshed_orders_total', help: 'Orders to engines, by operation and outcome', labelNames: ['operation', 'outcome'], registers })
   const leases = new Counter({ name: 'berylshed_lease_changes_total', help: 'Changes of the lease at this instance', labelNames: ['change'], registers })
   const dependencies = new Counter({ name: 'berylshed_dependency_changes_total', help: 'Dependencies lost and regained', labelNames: ['name', 'change'], registers })
@@ -61,6 +62,8 @@
       case 'broken_off': return brokenOff.inc({ reason })
       case 'left': return callersLeft.inc()
       case 'upstream_avoided': return avoided.inc({ reason })
+      case 'limit_named': return limits.inc({ change: 'named' })
+      case 'limit_lifted': return limits.inc({ change: 'lifted' })
       case 'quarantined': return quarantines.inc({ kind: isRequestKey(reason) ? 'request' : 'part' })
       default:
     }
--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -100,6 +100,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       ..._timeouts(request)
     }, {
+      limit: (perS) => options.dispatch({ kind: 'limit_stated', upstream: effect.upstream, perS, nowMs: options.nowMs() }),
       events: (head, chunk, lastEventId) => relayEvents(entry, { head, attempt }, { chunk, lastEventId }),
       ended: (head, body) => completeAttempt(entry, { head, attempt }, body),
       failed: (failure, detail, errorResponse) => {
--- a/packages/edge/_test_upstream.ts
+++ b/packages/edge/_test_upstream.ts
@@ -60,6 +60,7 @@
       eventTimeoutMs: 2000,
       ...changes
     }, {
+      limit: () => {},
       events: (_head, chunk, id) => {
         passed += chunk.toString()
         lastEventId = id ?? lastEventId
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -56,6 +56,8 @@
 
 /** Callbacks of an attempt. Exactly one of `ended` and `failed` is called unless the attempt is cancelled. */
 export interface AttemptHooks {
+  /** Called for each response to the attempt with the limit on requests per second that the upstream names, if any. */
+  limit (perS: number | undefined): void
   /** Passes on complete events of a stream. Returns false to pause the stream until `resume` is called. */
   events (head: ResponseHead, chunk: Buffer, lastEventId: string | undefined): boolean
   /** Called when the response is complete; `body` is undefined for a stream, whose events were relayed. */
@@ -171,6 +173,7 @@
     const status = incoming.statusCode ?? 0
     const facts = readResponseHeaders(status, incoming.headers)
     if (facts.id !== undefined && facts.id !== attempt.id) return fail('crossed', `response carries attempt id ${facts.id}`)
+    if (facts.id === attempt.id) hooks.limit(facts.requestLimitPerS)
     if (facts.notRun) return fail(facts.misdirected ? 'misdirected' : 'refused', `status ${status}`)
     if (facts.id === undefined) return fail('malformed', `status ${status} without an attempt id`)
     const succeeded = status >= FIRST_SUCCESS && status < FIRST_REDIRECT
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -277,9 +277,12 @@
   }
 }
 
-// Logs times in whole milliseconds.
+/** Log fields that are rates rather than times. */
+const RATE_FIELDS = ['perS']
+
+// Logs times in whole milliseconds and rates with two decimals.
 function _roundNumbers (record: object): Readonly<Record<string, string | number | boolean | undefined>> {
-  return Object.fromEntries(Object.entries(record).map(([key, value]) => [key, typeof value === 'number' ? Math.round(value) : value]))
+  return Object.fromEntries(Object.entries(record).map(([key, value]) => [key, typeof value !== 'number' ? value : RATE_FIELDS.includes(key) ? Math.round(value * 100) / 100 : Math.round(value)]))
 }
 
 function _sleep (durationMs: number): Promise<void> {
--- a/packages/platform/http_headers.ts
+++ b/packages/platform/http_headers.ts
@@ -42,6 +42,8 @@
   readonly signed: boolean
   /** Whether the body has no content encoding, so that it is as the upstream produced it. */
   readonly unencoded: boolean
+  /** Requests per second that the upstream takes from all instances together, if it names a limit. */
+  readonly requestLimitPerS: number | undefined
 }
 
 type _Headers = Readonly<Record<string, string | readonly string[] | undefined>>
@@ -126,7 +128,8 @@
     notRun: misdirected || _firstValue(headers, 'not-executed') !== undefined,
     misdirected,
     signed: _firstValue(headers, 'server-signature') !== undefined,
-    unencoded: (_firstValue(headers, 'content-encoding') ?? 'identity') === 'identity'
+    unencoded: (_firstValue(headers, 'content-encoding') ?? 'identity') === 'identity',
+    requestLimitPerS: _positive(_firstValue(headers, 'server-limit'))
   }
 }
 
--- a/packages/platform/platform_wire_test.ts
+++ b/packages/platform/platform_wire_test.ts
@@ -39,5 +39,7 @@
   t.snapshot({ first: attemptHeaders({ ...attempt, lastEventId: undefined }).join(' '), resumed: attemptHeaders({ ...attempt, lastEventId: '12' }).join(' ') })
   t.deepEqual(readRequestHeaders({ 'attempt-id': 'a1', model: 'm/a1', 'deadline-ms': '250' }), { id: 'a1', model: 'm', adapter: 'a1', callerTimeoutMs: 250, lastEventId: undefined, promptParts: [] })
   t.deepEqual(readRequestHeaders({ 'prompt-prefix': '5c1e07a2:800, 91bd3f06:410,e4402b7d:250' }).promptParts, ['5c1e07a2', '91bd3f06', 'e4402b7d'])
-  t.deepEqual(readResponseHeaders(421, {}), { id: undefined, notRun: true, misdirected: true, signed: false, unencoded: true })
+  t.deepEqual(readResponseHeaders(421, {}), { id: undefined, notRun: true, misdirected: true, signed: false, unencoded: true, requestLimitPerS: undefined })
+  t.is(readResponseHeaders(200, { 'server-limit': '7.25' }).requestLimitPerS, 7.25)
+  t.is(readResponseHeaders(200, { 'server-limit': 'many' }).requestLimitPerS, undefined)
 })
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -3,6 +3,7 @@
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { failAttempt } from './_fail_attempt.ts'
+import { stateLimit } from './_limit_upstreams.ts'
 import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
 import { observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
@@ -34,6 +35,7 @@
     case 'targets_changed': return _changeTargets(state, event)
     case 'peer_loads_received': return dispatchAll(_applyPeerLoads(state, event), event.nowMs)
     case 'evidence_received': return _applyEvidence(state, event)
+    case 'limit_stated': return stateLimit(state, event)
     case 'models_changed': return step({ ...state, models: event.models })
     case 'shutdown_started': return dispatchAll({ ...state, shuttingDown: true }, event.nowMs)
     case 'ticked': return _tick(state, event.nowMs)
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -3,7 +3,7 @@
 
 /** Record of a decision about a request, for logs and counters. */
 export interface ServingRecord {
-  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'quarantined' | 'quarantine_lifted'
+  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
   readonly request?: string
   readonly route?: string
   readonly upstream?: string
@@ -24,6 +24,8 @@
   readonly load?: number
   /** Version of the placement on which the decision was based. */
   readonly placement?: number
+  /** Requests per second that an upstream takes from all instances together. */
+  readonly perS?: number
   /** How often the same requests were quarantined. */
   readonly offences?: number
   /** Independent crashes on which a quarantine is based. */
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -33,6 +33,8 @@
   | { readonly kind: 'response_started', readonly id: string, readonly attempt: number }
   | { readonly kind: 'response_ended', readonly id: string, readonly attempt: number, readonly status: number }
   | { readonly kind: 'attempt_failed', readonly id: string, readonly attempt: number, readonly failure: AttemptFailure, readonly detail: string }
+  /** A response of an upstream names a limit on its requests, or none. */
+  | { readonly kind: 'limit_stated', readonly upstream: string, readonly perS: number | undefined }
   | { readonly kind: 'caller_left', readonly id: string }
   | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -2,6 +2,7 @@
 import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
+import type { UpstreamLimit } from './upstream_limit.ts'
 import type { RetryBudget, RetryWindow } from './retry_window.ts'
 
 /** Rate of events that decays exponentially. */
@@ -30,6 +31,8 @@
   /** Models named by the configuration, by service. */
   readonly models: ReadonlyMap<string, ReadonlySet<string>>
   readonly loads: HashMap.HashMap<string, TargetLoad>
+  /** Limits that upstreams name, and those that they have lifted. */
+  readonly limits: ReadonlyMap<string, UpstreamLimit>
   readonly retryWindows: ReadonlyMap<string, RetryWindow>
   readonly evidence: CrashEvidence
   /** Requests per second by service and model. */
@@ -71,6 +74,7 @@
     estimatedAtMs: -Infinity,
     models: new Map(),
     loads: HashMap.empty(),
+    limits: new Map(),
     retryWindows: new Map(),
     evidence: NO_CRASH_EVIDENCE,
     requestRates: HashMap.empty(),
