Keep the limits that upstreams name, over all instances together

Cause: the limit was passed on and kept by no one; kept by each instance alone, the sum would have been too high all the same. Change: decision 12: statements exchanged by heartbeat, shares divided by the lease holder in proportion to the rates, even spacing. Before: upstream_limit_test failed in all its cases: 76 requests in four seconds where 41 are allowed, 80 with forty instances. After: it passes. Why it works: shares add up to one wherever the holder is known, and equal ones do without it.

--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -32,11 +32,14 @@
   crashes: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
   receivedEvidence: Schema.optional(Schema.Tuple([Schema.String, Schema.Number])),
   evidence: Schema.optional(EvidenceWire),
+  limits: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.NullOr(Schema.Number), Schema.Number]))),
   news: Schema.NullOr(Schema.String)
 })
 
 /** Wire format of an answer. The view needs no encoding, as it consists of strings and numbers. */
-export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence'> & {
+export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits'> & {
+  /** Absent if an earlier release answers. */
+  readonly limits?: HeartbeatAnswer['limits']
   /** Empty; releases before the exchange of crash evidence require it. */
   readonly crashes: readonly []
   /** Absent if there are no changes or an earlier release answers. */
@@ -76,6 +79,7 @@
     receivedView: { holder, version },
     receivedEvidence: { origin, version: evidenceVersion },
     evidence: wire.evidence,
+    limits: wire.limits ?? [],
     report: _decodeReport(report),
     update: news === null ? undefined : _decodeUpdate(news)
   }
@@ -100,8 +104,8 @@
 
 /** Decodes the answer to a heartbeat. */
 export function decodeHeartbeatAnswer (wire: AnswerWire): HeartbeatAnswer {
-  const { news, registryAgeMs, crashes: _unused, evidence, ...rest } = wire
-  return { ...rest, evidence, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+  const { news, registryAgeMs, crashes: _unused, evidence, limits = [], ...rest } = wire
+  return { ...rest, evidence, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
 }
 
 function _roundRate (ratePerS: number): number {
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -1,7 +1,7 @@
 import { upstreamUpdateSince } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
 import { fleetView, type Instant, type PlacedEngine } from '@berylshed/scheduler'
-import { evidenceUpdateSince, instanceReport, type EvidenceUpdate } from '@berylshed/serving'
+import { evidenceUpdateSince, instanceReport, limitRecords, limitShares, type EvidenceUpdate, type LimitRecord, type LimitShare } from '@berylshed/serving'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { EvidenceExchange, ReceivedView, EdgeState } from './edge_state.ts'
@@ -28,7 +28,10 @@
   if (state.heartbeatInFlight || at.nowMs < state.heartbeatAtMs + _intervalMs(state)) return step(state)
   const report = instanceReport(state.serving, state.self, at)
   const next = { ...state, heartbeatDue: false, heartbeatAtMs: at.nowMs }
-  if (state.scheduler.held !== undefined) return applySchedulerEvent(next, { kind: 'instance_reported', report, ...at })
+  if (state.scheduler.held !== undefined) {
+    const reported = applySchedulerEvent(next, { kind: 'instance_reported', report, ...at })
+    return chain(reported, (s) => _applyLimits(s, _limitShares(s, state.self.instance, at), at))
+  }
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
   const { received, updateWantedSince } = state
@@ -40,6 +43,7 @@
     receivedView: { holder: received?.view.holder.incarnation ?? '', version: received?.view.version ?? 0 },
     receivedEvidence: { origin: state.evidenceExchange.holder, version: state.evidenceExchange.receivedVersion },
     evidence,
+    limits: limitRecords(state.serving, at.nowMs),
     update: updateWantedSince === undefined ? undefined : _update(state, { configurationVersion: 0, listRevision: updateWantedSince })
   }
   const evidenceExchange = { ...state.evidenceExchange, sentVersion: evidence?.version ?? state.serving.evidence.version }
@@ -76,6 +80,18 @@
   return evidenceUpdateSince(evidence, { origin: state.self.incarnation, ...options }, options)
 }
 
+function _applyLimits (state: EdgeState, limits: ReadonlyArray<LimitRecord | LimitShare>, at: Instant): EdgeStep {
+  if (limits.length === 0) return step(state)
+  return applyServingEvent(state, { kind: 'limits_received', limits, nowMs: at.nowMs })
+}
+
+function _limitShares (state: EdgeState, instance: string, at: Instant): readonly LimitShare[] {
+  if (state.serving.limits.size === 0) return []
+  const live = [...state.scheduler.reports.values()].filter(({ receivedAtMs }) => at.nowMs - receivedAtMs < INSTANCE_LIFE_MS)
+  const rates = live.map(({ report }) => ({ instance: report.instance, rates: report.requestRates }))
+  return limitShares(state.serving, rates, { instance, nowMs: at.nowMs })
+}
+
 function _applyEvidence (state: EdgeState, evidence: EvidenceUpdate | undefined, at: Instant): EdgeStep {
   if (evidence === undefined) return step(state)
   return applyServingEvent(state, { kind: 'evidence_received', update: evidence, nowMs: at.nowMs })
@@ -84,7 +100,8 @@
 /** Applies the report in the heartbeat of another instance. */
 export function applyReport (state: EdgeState, request: HeartbeatRequest, at: Instant): EdgeStep {
   const reported = applySchedulerEvent(state, { kind: 'instance_reported', report: request.report, ...at })
-  return chain(reported, (s) => _applyEvidence(s, request.evidence, at))
+  const informed = chain(reported, (s) => _applyEvidence(s, request.evidence, at))
+  return chain(informed, (s) => _applyLimits(s, request.limits, at))
 }
 
 /**
@@ -107,6 +124,7 @@
   return {
     view: fleetView(state.scheduler, at, { requester: request.report.instance, since }),
     instances: instancesOf(state, at),
+    limits: _limitShares(state, request.report.instance, at),
     evidence: _evidenceUpdate(state, { since: request.receivedEvidence.origin === state.self.incarnation ? request.receivedEvidence.version : 0, relay: true, nowMs: at.nowMs }),
     update: _update(state, request),
     wantsNews: (state.configuration?.version ?? 0) < request.configurationVersion || listRevision < request.listRevision,
@@ -149,7 +167,8 @@
   const extended = chain(step(next, found), (s) => applySchedulerEvent(s, { kind: 'holder_reached', fence: view.fence, validMs: view.validMs, ...at }))
   const targeted = chain(extended, (s) => updateTargets(s, at))
   const informed = chain(targeted, (s) => _applyEvidence(s, answer.evidence, at))
-  return chain(informed, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
+  const limited = chain(informed, (s) => _applyLimits(s, answer.limits, at))
+  return chain(limited, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
 }
 
 function _exchangeWith (state: EdgeState, answer: HeartbeatAnswer): EvidenceExchange {
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -65,6 +65,8 @@
   /** Limit on retries relative to first attempts. */
   readonly retryBudget: RetryBudget
   readonly leaseBounds: LeaseBounds
+  /** Number between 0 and 1 that differs between instances; 1 by default. */
+  readonly phase?: number
   /** Placement policy; defaults to the one used in production. */
   readonly policy?: PlacementPolicy
 }
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,6 +1,6 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
 import type { FleetView, InstanceReport } from '@berylshed/scheduler'
-import type { EvidenceUpdate } from '@berylshed/serving'
+import type { EvidenceUpdate, LimitRecord, LimitShare } from '@berylshed/serving'
 
 /** Changes of the registry that one instance relays to another. */
 export interface RegistryUpdate {
@@ -21,6 +21,8 @@
   readonly receivedEvidence: { readonly origin: string, readonly version: number }
   /** Changes of the sender's crash evidence that the holder has not acknowledged. */
   readonly evidence: EvidenceUpdate | undefined
+  /** Limits that upstreams have named to the sender. */
+  readonly limits: readonly LimitRecord[]
   /** Registry update, if the holder requested one. */
   readonly update: RegistryUpdate | undefined
 }
@@ -30,6 +32,8 @@
   readonly view: FleetView
   /** Number of instances that share limits, including the holder. */
   readonly instances: number
+  /** Limits of upstreams with the sender's shares. */
+  readonly limits: readonly LimitShare[]
   /** Changes of the holder's crash evidence that the sender lacks. */
   readonly evidence: EvidenceUpdate | undefined
   /** Registry update that the sender lacks. */
--- a/packages/edge/peer_heartbeat_test.ts
+++ b/packages/edge/peer_heartbeat_test.ts
@@ -12,6 +12,7 @@
     receivedView: { holder: '', version: 0 },
     receivedEvidence: { origin: '', version: 0 },
     evidence: { origin: 'other', version: 2, suspicions: [['part 5c1e', null, [['print', 'e1#1', 60, 10]]]], quarantines: [['part 91bd', 1, 9000]] },
+    limits: [['e1', 1, 7.25, 40]],
     update: undefined,
     ...changes
   }
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -74,7 +74,8 @@
     initial: newEdgeState(self, {
       availabilityZone: settings.availabilityZone,
       retryBudget: { ratio: bounds.retryBudgetRatio, minRetries: bounds.freeRetriesPerWindow, windowMs: bounds.retryWindowMs },
-      leaseBounds: bounds
+      leaseBounds: bounds,
+      phase: Math.random()
     }),
     reduce: reduceEdge,
     perform
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -34,6 +34,7 @@
   receivedView: { holder: '', version: 0 },
   receivedEvidence: { origin: '', version: 0 },
   evidence: undefined,
+  limits: [],
   update: undefined
 }
 
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -2,6 +2,7 @@
 import { step, type Step } from '@berylshed/reducer'
 import { dequeueRequest, recordAdapterUse, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
+import { countAgainstLimit } from './_limit_upstreams.ts'
 import { chooseUpstream, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
 import { unmetDemand } from './instance_report.ts'
 import type { RefusalReason } from './refusal.ts'
@@ -100,7 +101,7 @@
   const window = countAttempt(state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW, { isRetry: attempt.number > 1, nowMs })
   const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
   const marked = recordAdapterUse({ ...counted, retryWindows: new Map(counted.retryWindows).set(request.service, window) }, request, { upstream, nowMs })
-  return step(marked, [
+  return step(countAgainstLimit(marked, upstream, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream },
     requestRecord('sent', next, {
       nowMs, upstream, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion
--- a/packages/serving/_test_serving.ts
+++ b/packages/serving/_test_serving.ts
@@ -49,15 +49,17 @@
   records (): readonly string[]
 }
 
+const UNREPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['record', 'evidence_changed', 'limits_changed']
+
 /** Creates a harness for an instance to which the given upstreams are available. */
-export function newServingHarness (targets: readonly RoutingTarget[], retryBudget = { ratio: 0.2, minRetries: 40, windowMs: 10_000 }): ServingHarness {
+export function newServingHarness (targets: readonly RoutingTarget[], retryBudget = { ratio: 0.2, minRetries: 40, windowMs: 10_000 }, phase = 1): ServingHarness {
   const records: string[] = []
-  let state = newServingState({ availabilityZone: 'a', retryBudget })
+  let state = newServingState({ availabilityZone: 'a', retryBudget, phase })
   function apply (event: ServingEvent): readonly string[] {
     const reduced = reduceServing(state, event)
     state = reduced.state
     for (const effect of reduced.effects) if (effect.kind === 'record') records.push(`${effect.record.what} ${effect.record.reason ?? ''}`.trim())
-    return reduced.effects.filter((effect) => effect.kind !== 'record' && effect.kind !== 'evidence_changed').map(summarizeEffect)
+    return reduced.effects.filter((effect) => !UNREPORTED_EFFECTS.includes(effect.kind)).map(summarizeEffect)
   }
   apply({ kind: 'targets_changed', targets: new Map(targets.map((target) => [target.upstream, target])), loadEstimatesMs: new Map(), version: 1, nowMs: 0 })
   return { state: () => state, apply, records: () => records }
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -1,6 +1,7 @@
 import { demandKey, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
+import { isWithinLimit } from './upstream_limit.ts'
 
 /** Maximum number of running and queued requests on a plain upstream, as a multiple of its slots; its own queue holds four. */
 const PLAIN_CAPACITY_FACTOR = 3
@@ -53,7 +54,7 @@
   if (eligible.length === 0) return { kind: 'absent' }
   const untried = eligible.filter((target) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
   const candidates = untried.length > 0 ? untried : eligible
-  const available = candidates.filter((target) => _hasCapacity(target, targetLoad(state, target.upstream)))
+  const available = candidates.filter((target) => _hasCapacity(target, targetLoad(state, target.upstream)) && _mayReceive(state, target, nowMs))
   if (available.length === 0) return { kind: 'full' }
   const medianMs = _medianFirstByteMs(state, available)
   const scored = available
@@ -100,6 +101,11 @@
   return load.ownRequests + load.peerRequests < capacity
 }
 
+function _mayReceive (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
+  const limit = state.limits.get(target.upstream)
+  return limit === undefined || isWithinLimit(limit, nowMs)
+}
+
 function _medianFirstByteMs (state: ServingState, targets: readonly RoutingTarget[]): number {
   const observedMs = targets.map((target) => targetLoad(state, target.upstream).firstByteMs).filter((ms) => ms > 0).sort((a, b) => a - b)
   return observedMs[Math.floor((observedMs.length - 1) / 2)] ?? DEFAULT_FIRST_BYTE_MS
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -3,7 +3,7 @@
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { failAttempt } from './_fail_attempt.ts'
-import { stateLimit } from './_limit_upstreams.ts'
+import { applyLimits, pruneLimits, stateLimit } from './_limit_upstreams.ts'
 import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
 import { observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
@@ -36,6 +36,7 @@
     case 'peer_loads_received': return dispatchAll(_applyPeerLoads(state, event), event.nowMs)
     case 'evidence_received': return _applyEvidence(state, event)
     case 'limit_stated': return stateLimit(state, event)
+    case 'limits_received': return applyLimits(state, event.limits, event.nowMs)
     case 'models_changed': return step({ ...state, models: event.models })
     case 'shutdown_started': return dispatchAll({ ...state, shuttingDown: true }, event.nowMs)
     case 'ticked': return _tick(state, event.nowMs)
@@ -135,7 +136,7 @@
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
     ...load, avoidedUntilMs: -Infinity, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, absentUntilMs: new Map()
   })), changed)
-  return dispatchAll(reset, nowMs)
+  return dispatchAll(pruneLimits(reset), nowMs)
 }
 
 type _PeerLoadsReceived = Extract<ServingEvent, { kind: 'peer_loads_received' }>
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -55,4 +55,6 @@
   | { readonly kind: 'demand_changed' }
   /** This instance observed a crash or a response that changes what other instances should suspect. */
   | { readonly kind: 'evidence_changed' }
+  /** An upstream named, changed or lifted its limit. */
+  | { readonly kind: 'limits_changed' }
   | { readonly kind: 'record', readonly record: ServingRecord }
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,5 +1,6 @@
 import type { EvidenceUpdate } from './evidence_update.ts'
 import type { RoutingTarget } from './routing_target.ts'
+import type { LimitRecord, LimitShare } from './upstream_limit.ts'
 import type { ReceivedRequest } from './request.ts'
 
 /** How an attempt failed. */
@@ -40,6 +41,8 @@
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
   /** Another instance sent changes of its crash evidence, or the lease names quarantines. */
   | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines'> }
+  /** Another instance sent the limits of upstreams; the lease holder adds the shares of this instance. */
+  | { readonly kind: 'limits_received', readonly limits: ReadonlyArray<LimitRecord | LimitShare> }
   | { readonly kind: 'models_changed', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
   /** The instance is shutting down; callers of waiting requests can retry at another one. */
   | { readonly kind: 'shutdown_started' }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -17,6 +17,8 @@
 export interface ServingState {
   readonly availabilityZone: string
   readonly retryBudget: RetryBudget
+  /** Number between 0 and 1 that differs between instances. */
+  readonly phase: number
   /** Number of instances that share the retry budget, including this one. */
   readonly instances: number
   readonly requests: HashMap.HashMap<string, Request>
@@ -49,6 +51,8 @@
 export interface ServingOptions {
   readonly availabilityZone: string
   readonly retryBudget: RetryBudget
+  /** Number between 0 and 1 that differs between instances; 1 by default. */
+  readonly phase?: number
 }
 
 /**
@@ -64,6 +68,7 @@
  */
 export function newServingState (options: ServingOptions): ServingState {
   return {
+    phase: 1,
     ...options,
     instances: 1,
     requests: HashMap.empty(),
