Sum up the rates behind limits once per report of the holder

Cause: the holder summed the rates of all instances for each limited upstream in each answer to a heartbeat; the work grew with the square of the instances, by estimate some percent of a core for 37 instances and 45 limits. A test covers the way of a limit from one instance through the holder to the shares of another. Figures: not measured; the tests of the shares pass unchanged in their bounds. Conclusion: an answer now costs in proportion to the limits and the asking instance's own models.

--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -1,7 +1,7 @@
 import { upstreamUpdateSince } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
-import { fleetView, type Instant, type PlacedEngine } from '@berylshed/scheduler'
-import { evidenceUpdateSince, instanceReport, limitRecords, limitShares, type EvidenceUpdate, type LimitRecord, type LimitShare } from '@berylshed/serving'
+import { fleetView, type InstanceReport, type Instant, type PlacedEngine } from '@berylshed/scheduler'
+import { evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, type EvidenceUpdate, type LimitRecord, type LimitShare } from '@berylshed/serving'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { EvidenceExchange, ReceivedView, EdgeState } from './edge_state.ts'
@@ -30,7 +30,8 @@
   const next = { ...state, heartbeatDue: false, heartbeatAtMs: at.nowMs }
   if (state.scheduler.held !== undefined) {
     const reported = applySchedulerEvent(next, { kind: 'instance_reported', report, ...at })
-    return chain(reported, (s) => _applyLimits(s, _limitShares(s, state.self.instance, at), at))
+    const summed = chain(reported, (s) => step(_sumLimitedRates(s, at)))
+    return chain(summed, (s) => _applyLimits(s, _limitShares(s, report, at), at))
   }
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
@@ -85,11 +86,15 @@
   return applyServingEvent(state, { kind: 'limits_received', limits, nowMs: at.nowMs })
 }
 
-function _limitShares (state: EdgeState, instance: string, at: Instant): readonly LimitShare[] {
-  if (state.serving.limits.size === 0) return []
+// The holder sums up the rates with each report of its own, and divides by them when it answers heartbeats.
+function _sumLimitedRates (state: EdgeState, at: Instant): EdgeState {
+  if (state.serving.limits.size === 0) return state
   const live = [...state.scheduler.reports.values()].filter(({ receivedAtMs }) => at.nowMs - receivedAtMs < INSTANCE_LIFE_MS)
-  const rates = live.map(({ report }) => ({ instance: report.instance, rates: report.requestRates }))
-  return limitShares(state.serving, rates, { instance, nowMs: at.nowMs })
+  return { ...state, limitedRates: limitedRates(state.serving, live.flatMap(({ report }) => report.requestRates)) }
+}
+
+function _limitShares (state: EdgeState, report: InstanceReport, at: Instant): readonly LimitShare[] {
+  return limitShares(state.serving, report.requestRates, { totals: state.limitedRates, instances: instancesOf(state, at), nowMs: at.nowMs })
 }
 
 function _applyEvidence (state: EdgeState, evidence: EvidenceUpdate | undefined, at: Instant): EdgeStep {
@@ -124,7 +129,7 @@
   return {
     view: fleetView(state.scheduler, at, { requester: request.report.instance, since }),
     instances: instancesOf(state, at),
-    limits: _limitShares(state, request.report.instance, at),
+    limits: _limitShares(state, request.report, at),
     evidence: _evidenceUpdate(state, { since: request.receivedEvidence.origin === state.self.incarnation ? request.receivedEvidence.version : 0, relay: true, nowMs: at.nowMs }),
     update: _update(state, request),
     wantsNews: (state.configuration?.version ?? 0) < request.configurationVersion || listRevision < request.listRevision,
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -50,6 +50,8 @@
   readonly updateWantedSince: number | undefined
   readonly registryReads: RegistryReads
   readonly evidenceExchange: EvidenceExchange
+  /** Requests per second of all instances that each limited upstream could serve, as of the holder's last report. */
+  readonly limitedRates: ReadonlyMap<string, number>
   /** Whether demand or crash evidence changed since the last heartbeat, so that the next one is sent without waiting. */
   readonly heartbeatDue: boolean
   /** Counts the updates of the routing targets. */
@@ -98,6 +100,7 @@
     updateWantedSince: undefined,
     registryReads: { configuration: -Infinity, upstreams: -Infinity },
     evidenceExchange: { holder: '', receivedVersion: 0, acknowledgedVersion: 0, sentVersion: 0 },
+    limitedRates: new Map(),
     heartbeatDue: false,
     targetsVersion: 0,
     tickedAt: { nowMs: 0, clockMs: 0 },
--- a/packages/edge/peer_heartbeat_test.ts
+++ b/packages/edge/peer_heartbeat_test.ts
@@ -50,3 +50,12 @@
   const third = request({ report: { ...request().report, instance: 'third' } })
   t.deepEqual(answerHeartbeat(holder, third, at(1200)).view.running, [])
 })
+
+test('an answer carries the limits that other instances were told, with shares by their rates', (t) => {
+  const busy = request({ report: { ...request().report, requestRates: [{ service: 'drafts', model: 'm', ratePerS: 8 }] } })
+  const holder = apply(startHolder(), { subject: 'heartbeat_received', request: busy, at: at(1100) }, { subject: 'tick', at: at(1300) })
+  t.deepEqual(answerHeartbeat(holder, busy, at(1300)).limits, [['e1', 1, 7.25, 240, 0.875]])
+  t.deepEqual(answerHeartbeat(holder, request(), at(1300)).limits, [['e1', 1, 7.25, 240, 0.125]])
+  const follower = apply(start('follower'), { subject: 'heartbeat_answered', answer: answerHeartbeat(holder, busy, at(1300)), at: at(1300) })
+  t.is(follower.serving.limits.get('e1')?.share, 0.875)
+})
--- a/packages/serving/limit_shares.ts
+++ b/packages/serving/limit_shares.ts
@@ -8,12 +8,6 @@
 /** Time for which the end of a limit is reported, in ms; it reaches all instances within a few heartbeats. */
 const LIFTED_RETENTION_MS = 10_000
 
-/** Request rates of one instance. */
-export interface InstanceRates {
-  readonly instance: string
-  readonly rates: readonly RequestRate[]
-}
-
 /**
  * Returns the limits that an instance knows of.
  *
@@ -34,33 +28,57 @@
 }
 
 /**
- * Divides the limits of upstreams between the instances.
+ * Sums up the rates of all instances by limited upstream.
+ *
+ * @param state The lease holder's state of the requests.
+ * @param rates The request rates of all instances, the holder included.
+ * @returns The requests per second that each upstream with a limit could serve.
+ *
+ * @example
+ * ```ts
+ * const totals = limitedRates(state, reports.flatMap(({ requestRates }) => requestRates))
+ * ```
+ */
+export function limitedRates (state: ServingState, rates: readonly RequestRate[]): ReadonlyMap<string, number> {
+  return new Map([...state.limits.keys()].map((upstream) => [upstream, _rateFor(state, upstream, rates)]))
+}
+
+/** Inputs of an instance's shares. */
+export interface ShareOptions {
+  /** Rates of all instances, from {@linkcode limitedRates}. */
+  readonly totals: ReadonlyMap<string, number>
+  /** Number of instances that share the limits. */
+  readonly instances: number
+  readonly nowMs: number
+}
+
+/**
+ * Returns an instance's shares of the limits of upstreams.
  *
  * Callers reach instances unevenly, so most of a limit is divided in proportion to the rates of requests for what the upstream
  * offers.
  *
  * @param state The lease holder's state of the requests.
- * @param instances The rates of all instances, the holder included.
- * @param options The instance whose shares are asked for, and the local time in ms.
+ * @param rates The request rates of the instance.
+ * @param options The rates of all instances, their number and the local time in ms.
  * @returns The limits with the shares of that instance.
  *
  * @example
  * ```ts
- * const shares = limitShares(state, reports, { instance: 'entry-2', nowMs: performance.now() })
+ * const shares = limitShares(state, report.requestRates, { totals, instances: 4, nowMs: performance.now() })
  * ```
  */
-export function limitShares (state: ServingState, instances: readonly InstanceRates[], options: { readonly instance: string, readonly nowMs: number }): readonly LimitShare[] {
+export function limitShares (state: ServingState, rates: readonly RequestRate[], options: ShareOptions): readonly LimitShare[] {
+  const equal = 1 / Math.max(1, options.instances)
   return limitRecords(state, options.nowMs).map((record) => {
-    const rates = instances.map(({ instance, rates }) => ({ instance, perS: _rateFor(state, record[0], rates) }))
-    const total = rates.reduce((sum, { perS }) => sum + perS, 0)
-    const own = rates.find(({ instance }) => instance === options.instance)?.perS ?? 0
-    const equal = 1 / Math.max(1, instances.length)
-    const share = total === 0 ? equal : EQUAL_PART * equal + (1 - EQUAL_PART) * own / total
-    return [...record, share] as const
+    const total = options.totals.get(record[0]) ?? 0
+    if (total === 0) return [...record, equal] as const
+    const own = Math.min(total, _rateFor(state, record[0], rates))
+    return [...record, EQUAL_PART * equal + (1 - EQUAL_PART) * own / total] as const
   })
 }
 
-// Rate of an instance's requests that an upstream could serve.
+// Rate of the requests that an upstream could serve, per second.
 function _rateFor (state: ServingState, upstream: string, rates: readonly RequestRate[]): number {
   const target = state.targets.get(upstream)
   return rates
--- a/packages/serving/upstream_limit_test.ts
+++ b/packages/serving/upstream_limit_test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { limitShares } from './limit_shares.ts'
+import { limitedRates, limitShares } from './limit_shares.ts'
 import { newServingHarness, testEngineTarget, testRequest, type ServingHarness } from './_test_serving.ts'
 import type { LimitShare } from './upstream_limit.ts'
 
@@ -63,8 +63,9 @@
   const rates = [10, 0.5, 0.5, 0]
   const holder = newInstance(1)
   holder.apply({ kind: 'limits_received', limits: [['limited', 1, LIMIT_PER_S, 0]], nowMs: 0 })
-  const reports = rates.map((ratePerS, i) => ({ instance: `i${i}`, rates: [{ service: 'drafts', model: 'm', ratePerS }] }))
-  const shares = rates.map((_, i) => limitShares(holder.state(), reports, { instance: `i${i}`, nowMs: 0 })[0]?.at(-1) ?? 0).map(Number)
+  const reports = rates.map((ratePerS) => [{ service: 'drafts', model: 'm', ratePerS }])
+  const totals = limitedRates(holder.state(), reports.flat())
+  const shares = reports.map((report) => Number(limitShares(holder.state(), report, { totals, instances: 4, nowMs: 0 })[0]?.at(-1)))
   t.true(Math.abs(shares.reduce((sum, share) => sum + share, 0) - 1) < 1e-9)
   const times = sendTimes([0.2, 0.4, 0.6, 0.8].map(newInstance), { rates, seconds: 20, share: (i) => shares[i] ?? 0 })
   t.true(busiestWindow(times, 3000) <= ALLOWED)
