Log the lists and configurations that are ignored as older

Cause: the lines did not tell whether lists were not read, deferred or dropped after the store had been restored. Change: lines `upstreams_ignored` and `configuration_ignored` with both versions; no change of what is decided.

--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -61,7 +61,9 @@
 // Ignores a configuration that is not newer than the one in force, whether it comes from the store or from a peer.
 function _applyConfiguration (state: EdgeState, event: _Configured): EdgeStep {
   const { configuration, at } = event
-  if (state.configuration !== undefined && configuration.version <= state.configuration.version) return step(state)
+  const knownVersion = state.configuration?.version ?? 0
+  if (configuration.version < knownVersion) return _ignored(state, { what: 'configuration_ignored', version: configuration.version, knownVersion, from: event.from })
+  if (state.configuration !== undefined && configuration.version === knownVersion) return step(state)
   const next: EdgeState = { ...state, configuration, routes: buildRouteTable(configuration) }
   const record: EdgeEffect = { subject: 'record', record: { what: 'configuration_in_force', version: configuration.version, from: event.from, count: configuration.routes.length } }
   const models = new Map([...configuration.services].flatMap(([name, { engine }]) => engine === undefined ? [] : [[name, new Set(engine.models.keys())] as const]))
@@ -69,13 +71,19 @@
   return chain(known, (s) => chain(applySchedulerEvent(s, { kind: 'configured', configuration, ...at }), (t) => updateTargets(t, at)))
 }
 
+function _ignored (state: EdgeState, record: EdgeRecord): EdgeStep {
+  return step(state, [{ subject: 'record', record }])
+}
+
 interface _UpdateSource {
   readonly from: 'store' | 'peer'
   readonly at: Instant
 }
 
 function _applyList (state: EdgeState, list: NonNullable<EdgeState['list']>, { from, at }: _UpdateSource): EdgeStep {
-  if (state.list !== undefined && list.revision <= state.list.revision) return step(state)
+  const knownVersion = state.list?.revision ?? 0
+  if (list.revision < knownVersion) return _ignored(state, { what: 'upstreams_ignored', version: list.revision, knownVersion, from })
+  if (state.list !== undefined && list.revision === knownVersion) return step(state)
   const records = _describeChanges(state.list, list).map((record): EdgeEffect => ({ subject: 'record', record: { ...record, version: list.revision, from } }))
   const listed = chain(step({ ...state, list }, records), (s) => applySchedulerEvent(s, { kind: 'listed', list, ...at }))
   return chain(listed, (s) => updateTargets(s, at))
