Order registrations by the era of the store as well as by revision

What callers saw: after the store had come back from a copy, requests went on to upstreams that were leaving or gone (DRAIN). Cause: revisions were taken as an order over the whole life of the store. After a restore they go back, so each instance dropped every list as older until the counter had passed the old value; a watch from a revision that is given out again would have missed changes without any sign. Change: the adapter reads `Store-Era` and makes era and revision one position, which never goes back; all comparisons stay as they are. A watch across eras counts as lost history, a response of an earlier era as none. What was learnt before a restore is kept: an incarnation that drains never stops draining, an upstream that was removed does not return with the copy unless the store changes it or keeps it for longer than a registration lives, and one that joined later is kept until it may have registered again. What falls due waits for a higher position, as others take over no list of the same one. Conclusion: a newer state of the store is always recognised, whatever its revision.

--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -13,6 +13,7 @@
   readonly open: number
   readonly configurationVersion: number
   readonly listRevision: number
+  readonly storeEra: number
   readonly holdsLease: boolean
   readonly fence: number
   readonly viewAgeMs: number
@@ -100,6 +101,7 @@
   gauge('berylshed_open_requests', 'Requests without an outcome', ({ open }) => open)
   gauge('berylshed_configuration_version', 'Version of the configuration in force', ({ configurationVersion }) => configurationVersion)
   gauge('berylshed_registrations_revision', 'Store revision of the list of upstreams', ({ listRevision }) => listRevision)
+  gauge('berylshed_store_era', 'Number of times that the store has been restored from a copy, as of the list of upstreams', ({ storeEra }) => storeEra)
   gauge('berylshed_holds_lease', 'Whether this instance holds the lease', ({ holdsLease }) => Number(holdsLease))
   gauge('berylshed_fence', 'Newest fencing token heard of', ({ fence }) => fence)
   gauge('berylshed_view_age_seconds', 'Age of the newest news from the holder of the lease', ({ viewAgeMs }) => viewAgeMs / MS_PER_SECOND)
--- a/packages/edge/_follow_registry.ts
+++ b/packages/edge/_follow_registry.ts
@@ -1,5 +1,5 @@
-import { diffUpstreams, applyRegistrationChanges, NO_UPSTREAMS, type Configuration, type RegistrationChange, type UpstreamList } from '@berylshed/fleet'
-import type { Registry, RegistryFailure } from '@berylshed/platform'
+import { diffUpstreams, applyRegistrationChanges, NO_UPSTREAMS, storeRevision, type Configuration, type RegistrationChange, type Upstream, type UpstreamList } from '@berylshed/fleet'
+import type { Registry, RegistryFailure, UpstreamListing, RegistrationChanges } from '@berylshed/platform'
 import { Effect } from 'effect'
 import type { Result } from 'neverthrow'
 
@@ -30,11 +30,15 @@
   read (what: 'configuration' | 'upstreams'): void
   lost (what: string, reason: string): void
   regained (what: string): void
+  /** Time after which the store removes the registration of an upstream that has ended, in ms. */
+  readonly registrationTtlMs: number
 }
 
 interface _OutageTracker {
   failed (failure: RegistryFailure): void
   succeeded (): void
+  /** Records a position of the store; the first one of a later era ends an outage, as the store was restored from a copy. */
+  observed (revision: number | undefined): void
   /** Returns the local time at which the last outage ended, in ms; -Infinity if there was none. */
   outageEndedAtMs (): number
 }
@@ -44,6 +48,7 @@
   let failingRevision = 0
   let outageEndedAtMs = -Infinity
   let lossReported = false
+  let newestEra: number | undefined
   return {
     failed: (failure) => {
       if (failingSinceMs === undefined) failingRevision = hooks.newestList()?.revision ?? 0
@@ -59,6 +64,12 @@
       if (lossReported) hooks.regained(what)
       lossReported = false
     },
+    observed: (revision) => {
+      if (revision === undefined) return
+      const { era } = storeRevision(revision)
+      if (newestEra !== undefined && era > newestEra) outageEndedAtMs = hooks.nowMs()
+      newestEra = Math.max(newestEra ?? 0, era)
+    },
     outageEndedAtMs: () => outageEndedAtMs
   }
 }
@@ -89,7 +100,7 @@
       if (result.isErr()) {
         outages.failed(result.error)
         revision = undefined
-        yield * retryDelay(hooks)
+        if (result.error.kind !== 'history_gone') yield * retryDelay(hooks)
         continue
       }
       outages.succeeded()
@@ -109,28 +120,39 @@
     let known: UpstreamList | undefined
     let synchronized = false
     let deferred = deferRemovals(undefined, { changes: [], revision: 0 }, { nowMs: hooks.nowMs(), outageEndedAtMs: -Infinity })
+    let returning: DeferredReturns = new Map()
     while (true) {
+      outages.observed(hooks.newestList()?.revision)
       if (hooks.isRelayed()) {
         synchronized = false
         yield * Effect.sleep(RELAY_POLL_MS)
         continue
       }
       const base = _newer(known, hooks.newestList())
-      const result = yield * toEffect(async () => base === undefined || !synchronized
-        ? (await registry.listUpstreams()).map((list) => ({ revision: list.revision, changes: diffUpstreams(base, list.upstreams) }))
-        : await registry.watchUpstreams({ afterRevision: base.revision, waitMs: deferred.lapsed.size > 0 ? BATCH_MS : WATCH_MS }))
+      const waiting = deferred.lapsed.size > 0 || returning.size > 0
+      const result = yield * toEffect<_RegistryUpdate>(async () => base === undefined || !synchronized
+        ? (await registry.listUpstreams()).map((listing) => ({ revision: listing.revision, changes: diffUpstreams(base, listing.upstreams), listed: listing.upstreams }))
+        : await registry.watchUpstreams({ afterRevision: base.revision, waitMs: waiting ? BATCH_MS : WATCH_MS }))
       if (result.isErr()) {
         outages.failed(result.error)
         synchronized = false
         if (result.error.kind !== 'history_gone') yield * retryDelay(hooks)
         continue
       }
+      const { revision, listed } = result.value
       outages.succeeded()
+      outages.observed(revision)
       hooks.read('upstreams')
       synchronized = true
-      deferred = deferRemovals(deferred, result.value, { nowMs: hooks.nowMs(), outageEndedAtMs: outages.outageEndedAtMs() })
-      const changed = known === undefined || deferred.changes.length > 0
-      known = applyRegistrationChanges(base ?? NO_UPSTREAMS, deferred.changes, { revision: result.value.revision })
+      const nowMs = hooks.nowMs()
+      // Other instances take over only lists of a higher position, so what falls due waits for one.
+      const advanced = revision > (base?.revision ?? 0)
+      deferred = deferRemovals(deferred, result.value, { nowMs, outageEndedAtMs: outages.outageEndedAtMs(), advanced })
+      const applied = applyRegistrationChanges(base ?? NO_UPSTREAMS, deferred.changes, { revision, complete: listed !== undefined })
+      returning = deferReturns(returning, { list: applied, listed, changes: result.value.changes }, { nowMs, ttlMs: hooks.registrationTtlMs })
+      const returned = [...returning].filter(([, { dueMs }]) => advanced && nowMs >= dueMs).map(([id, { upstream }]) => ({ id, upstream }))
+      const changed = known === undefined || deferred.changes.length > 0 || returned.length > 0
+      known = applyRegistrationChanges(applied, returned, { revision })
       if (!changed) continue
       hooks.listed(known)
       yield * Effect.sleep(BATCH_MS)
@@ -138,6 +160,9 @@
   })
 }
 
+/** Changes of the registrations, with the complete listing they were derived from, if any. */
+type _RegistryUpdate = RegistrationChanges & { readonly listed?: UpstreamListing['upstreams'] }
+
 function _newer (a: UpstreamList | undefined, b: UpstreamList | undefined): UpstreamList | undefined {
   if (a === undefined || b === undefined) return a ?? b
   return a.revision >= b.revision ? a : b
@@ -154,6 +179,8 @@
 export interface DeferTimes {
   readonly nowMs: number
   readonly outageEndedAtMs: number
+  /** Whether the store has advanced since the known list, so that changes can fall due; true by default. */
+  readonly advanced?: boolean
 }
 
 /**
@@ -177,9 +204,42 @@
     else changes.push(change)
   }
   for (const [id, dueMs] of lapsed) {
-    if (times.nowMs < dueMs) continue
+    if (times.nowMs < dueMs || times.advanced === false) continue
     lapsed.delete(id)
     changes.push({ id, upstream: undefined })
   }
   return { changes, lapsed }
 }
+
+/** Registrations that a complete list left out, by id, with the local time from which they count, in ms. */
+export type DeferredReturns = ReadonlyMap<string, { readonly upstream: Upstream, readonly dueMs: number }>
+
+/** Registrations as read and as applied. */
+export interface AppliedRegistrations {
+  /** The list after the changes. */
+  readonly list: UpstreamList
+  /** The complete listing that was read, if it was not a watch. */
+  readonly listed: UpstreamListing['upstreams'] | undefined
+  readonly changes: readonly RegistrationChange[]
+}
+
+/** Local time and the time after which the store removes the registration of an upstream that has ended, in ms. */
+export interface ReturnTimes {
+  readonly nowMs: number
+  readonly ttlMs: number
+}
+
+/**
+ * Defers the return of upstreams that were removed before the store was restored from a copy that still lists them.
+ *
+ * The store removes their registrations again if they have ended, so those that remain belong to upstreams that live.
+ */
+export function deferReturns (earlier: DeferredReturns, applied: AppliedRegistrations, times: ReturnTimes): DeferredReturns {
+  const { list, listed, changes } = applied
+  const changed = new Set(listed === undefined ? changes.map(({ id }) => id) : [])
+  const returning = new Map([...earlier].filter(([id]) => !changed.has(id) && !list.upstreams.has(id) && listed?.has(id) !== false))
+  for (const [id, upstream] of listed ?? []) {
+    if (!list.upstreams.has(id) && !returning.has(id)) returning.set(id, { upstream, dueMs: times.nowMs + times.ttlMs })
+  }
+  return returning
+}
--- a/packages/edge/edge_effect.ts
+++ b/packages/edge/edge_effect.ts
@@ -4,8 +4,10 @@
 
 /** Change of the instance's configuration, upstreams or lease holder, for logs. */
 export interface EdgeRecord {
-  readonly what: 'configuration_in_force' | 'configuration_ignored' | 'upstreams_listed' | 'upstreams_ignored' | 'upstream_changed' | 'holder_found'
+  readonly what: 'configuration_in_force' | 'configuration_ignored' | 'upstreams_listed' | 'upstreams_ignored' | 'upstream_changed' | 'store_restored' | 'holder_found'
   readonly version?: number
+  /** How often the store had been restored from a copy before `version`. */
+  readonly era?: number
   /** Version that stays in force because it is newer than `version`. */
   readonly knownVersion?: number
   readonly from?: string
--- a/packages/edge/follow_registry_test.ts
+++ b/packages/edge/follow_registry_test.ts
@@ -65,7 +65,8 @@
       now += 5000
       if (peersUpdated) newest = { ...newest, revision: 7 }
     },
-    regained: () => {}
+    regained: () => {},
+    registrationTtlMs: 3600
   }))
   await new Promise((resolve) => setTimeout(resolve, 1800))
   await Effect.runPromise(Fiber.interrupt(fiber))
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -1,4 +1,4 @@
-import { applyUpstreamUpdate, buildRouteTable, NO_UPSTREAMS, type Upstream } from '@berylshed/fleet'
+import { applyUpstreamUpdate, buildRouteTable, NO_UPSTREAMS, storeRevision, type Upstream } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
 import { fleetView, type Instant, type SchedulerEvent } from '@berylshed/scheduler'
 import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, instancesOf } from './_peer_heartbeat.ts'
@@ -82,17 +82,22 @@
 
 function _applyList (state: EdgeState, list: NonNullable<EdgeState['list']>, { from, at }: _UpdateSource): EdgeStep {
   const knownVersion = state.list?.revision ?? 0
-  if (list.revision < knownVersion) return _ignored(state, { what: 'upstreams_ignored', version: list.revision, knownVersion, from })
+  if (list.revision < knownVersion) {
+    const ignored = storeRevision(list.revision)
+    return _ignored(state, { what: 'upstreams_ignored', version: ignored.revision, era: ignored.era, knownVersion: storeRevision(knownVersion).revision, from })
+  }
   if (state.list !== undefined && list.revision === knownVersion) return step(state)
-  const records = _describeChanges(state.list, list).map((record): EdgeEffect => ({ subject: 'record', record: { ...record, version: list.revision, from } }))
+  const { era, revision } = storeRevision(list.revision)
+  const records = _describeChanges(state.list, list).map((record): EdgeEffect => ({ subject: 'record', record: { ...record, version: revision, era, from } }))
   const listed = chain(step({ ...state, list }, records), (s) => applySchedulerEvent(s, { kind: 'listed', list, ...at }))
   return chain(listed, (s) => updateTargets(s, at))
 }
 
 function _describeChanges (before: EdgeState['list'], after: NonNullable<EdgeState['list']>): readonly EdgeRecord[] {
   if (before === undefined) return [{ what: 'upstreams_listed', count: after.upstreams.size }]
+  const restored: readonly EdgeRecord[] = storeRevision(after.revision).era > storeRevision(before.revision).era ? [{ what: 'store_restored', count: after.upstreams.size }] : []
   const changed = [...after.changedAt].filter(([, revision]) => revision > before.revision)
-  return changed.map(([id]) => ({ what: 'upstream_changed', upstream: id, outcome: _describeChange(before.upstreams.get(id), after.upstreams.get(id)) }))
+  return [...restored, ...changed.map(([id]): EdgeRecord => ({ what: 'upstream_changed', upstream: id, outcome: _describeChange(before.upstreams.get(id), after.upstreams.get(id)) }))]
 }
 
 function _describeChange (before: Upstream | undefined, after: Upstream | undefined): string {
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { createServer } from 'node:http'
+import { storeRevision } from '@berylshed/fleet'
 import type { EngineControl, HostSettings, Registry, Store } from '@berylshed/platform'
 import { createEventLoop } from '@berylshed/reducer'
 import type { Instant, Lease, OrderOutcome, SchedulerEffect } from '@berylshed/scheduler'
@@ -31,6 +32,8 @@
 /** Part of the grace period reserved for the exit of the process, in ms. */
 const EXIT_RESERVE_MS = 700
 const DRAIN_POLL_MS = 50
+/** Time after the end of a registration's validity until its removal is known, in ms: one watch and some delay. */
+const REMOVAL_DELAY_MS = 1000
 
 /** Platform services and logger that an instance uses. */
 export interface EdgeDependencies {
@@ -208,6 +211,7 @@
 
   const hooks: RegistryHooks = {
     nowMs,
+    registrationTtlMs: bounds.registrationTtlMs + REMOVAL_DELAY_MS,
     random: () => Math.random(),
     configured: (configuration) => applyConfiguration(configuration, 'store'),
     listed: (list) => loop.dispatch({ subject: 'listed', list, at: at() }),
@@ -270,7 +274,8 @@
     waiting: [...state.serving.waiting.values()].reduce((sum, queue) => sum + queue.length, 0),
     open: HashMap.size(state.serving.requests),
     configurationVersion: state.configuration?.version ?? 0,
-    listRevision: state.list?.revision ?? 0,
+    listRevision: storeRevision(state.list?.revision ?? 0).revision,
+    storeEra: storeRevision(state.list?.revision ?? 0).era,
     holdsLease: state.scheduler.held !== undefined,
     fence: state.scheduler.held?.fence ?? state.received?.view.fence ?? 0,
     viewAgeMs: state.scheduler.held !== undefined || state.received === undefined ? 0 : now.nowMs - state.received.receivedAtMs,
--- a/packages/edge/run_edge_test.ts
+++ b/packages/edge/run_edge_test.ts
@@ -115,7 +115,7 @@
     metricsAddress: `127.0.0.1:${metrics}`,
     storeAddress: '',
     bounds: {
-      upstreamDrainMs: 2000, configurationMs: 2000, shutdownGraceMs: 8000, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000
+      upstreamDrainMs: 2000, registrationTtlMs: 3600, configurationMs: 2000, shutdownGraceMs: 8000, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000
     }
   }
   const logger = { write: () => {}, dropped: () => 0, end: async () => {} }
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -11,7 +11,7 @@
 import type { Model, UpstreamList } from '@berylshed/fleet'
 
 function listOf (engine: string): UpstreamList {
-  return { revision: 10, upstreams: new Map([[engine, { ...upstream, id: engine }]]), changedAt: new Map([[engine, 10]]), completeSince: 0 }
+  return { revision: 10, upstreams: new Map([[engine, { ...upstream, id: engine }]]), changedAt: new Map([[engine, 10]]), completeSince: 0, removed: new Map() }
 }
 
 const model: Model = { name: 'm', memoryMb: 10, storeLoadMs: 6000, diskLoadMs: 500, memoryLoadMs: 300, adapterMb: 1 }
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -5,5 +5,6 @@
  */
 export * from './configuration.ts'
 export * from './match_route.ts'
+export * from './store_position.ts'
 export * from './upstream.ts'
 export * from './upstream_list.ts'
--- a/packages/fleet/upstream_list.ts
+++ b/packages/fleet/upstream_list.ts
@@ -1,18 +1,28 @@
+import { storeRevision } from './store_position.ts'
 import type { Upstream } from './upstream.ts'
 
-/** The registered upstreams at one revision of the platform's store. */
+/** The registered upstreams at one position in the history of the platform's store. */
 export interface UpstreamList {
-  /** Store revision of the list; higher revisions are newer. */
+  /** Position of the list; higher positions are newer. */
   readonly revision: number
   readonly upstreams: ReadonlyMap<string, Upstream>
-  /** Revision of the last change that affects routing, by upstream id; includes removed upstreams. */
+  /** Position of the last change that affects routing, by upstream id; includes removed upstreams. */
   readonly changedAt: ReadonlyMap<string, number>
-  /** Revision after which `changedAt` records every change. */
+  /** Position after which `changedAt` records every change. */
   readonly completeSince: number
+  /** Removed upstreams, by id. */
+  readonly removed: ReadonlyMap<string, Removal>
+}
+
+/** Removal of an upstream's registration. */
+export interface Removal {
+  readonly incarnation: number
+  /** Position in the history of the store at which the removal was known. */
+  readonly revision: number
 }
 
 /** An empty list that is older than any other list. */
-export const NO_UPSTREAMS: UpstreamList = { revision: 0, upstreams: new Map(), changedAt: new Map(), completeSince: Infinity }
+export const NO_UPSTREAMS: UpstreamList = { revision: 0, upstreams: new Map(), changedAt: new Map(), completeSince: Infinity, removed: new Map() }
 
 /** A change of one registration; `upstream` is undefined if the registration was removed or cannot be decoded. */
 export interface RegistrationChange {
@@ -22,21 +32,31 @@
 
 /** Registration changes that one instance sends to another. */
 export interface UpstreamUpdate {
-  /** Store revision after the changes. */
+  /** Position in the history of the store after the changes. */
   readonly revision: number
   /** Whether the changes contain every registered upstream. */
   readonly complete: boolean
   readonly changes: readonly RegistrationChange[]
 }
 
+/** Options of {@linkcode applyRegistrationChanges}. */
+export interface RegistrationChangeOptions {
+  /** Position in the history of the store after the changes. */
+  readonly revision: number
+  /** Whether the changes contain every registered upstream; false by default. */
+  readonly complete?: boolean
+}
+
 /**
  * Applies registration changes to a list of upstreams.
  *
- * A registration of an earlier incarnation never replaces one of a later incarnation.
+ * A registration of an earlier incarnation never replaces one of a later incarnation, and an incarnation that drains never
+ * stops draining. A store that was restored from a copy may list upstreams that were removed after the copy; a complete list
+ * leaves them out, a later change brings them back.
  *
  * @param list The current list.
  * @param changes The changes, in order.
- * @param options The store revision after the changes.
+ * @param options The position in the history of the store after the changes, and whether they contain every registration.
  * @returns The list after the changes.
  *
  * @example
@@ -47,18 +67,36 @@
 export function applyRegistrationChanges (
   list: UpstreamList,
   changes: readonly RegistrationChange[],
-  options: { readonly revision: number }
+  options: RegistrationChangeOptions
 ): UpstreamList {
-  const { revision } = options
+  const { revision, complete = false } = options
+  const restored = list !== NO_UPSTREAMS && storeRevision(revision).era > storeRevision(list.revision).era
   const upstreams = new Map(list.upstreams)
   const changedAt = new Map(list.changedAt)
+  const removed = new Map(list.removed)
   for (const { id, upstream } of changes) {
     const known = upstreams.get(id)
-    if (upstream === undefined) upstreams.delete(id)
-    else if ((known?.incarnation ?? 0) <= upstream.incarnation) upstreams.set(id, upstream)
+    if (upstream === undefined) {
+      if (known !== undefined) removed.set(id, { incarnation: known.incarnation, revision })
+      upstreams.delete(id)
+    } else if (!(complete && _removedBeforeRestore(list, upstream, revision)) && (known?.incarnation ?? 0) <= upstream.incarnation) {
+      removed.delete(id)
+      upstreams.set(id, _keepDraining(known, upstream))
+    }
     if (!_isSameForRouting(known, upstreams.get(id))) changedAt.set(id, revision)
   }
-  return { revision, upstreams, changedAt, completeSince: Math.min(list.completeSince, revision) }
+  // Instances with a list from before a restore need the whole list, as their changes may differ from those known here.
+  return { revision, upstreams, changedAt, completeSince: restored ? revision : Math.min(list.completeSince, revision), removed }
+}
+
+function _removedBeforeRestore (list: UpstreamList, upstream: Upstream, revision: number): boolean {
+  const removal = list.removed.get(upstream.id)
+  if (removal === undefined || removal.incarnation < upstream.incarnation) return false
+  return storeRevision(removal.revision).era < storeRevision(revision).era
+}
+
+function _keepDraining (known: Upstream | undefined, upstream: Upstream): Upstream {
+  return known?.leaving === true && known.incarnation === upstream.incarnation ? { ...upstream, leaving: true } : upstream
 }
 
 // Loaded models are ignored: the lease holder publishes them, and they change too often to be sent with the registrations.
@@ -118,5 +156,5 @@
 export function applyUpstreamUpdate (list: UpstreamList, update: UpstreamUpdate): UpstreamList {
   if (update.revision <= list.revision) return list
   const listed = new Map(update.changes.flatMap(({ id, upstream }) => upstream === undefined ? [] : [[id, upstream] as const]))
-  return applyRegistrationChanges(list, update.complete ? diffUpstreams(list, listed) : update.changes, { revision: update.revision })
+  return applyRegistrationChanges(list, update.complete ? diffUpstreams(list, listed) : update.changes, update)
 }
--- a/packages/platform/host_settings.ts
+++ b/packages/platform/host_settings.ts
@@ -6,6 +6,8 @@
 export interface PlatformBounds {
   /** Time after an upstream leaves within which it must stop receiving work, in ms. */
   readonly upstreamDrainMs: number
+  /** Time without a heartbeat of an upstream after which the store removes its registration, in ms. */
+  readonly registrationTtlMs: number
   /** Time within which a new configuration must take effect, in ms. */
   readonly configurationMs: number
   /** Time between the request to stop and the forced termination of the process, in ms. */
@@ -46,6 +48,8 @@
   // `Front` accepts callers, `Ready` the load balancer, `Control` the other instances.
   Listen: Schema.Struct({ Front: Schema.NonEmptyString, Ready: Schema.NonEmptyString, Control: Schema.NonEmptyString }),
   InternalPorts: Schema.Tuple([Schema.Int, Schema.Int]),
+  // Interval between the heartbeats of an upstream to the store.
+  HeartbeatMs: Schema.optionalKey(Schema.Number),
   Bounds: Schema.Struct({
     DrainMs: Schema.Number,
     ConfigMs: Schema.Number,
@@ -60,6 +64,10 @@
 })
 
 const MS_PER_SECOND = 1000
+/** Default interval between the heartbeats of an upstream, in ms; the one of all deployments so far. */
+const DEFAULT_HEARTBEAT_MS = 1200
+/** Missed heartbeats after which the store removes a registration. */
+const MAX_MISSED_HEARTBEATS = 3
 
 /**
  * Parses the settings file that the platform provides to a process.
@@ -86,6 +94,7 @@
     storeAddress: wire.Platform.Address,
     bounds: {
       upstreamDrainMs: wire.Bounds.DrainMs,
+      registrationTtlMs: MAX_MISSED_HEARTBEATS * (wire.HeartbeatMs ?? DEFAULT_HEARTBEAT_MS),
       configurationMs: wire.Bounds.ConfigMs,
       shutdownGraceMs: wire.Bounds.GraceS * MS_PER_SECOND,
       retryBudgetRatio: wire.Bounds.RetryBudgetRatio,
--- a/packages/platform/http_call.ts
+++ b/packages/platform/http_call.ts
@@ -1,4 +1,4 @@
-import { Agent, request as httpRequest, type OutgoingHttpHeaders } from 'node:http'
+import { Agent, request as httpRequest, type IncomingHttpHeaders, type OutgoingHttpHeaders } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
 
 /** An HTTP call with a limit on its duration and on the size of the response body. */
@@ -16,6 +16,8 @@
 /** A complete HTTP response. */
 export interface HttpResponse {
   readonly status: number
+  /** Headers, by name in lower case. */
+  readonly headers: IncomingHttpHeaders
   readonly body: string
 }
 
@@ -66,7 +68,7 @@
       response.on('end', () => {
         clearTimeout(timer)
         if (!response.complete) return fail('broken', `Response from ${call.url} ended before it was complete`)
-        resolve(ok({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString('utf8') }))
+        resolve(ok({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks).toString('utf8') }))
       })
       response.on('error', (error) => fail('broken', error.message))
     })
--- a/packages/platform/http_headers.ts
+++ b/packages/platform/http_headers.ts
@@ -133,6 +133,22 @@
   }
 }
 
+/**
+ * Reads how often the store has been restored from a copy.
+ *
+ * @param headers The headers of a response of the store, in lower case.
+ * @returns The era, or undefined if the store does not report it.
+ *
+ * @example
+ * ```ts
+ * console.log(readStoreEra({ 'store-era': '2' })) // 2
+ * ```
+ */
+export function readStoreEra (headers: _Headers): number | undefined {
+  const era = Number(_firstValue(headers, 'store-era'))
+  return Number.isSafeInteger(era) && era >= 0 ? era : undefined
+}
+
 /**
  * Returns the response headers to forward to the caller, without hop-by-hop headers.
  *
--- a/packages/platform/platform_store.ts
+++ b/packages/platform/platform_store.ts
@@ -1,5 +1,5 @@
 import { Agent } from 'node:http'
-import type { RegistrationChange } from '@berylshed/fleet'
+import { storePosition, storeRevision, type RegistrationChange } from '@berylshed/fleet'
 import { checkDocument, formatFinding, type Finding } from '@berylshed/settings'
 import type { Schema } from 'effect'
 import { err, ok, type Result } from 'neverthrow'
@@ -7,6 +7,7 @@
 import { decodeUpstream } from './_decode_upstream.ts'
 import { WireEvents, WireObject, WirePage } from './_wire_object.ts'
 import { httpCall, type HttpResponse } from './http_call.ts'
+import { readStoreEra } from './http_headers.ts'
 import { Registry, type RegisteredConfiguration, type RegistrationChanges, type RegistryFailure, type RegistryWatch, type UpstreamListing } from './registry.ts'
 import { Store, type StoredObject, type StoreFailure, type Update, type UpdateFailure, type WatchOptions } from './store.ts'
 
@@ -36,11 +37,18 @@
 
 type _WireObject = typeof WireObject.Type
 
+/** A response of the store, of any status. */
+export interface StoreResponse extends HttpResponse {
+  /** How often the store had been restored from a copy when it responded. */
+  readonly era: number
+}
+
 /** Client of the platform's store, which holds the process's own objects, the configuration and the registrations. */
 export class PlatformStore extends Store {
   readonly #address: string
   readonly #onUnreadableEntry: (findings: readonly string[]) => void
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 16 })
+  #era = 0
 
   /** Registry that reads the configuration and the registrations from the store. */
   readonly registry: Registry
@@ -67,7 +75,7 @@
     const name = key.split('/').at(-1) ?? key
     const kind = key.slice(0, key.length - name.length - 1)
     const exists = update.expectedVersion > 0
-    const metadata = exists ? { Name: name, Revision: update.expectedVersion } : { Name: name }
+    const metadata = exists ? { Name: name, Revision: storeRevision(update.expectedVersion).revision } : { Name: name }
     const body = JSON.stringify({ Metadata: metadata, Spec: JSON.parse(update.value) })
     const response = await (exists ? this.request('PUT', `/objects/${key}`, body) : this.request('POST', `/objects/${kind}`, body))
     if (response.isErr()) return err({ kind: 'unknown', message: response.error.message })
@@ -92,7 +100,7 @@
    * @param body The request body, if any.
    * @returns The response with any status, or a failure if there is no complete response.
    */
-  async request (method: 'GET' | 'PUT' | 'POST', path: string, body?: string): Promise<Result<HttpResponse, StoreFailure>> {
+  async request (method: 'GET' | 'PUT' | 'POST', path: string, body?: string): Promise<Result<StoreResponse, StoreFailure>> {
     return await this.#send({ method, path, body, timeoutMs: CALL_TIMEOUT_MS, agent: this.#agent })
   }
 
@@ -103,7 +111,7 @@
    * @param waitMs Maximum time for which the store holds the call, in ms.
    * @returns The response with any status, or a failure if there is no complete response.
    */
-  async longPoll (path: string, waitMs: number): Promise<Result<HttpResponse, StoreFailure>> {
+  async longPoll (path: string, waitMs: number): Promise<Result<StoreResponse, StoreFailure>> {
     return await this.#send({ method: 'GET', path, body: undefined, timeoutMs: waitMs + WATCH_GRACE_MS, agent: this.#agent })
   }
 
@@ -116,7 +124,7 @@
     this.#onUnreadableEntry(findings.map(formatFinding))
   }
 
-  async #send (call: _Call): Promise<Result<HttpResponse, StoreFailure>> {
+  async #send (call: _Call): Promise<Result<StoreResponse, StoreFailure>> {
     const response = await httpCall({
       method: call.method,
       url: `http://${this.#address}${call.path}`,
@@ -124,20 +132,24 @@
       agent: call.agent,
       ...call.body === undefined ? {} : { body: call.body, headers: { 'content-type': 'application/json' } }
     })
-    return response.mapErr(({ message }) => ({ kind: 'unavailable', message }))
+    if (response.isErr()) return err({ kind: 'unavailable', message: response.error.message })
+    const era = readStoreEra(response.value.headers) ?? this.#era
+    if (era < this.#era) return err({ kind: 'unavailable', message: `Store responded from era ${era} after era ${this.#era}` })
+    this.#era = era
+    return ok({ ...response.value, era })
   }
 
-  async #resolveConflict (key: string, response: HttpResponse): Promise<Result<number, UpdateFailure>> {
+  async #resolveConflict (key: string, response: StoreResponse): Promise<Result<number, UpdateFailure>> {
     const included = this.#decodeObject(key, response)
     const current = included.isOk() ? included : await this.read(key)
     return current.isOk() ? err({ kind: 'conflict', current: current.value }) : err({ kind: 'unknown', message: current.error.message })
   }
 
-  #decodeObject (key: string, response: HttpResponse): Result<StoredObject, StoreFailure> {
+  #decodeObject (key: string, response: StoreResponse): Result<StoredObject, StoreFailure> {
     if (response.status >= BAD_REQUEST && response.status !== CONFLICT) return err({ kind: 'unavailable', message: `Store returned HTTP status ${response.status}` })
     const object = _parseAs(response.body, WireObject, key)
     if (object.isErr()) return err({ kind: 'unavailable', message: object.error.map(formatFinding).join('; ') })
-    return ok({ key, version: object.value.Metadata.Revision, value: JSON.stringify(object.value.Spec ?? null) })
+    return ok({ key, version: storePosition({ era: response.era, revision: object.value.Metadata.Revision }), value: JSON.stringify(object.value.Spec ?? null) })
   }
 }
 
@@ -160,27 +172,31 @@
   override async readConfiguration (): Promise<Result<RegisteredConfiguration, RegistryFailure>> {
     const page = await this.#list(CONFIGURATION_KIND, '')
     if (page.isErr()) return err(page.error)
-    return this.#decodeConfiguration(page.value.items, page.value.StoreRevision)
+    return this.#decodeConfiguration(page.value.items, page.value.position)
   }
 
   override async watchConfiguration (watch: RegistryWatch): Promise<Result<RegisteredConfiguration, RegistryFailure>> {
     const events = await this.#watch(CONFIGURATION_KIND, watch)
     if (events.isErr()) return err(events.error)
     const kept = events.value.events.filter((event) => event.Deleted !== true).map((event) => event.Object)
-    return this.#decodeConfiguration(kept, events.value.StoreRevision)
+    return this.#decodeConfiguration(kept, events.value.position)
   }
 
   override async listUpstreams (): Promise<Result<UpstreamListing, RegistryFailure>> {
     const items: unknown[] = []
     let after = ''
+    let firstEra: number | undefined
     for (;;) {
       const page = await this.#list(UPSTREAM_KIND, after)
       if (page.isErr()) return err(page.error)
+      const { era } = storeRevision(page.value.position)
+      firstEra ??= era
+      if (era !== firstEra) return err({ kind: 'history_gone', message: `Store entered era ${era} during a listing in era ${firstEra}` })
       items.push(...page.value.items)
       const last = _decodeObject(page.value.items.at(-1))
       if (page.value.More !== true || last === undefined) {
         const entries = items.flatMap((item) => this.#decodeChange(item, false)).flatMap(({ id, upstream }) => upstream === undefined ? [] : [[id, upstream] as const])
-        return ok({ revision: page.value.StoreRevision, upstreams: new Map(entries) })
+        return ok({ revision: page.value.position, upstreams: new Map(entries) })
       }
       after = `?after=${encodeURIComponent(last.Metadata.Name)}`
     }
@@ -189,7 +205,7 @@
   override async watchUpstreams (watch: RegistryWatch): Promise<Result<RegistrationChanges, RegistryFailure>> {
     const events = await this.#watch(UPSTREAM_KIND, watch)
     return events.map((value) => ({
-      revision: value.StoreRevision,
+      revision: value.position,
       changes: value.events.flatMap((event) => this.#decodeChange(event.Object, event.Deleted === true))
     }))
   }
@@ -218,14 +234,18 @@
     return err({ kind: 'unreadable', message: decoded.error.map(formatFinding).join('; ') })
   }
 
-  async #list (kind: string, query: string): Promise<Result<typeof WirePage.Type, RegistryFailure>> {
+  async #list (kind: string, query: string): Promise<Result<_Positioned<typeof WirePage.Type>, RegistryFailure>> {
     const response = await this.#store.request('GET', `/objects/${kind}${query}`)
     return response.mapErr(_unavailable).andThen((page) => _decodeResponse(page, WirePage))
   }
 
-  async #watch (kind: string, watch: RegistryWatch): Promise<Result<typeof WireEvents.Type, RegistryFailure>> {
-    const response = await this.#store.longPoll(`/objects/${kind}?Watch=${watch.afterRevision}&WaitMs=${Math.round(watch.waitMs)}`, watch.waitMs)
-    return response.mapErr(_unavailable).andThen((events) => _decodeResponse(events, WireEvents))
+  async #watch (kind: string, watch: RegistryWatch): Promise<Result<_Positioned<typeof WireEvents.Type>, RegistryFailure>> {
+    const { era, revision } = storeRevision(watch.afterRevision)
+    const response = await this.#store.longPoll(`/objects/${kind}?Watch=${revision}&WaitMs=${Math.round(watch.waitMs)}`, watch.waitMs)
+    if (response.isErr()) return err(_unavailable(response.error))
+    // A restored store gives out the same revisions for other changes.
+    if (response.value.era !== era) return err({ kind: 'history_gone', message: `Store is in era ${response.value.era}; the watched revision is of era ${era}` })
+    return _decodeResponse(response.value, WireEvents)
   }
 }
 
@@ -242,10 +262,15 @@
   return { kind: 'unavailable', message: failure.message }
 }
 
-function _decodeResponse<T> (response: HttpResponse, schema: Schema.Codec<T, unknown>): Result<T, RegistryFailure> {
+/** A decoded response and its position in the history of the store. */
+type _Positioned<T> = T & { readonly position: number }
+
+function _decodeResponse<T extends { readonly StoreRevision: number }> (response: StoreResponse, schema: Schema.Codec<T, unknown>): Result<_Positioned<T>, RegistryFailure> {
   if (response.status === GONE) return err({ kind: 'history_gone', message: 'Store no longer has the history since the watched revision' })
   if (response.status !== OK) return err({ kind: 'unavailable', message: `Store returned HTTP status ${response.status}` })
-  return _parseAs(response.body, schema, 'store').mapErr((findings) => ({ kind: 'unreadable', message: findings.map(formatFinding).join('; ') }))
+  return _parseAs(response.body, schema, 'store')
+    .map((decoded) => ({ ...decoded, position: storePosition({ era: response.era, revision: decoded.StoreRevision }) }))
+    .mapErr((findings) => ({ kind: 'unreadable', message: findings.map(formatFinding).join('; ') }))
 }
 
 function _parseAs<T> (body: string, schema: Schema.Codec<T, unknown>, source: string): Result<T, readonly Finding[]> {
--- a/packages/platform/registry.ts
+++ b/packages/platform/registry.ts
@@ -3,25 +3,26 @@
 
 /** Reason why a call to the registry failed. */
 export interface RegistryFailure {
-  /** `history_gone` requires a new listing; `unreadable` is a response that cannot be decoded. */
+  /** `history_gone` requires a new listing, as after a restore of the store; `unreadable` is a response that cannot be decoded. */
   readonly kind: 'unavailable' | 'history_gone' | 'unreadable'
   readonly message: string
 }
 
-/** The operator's configuration and the store revision at which it was read. */
+/** The operator's configuration and where in the history of the store it was read. */
 export interface RegisteredConfiguration {
+  /** Position in the history of the store. */
   readonly revision: number
   /** Undefined if no configuration is stored or nothing changed. */
   readonly configuration: Configuration | undefined
 }
 
-/** All registered upstreams at one store revision. */
+/** All registered upstreams at one position in the history of the store. */
 export interface UpstreamListing {
   readonly revision: number
   readonly upstreams: ReadonlyMap<string, Upstream>
 }
 
-/** Changes of the registered upstreams up to a store revision. */
+/** Changes of the registered upstreams up to a position in the history of the store. */
 export interface RegistrationChanges {
   readonly revision: number
   readonly changes: readonly RegistrationChange[]
@@ -29,7 +30,7 @@
 
 /** Options of a registry watch. */
 export interface RegistryWatch {
-  /** The last known store revision. */
+  /** The last known position in the history of the store. */
   readonly afterRevision: number
   /** Maximum wait for a change, in ms. */
   readonly waitMs: number
