Give the lease an object and fencing tokens of its own in each era of the store

A holder of the lost seconds had its token given out again, and a late write of it could meet its revision again. Change: `berylshed-leases/scheduler-ERA`, tokens from era x 2^32 + 1, a response of another era voids the lease, the last holder takes the new one at once, nobody takes a missing one without the wait for a holder that has ended. Conclusion: orders carry a token that no process had before, whatever the store has lost.

--- a/packages/edge/_test_instances.ts
+++ b/packages/edge/_test_instances.ts
@@ -39,11 +39,11 @@
   const known = apply(start('holder'),
     { subject: 'configured', configuration, from: 'store', at: at(0) },
     { subject: 'listed', list, at: at(0) },
-    { subject: 'scheduler', event: { kind: 'lease_read', version: 0, lease: undefined, ...at(0) } },
+    { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 1, lease: { fence: 0, holder: null, writeId: '' }, ...at(0) } },
     { subject: 'tick', at: at(0) })
   const writeId = known.scheduler.pending?.lease.writeId ?? ''
   return apply(known,
-    { subject: 'scheduler', event: { kind: 'lease_written', writeId, version: 1, ...at(5) } },
+    { subject: 'scheduler', event: { kind: 'lease_written', writeId, version: 2, ...at(5) } },
     { subject: 'registry_read', what: 'configuration', at: at(1000) },
     { subject: 'registry_read', what: 'upstreams', at: at(1000) })
 }
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -22,7 +22,7 @@
 
 /** Interval between ticks, in ms: a fraction of the shortest latency objective. */
 const TICK_MS = 40
-/** Key of the lease in the store. */
+/** Key of the lease in the store, which the era of the store completes. */
 const LEASE_KEY = 'berylshed-leases/scheduler'
 /**
  * Time for which a draining instance accepts new callers, in ms. The load balancer removes an instance after two failed
@@ -157,18 +157,23 @@
   }
 
   async function readLease (): Promise<void> {
-    const read = await store.read(LEASE_KEY)
+    const era = store.era()
+    const read = await store.read(`${LEASE_KEY}-${era}`)
+    if (store.era() !== era) return await readLease()
     loop.dispatch({
       subject: 'scheduler',
       event: read.match(
-        ({ version, value }) => ({ kind: 'lease_read', version, lease: _parseLease(value), ...at() }),
+        ({ version, value }) => ({ kind: 'lease_read', era, version, lease: _parseLease(value), ...at() }),
         () => ({ kind: 'lease_read_failed', ...at() }))
     })
   }
 
   async function writeLease (effect: Extract<SchedulerEffect, { kind: 'write_lease' }>): Promise<void> {
-    const { writeId } = effect.lease
-    const written = await store.update(LEASE_KEY, { value: JSON.stringify(effect.lease), expectedVersion: effect.expectedVersion })
+    const { era, lease: { writeId } } = effect
+    const written = store.era() === era
+      ? await store.update(`${LEASE_KEY}-${era}`, { value: JSON.stringify(effect.lease), expectedVersion: effect.expectedVersion })
+      : undefined
+    if (written === undefined || store.era() !== era) return loop.dispatch({ subject: 'scheduler', event: { kind: 'store_restored', era: store.era(), ...at() } })
     loop.dispatch({
       subject: 'scheduler',
       event: written.match(
--- a/packages/edge/run_edge_test.ts
+++ b/packages/edge/run_edge_test.ts
@@ -1,9 +1,10 @@
 import { createServer, request as httpRequest } from 'node:http'
 import { connect, createServer as createTcpServer, type AddressInfo } from 'node:net'
 import type { Configuration, Upstream } from '@berylshed/fleet'
-import { EngineControl, Registry, Store, type HostSettings, type UpstreamListing } from '@berylshed/platform'
+import { EngineControl, PlatformStore, Registry, Store, type HostSettings, type UpstreamListing } from '@berylshed/platform'
 import test from 'ava'
 import { err, ok } from 'neverthrow'
+import { startTestStore } from './_test_store.ts'
 import { runEdge, type RunningEdge } from './run_edge.ts'
 
 const HOLD_MS = 60_000
@@ -88,7 +89,7 @@
   close (): void
 }
 
-async function startSystem (answerAfterMs: number): Promise<System> {
+async function startSystem (answerAfterMs: number, store: Store = new MemoryStore()): Promise<System> {
   const upstreamServer = createServer((request, response) => {
     setTimeout(() => response.writeHead(200, { 'attempt-id': request.headers['attempt-id'], 'server-signature': 's', 'content-length': 2 }).end('ok'), answerAfterMs)
   })
@@ -119,7 +120,7 @@
     }
   }
   const logger = { write: () => {}, dropped: () => 0, end: async () => {} }
-  const edge = await runEdge(settings, { store: new MemoryStore(), registry: new FixedRegistry(configuration, [upstream]), engines: new NoEngines(), logger })
+  const edge = await runEdge(settings, { store, registry: new FixedRegistry(configuration, [upstream]), engines: new NoEngines(), logger })
   while (await statusOf(readiness, '/readyz') !== 200) await pause(20)
   return { edge, callers, readiness, metrics, close: () => upstreamServer.close() }
 }
@@ -187,3 +188,19 @@
   await drained
   system.close()
 })
+
+test('the holder takes the lease of a restored store at once, with a fence that no earlier holder had', async (t) => {
+  const store = await startTestStore()
+  const copy = store.copy()
+  const system = await startSystem(0, new PlatformStore(store.address))
+  while (system.edge.state().scheduler.held === undefined) await pause(20)
+  const before = system.edge.state().scheduler.held?.fence ?? 0
+  store.restore(copy)
+  while (store.names('berylshed-leases').length === 0) await pause(20)
+  await pause(100)
+  t.true((system.edge.state().scheduler.held?.fence ?? 0) > before)
+  t.deepEqual(store.names('berylshed-leases'), ['scheduler-2'])
+  await system.edge.close()
+  system.close()
+  store.close()
+})
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -62,7 +62,7 @@
 
 // Each follower knows another engine, as an engine that crashed comes back as another process.
 function startFollower (name: string): EdgeState {
-  return apply(listed(start(name), `engine-${name}`), { subject: 'scheduler', event: { kind: 'lease_read', version: 1, lease, ...at(0) } })
+  return apply(listed(start(name), `engine-${name}`), { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 1, lease, ...at(0) } })
 }
 
 interface Exchanged {
@@ -114,7 +114,7 @@
   const { effects } = reduceEdge(known, { subject: 'tick', at: at(2000) })
   const written = effects.flatMap((effect) => effect.subject === 'scheduler' && effect.effect.kind === 'write_lease' ? [effect.effect.lease] : [])
   t.deepEqual(written[0]?.quarantines, [['part crashing', 1, 59_000]])
-  const next = apply(listed(start('next')), { subject: 'scheduler', event: { kind: 'lease_read', version: 2, lease: written[0], ...at(100) } })
+  const next = apply(listed(start('next')), { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 2, lease: written[0], ...at(100) } })
   t.false(crashOnce(next, 'r', 200).crashed)
   t.true(crashOnce(startFollower('other'), 'r', 200).crashed)
 })
--- a/packages/platform/platform_store.ts
+++ b/packages/platform/platform_store.ts
@@ -64,6 +64,10 @@
     this.registry = new PlatformRegistry(this)
   }
 
+  override era (): number {
+    return this.#era
+  }
+
   override async read (key: string): Promise<Result<StoredObject, StoreFailure>> {
     const response = await this.request('GET', `/objects/${key}`)
     if (response.isErr()) return err(response.error)
--- a/packages/platform/store.ts
+++ b/packages/platform/store.ts
@@ -43,6 +43,15 @@
  * its wait time, so a missing response reveals a dead connection.
  */
 export abstract class Store {
+  /**
+   * Returns how often the store has been restored from a copy, as of its last response.
+   *
+   * @returns The era; 0 if the store has not responded or does not report it.
+   */
+  era (): number {
+    return 0
+  }
+
   /**
    * Reads an object.
    *
--- a/packages/replay/replay_workload.ts
+++ b/packages/replay/replay_workload.ts
@@ -231,7 +231,7 @@
       clock.after(2 * ONE_WAY_LATENCY_MS, () => dispatch(instance, { subject: 'scheduler', event: { ...event, ...now() } }))
     }
     switch (effect.kind) {
-      case 'read_lease': return deliver({ kind: 'lease_read', ...stored, ...now() })
+      case 'read_lease': return deliver({ kind: 'lease_read', era: 0, ...stored, ...now() })
       case 'write_lease': return deliver(writeLease(effect))
       case 'poll_engine': {
         const report = engines.get(effect.upstream.id)?.report()
--- a/packages/scheduler/_hold_lease.ts
+++ b/packages/scheduler/_hold_lease.ts
@@ -1,5 +1,5 @@
 import { step, type Step } from '@berylshed/reducer'
-import type { Lease } from './lease.ts'
+import { firstFence, type Lease } from './lease.ts'
 import { quarantineRecords } from './quarantine.ts'
 import type { Instant } from './scheduler_event.ts'
 import type { SchedulerEffect } from './scheduler_effect.ts'
@@ -11,7 +11,7 @@
 const READ_INTERVAL_MS = 300
 /** Time without contact after which the lease is read from the store, in ms; two heartbeats. */
 const HOLDER_CONTACT_TIMEOUT_MS = 600
-/** Time after which a holder whose address refuses connections is replaced if engines check fencing tokens, in ms. */
+/** Time after which a holder that has ended, or that nobody knows, is replaced if engines check fencing tokens, in ms. */
 const REFUSED_TAKEOVER_MS = 900
 /** Delay before a failed write is retried, in ms. */
 const WRITE_RETRY_MS = 300
@@ -55,7 +55,7 @@
   const { pending } = state
   if (pending === undefined || at.nowMs < pending.retryAtMs) return step(state)
   return step({ ...state, pending: { ...pending, retryAtMs: at.nowMs + state.times.writeTimeoutMs } }, [
-    { kind: 'write_lease', expectedVersion: pending.expectedVersion, lease: pending.lease }
+    { kind: 'write_lease', era: state.leaseEra, expectedVersion: pending.expectedVersion, lease: pending.lease }
   ])
 }
 
@@ -63,10 +63,15 @@
   const { held, stopping } = state
   if (held === undefined) return step(state)
   if (stopping) return _release(state, at)
+  if (held.fence < firstFence(state.leaseEra)) return _startWrite(state, { fence: _nextFence(state), holder: state.self }, at)
   if (elapsedMs(held.renewedAt, at) < state.times.renewMs) return step(state)
   return _startWrite(state, { fence: held.fence, holder: state.self }, at)
 }
 
+function _nextFence (state: SchedulerState): number {
+  return Math.max((state.lease?.fence ?? 0) + 1, firstFence(state.leaseEra))
+}
+
 // The lease is released only when no order is in flight.
 function _release (state: SchedulerState, at: Instant): _Step {
   const inFlight = [...state.engines.values()].some(({ open }) => open?.phase === 'in_flight')
@@ -78,11 +83,11 @@
   const newLease: Lease = { ...lease, writeId: `${state.self.incarnation}#${state.nextId}`, quarantines: quarantineRecords(state.quarantines, at.nowMs) }
   const expectedVersion = state.leaseVersion ?? 0
   const pending = { lease: newLease, expectedVersion, startedAt: at, retryAtMs: at.nowMs + state.times.writeTimeoutMs }
-  return step({ ...state, pending, nextId: state.nextId + 1 }, [{ kind: 'write_lease', expectedVersion, lease: newLease }])
+  return step({ ...state, pending, nextId: state.nextId + 1 }, [{ kind: 'write_lease', era: state.leaseEra, expectedVersion, lease: newLease }])
 }
 
 function _followHolder (state: SchedulerState, at: Instant): _Step {
-  if (_isLeaseVacant(state, at)) return _startWrite(state, { fence: (state.lease?.fence ?? 0) + 1, holder: state.self }, at)
+  if (_isLeaseVacant(state, at)) return _startWrite(state, { fence: _nextFence(state), holder: state.self }, at)
   const contacted = at.nowMs - state.holderReachedAtMs < HOLDER_CONTACT_TIMEOUT_MS
   if (contacted || at.nowMs - state.leaseReadAtMs < READ_INTERVAL_MS) return step(state)
   return step({ ...state, leaseReadAtMs: at.nowMs }, [{ kind: 'read_lease' }])
@@ -90,11 +95,12 @@
 
 function _isLeaseVacant (state: SchedulerState, at: Instant): boolean {
   if (state.leaseVersion === undefined) return false
-  const { holder } = state.lease ?? { holder: null }
-  if (holder === null) return true
+  const holder = state.lease?.holder ?? undefined
+  if (holder === undefined && state.leaseVersion > 0) return true
+  // A missing lease object may be one that a restored store has lost, while its holder is still active.
   const quietMs = at.nowMs - state.quietSinceMs
   // A holder with the name of this instance is an earlier process of it, which has ended.
-  const holderEnded = state.holderRefusesConnections || holder.instance === state.self.instance
+  const holderEnded = holder === undefined || state.holderRefusesConnections || holder.instance === state.self.instance
   if (holderEnded && state.times.outageMs > 0 && quietMs >= REFUSED_TAKEOVER_MS) return true
   return quietMs >= state.times.takeoverMs
 }
@@ -102,7 +108,7 @@
 /** Applies the lease read from the store. */
 export function observeLease (state: SchedulerState, observed: ObservedLease, at: Instant): _Step {
   const changed = observed.version !== state.leaseVersion
-  const next: SchedulerState = { ...state, lease: observed.lease, leaseVersion: observed.version, quietSinceMs: changed ? at.nowMs : state.quietSinceMs }
+  const next: SchedulerState = { ...state, lease: observed.lease ?? state.lease, leaseVersion: observed.version, quietSinceMs: changed ? at.nowMs : state.quietSinceMs }
   const fence = observed.lease?.fence ?? 0
   if (state.held === undefined || fence <= state.held.fence) return step(next)
   return loseLease(next, `fence ${fence} was taken`)
@@ -114,6 +120,28 @@
   readonly lease: Lease | undefined
 }
 
+/**
+ * Voids the lease of earlier eras after the store was restored from a copy.
+ *
+ * A lease written after the copy is lost, and the revision of a lost write may be given out again. The lease of the new era is
+ * therefore another object, which the last holder creates at once and the other instances when they no longer hear of it.
+ */
+export function voidLease (state: SchedulerState, era: number, at: Instant): _Step {
+  if (era <= state.leaseEra) return step(state)
+  const { held } = state
+  const next: SchedulerState = {
+    ...state,
+    leaseEra: era,
+    leaseVersion: held === undefined ? undefined : 0,
+    leaseReadAtMs: -Infinity,
+    quietSinceMs: at.nowMs,
+    pending: undefined,
+    held: held === undefined ? undefined : { ...held, storeFailing: false }
+  }
+  if (state.leaseVersion === undefined) return step(next)
+  return step(next, [{ kind: 'record', record: { what: 'lease_voided', reason: `the store entered era ${era}`, ...held === undefined ? {} : { fence: held.fence } } }])
+}
+
 /** Stops holding the lease because another process may hold it. */
 export function loseLease (state: SchedulerState, reason: string): _Step {
   if (state.held === undefined) return step(state)
--- a/packages/scheduler/_test_simulation.ts
+++ b/packages/scheduler/_test_simulation.ts
@@ -26,8 +26,14 @@
   readonly takeovers: number
 }
 
-/** Fault injected into the engines to verify that the checker detects it. */
-export type InjectedFault = 'none' | 'engines_ignore_sequence'
+/** Fault injected into the engines or the store to verify that the checker detects it. */
+export type InjectedFault = 'none' | 'engines_ignore_sequence' | 'store_hides_restores'
+
+/** The lease objects of a store at one moment, by era. */
+interface Leases {
+  readonly revision: number
+  readonly byEra: ReadonlyMap<number, { readonly version: number, readonly lease: Lease }>
+}
 
 interface Instance {
   readonly name: string
@@ -65,7 +71,9 @@
   }))
   const configuration = testConfiguration(MODELS)
   let now = 0
-  let stored: { version: number, lease: Lease | undefined } = { version: 0, lease: undefined }
+  let era = 1
+  let leases: Leases = { revision: 0, byEra: new Map() }
+  let copies: ReadonlyArray<{ readonly atMs: number, readonly leases: Leases }> = []
   let storeDownUntilMs = 0
   let loseOrdersUntilMs = 0
   let executed = 0
@@ -104,7 +112,7 @@
     const storeAvailable = now >= storeDownUntilMs && now >= instance.partitionedUntilMs
     switch (effect.kind) {
       case 'read_lease':
-        return deliver(instance, storeAvailable ? { kind: 'lease_read', ...stored, ...at } : { kind: 'lease_read_failed', ...at })
+        return deliver(instance, storeAvailable ? { kind: 'lease_read', era, ...storedLease(era), ...at } : { kind: 'lease_read_failed', ...at })
       case 'write_lease': return writeLease(instance, effect, storeAvailable)
       case 'poll_engine': {
         const engine = engines.find(({ upstream }) => upstream.id === effect.upstream.id)
@@ -121,20 +129,49 @@
     const { writeId } = effect.lease
     const lost = now < FAULTS_END_MS && random() < 0.1
     if (!storeAvailable && !lost) return deliver(instance, { kind: 'lease_write_failed', writeId, ...at })
-    if (stored.version !== effect.expectedVersion) return deliver(instance, { kind: 'lease_conflicted', writeId, ...stored, ...at })
-    stored = { version: stored.version + 1, lease: effect.lease }
-    const holder = effect.lease.holder?.incarnation
-    if (holder !== undefined) {
-      const known = holders.get(effect.lease.fence)
-      if (known !== undefined && known !== holder) violations.push(`fence ${effect.lease.fence} of ${known} and ${holder}`)
-      holders.set(effect.lease.fence, holder)
+    if (lost && random() < 0.5) {
+      scheduled.push({ atMs: now + random() * 6000, run: () => { applyWrite(effect) } })
+      return deliver(instance, { kind: 'lease_write_failed', writeId, ...at })
     }
-    deliver(instance, lost ? { kind: 'lease_write_failed', writeId, ...at } : { kind: 'lease_written', writeId, version: stored.version, ...at })
+    const version = applyWrite(effect)
+    if (lost) return deliver(instance, { kind: 'lease_write_failed', writeId, ...at })
+    if (effect.era !== era) return deliver(instance, { kind: 'store_restored', era, ...at })
+    deliver(instance, version === undefined ? { kind: 'lease_conflicted', writeId, ...storedLease(era), ...at } : { kind: 'lease_written', writeId, version, ...at })
+  }
+
+  function storedLease (ofEra: number): { readonly version: number, readonly lease: Lease | undefined } {
+    return leases.byEra.get(ofEra) ?? { version: 0, lease: undefined }
+  }
+
+  // Returns the new version, or undefined if the lease object has another version than expected.
+  function applyWrite (effect: Extract<SchedulerEffect, { kind: 'write_lease' }>): number | undefined {
+    if (storedLease(effect.era).version !== effect.expectedVersion) return undefined
+    const version = leases.revision + 1
+    leases = { revision: version, byEra: new Map(leases.byEra).set(effect.era, { version, lease: effect.lease }) }
+    const holder = effect.lease.holder?.incarnation
+    // The object of an earlier era is read by nobody any more.
+    if (holder !== undefined && effect.era === era) useFence(effect.lease.fence, holder)
+    return version
+  }
+
+  function useFence (fence: number, holder: string): void {
+    const known = holders.get(fence)
+    if (known !== undefined && known !== holder) violations.push(`fence ${fence} of ${known} and ${holder}`)
+    holders.set(fence, holder)
+  }
+
+  // Continues from a copy that is up to five seconds old.
+  function restoreStore (): void {
+    const copiedBeforeMs = now - random() * 5000
+    leases = copies.filter(({ atMs }) => atMs <= copiedBeforeMs).at(-1)?.leases ?? { revision: 0, byEra: new Map() }
+    if (injected !== 'store_hides_restores') era += 1
+    storeDownUntilMs = now + random() * 1500
   }
 
   function sendOrder (instance: Instance, effect: Extract<SchedulerEffect, { kind: 'send_order' }>): void {
     const engine = engines.find(({ upstream }) => upstream.id === effect.upstream.id)
     if (engine === undefined) return
+    useFence(effect.fence, instance.state.self.incarnation)
     const answer = (outcome: OrderOutcome): void => deliver(instance, { kind: 'order_ended', upstream: effect.upstream.id, order: effect.order.id, outcome, nowMs: now, clockMs: now })
     if (now < loseOrdersUntilMs && random() < 0.5) {
       scheduled.push({ atMs: now + 300, run: () => answer('unknown') })
@@ -183,6 +220,7 @@
     if (draw < 0.25) kill(instance)
     else if (draw < 0.45) instance.suspendedUntilMs = now + 500 + random() * 4000
     else if (draw < 0.6) instance.partitionedUntilMs = now + random() * 6000
+    else if (draw < 0.65) restoreStore()
     else if (draw < 0.75) storeDownUntilMs = now + random() * 4000
     else loseOrdersUntilMs = now + random() * 4000
   }
@@ -224,6 +262,7 @@
   }
 
   for (; now < END_MS; now += STEP_MS) {
+    copies = [...copies.slice(-300), { atMs: now, leases }]
     if (now < FAULTS_END_MS && random() < 0.02) injectFault()
     for (const task of scheduled.filter(({ atMs }) => atMs <= now)) {
       scheduled.splice(scheduled.indexOf(task), 1)
--- a/packages/scheduler/lease.ts
+++ b/packages/scheduler/lease.ts
@@ -10,7 +10,7 @@
 
 /** The lease object in the platform's store. */
 export interface Lease {
-  /** Fencing token; each new holder increments it. */
+  /** Fencing token; higher for each new holder. */
   readonly fence: number
   /** Current holder, or null after the last holder has released the lease. */
   readonly holder: Holder | null
@@ -45,6 +45,27 @@
   readonly holderChangeMs: number
 }
 
+/** Number of fencing tokens reserved for each era of the store. */
+const FENCES_PER_ERA = 2 ** 32
+
+/**
+ * Returns the lowest fencing token of an era of the store.
+ *
+ * It is higher than all tokens of earlier eras, so that a store that was restored from a copy, and may have lost the lease
+ * of the last holder, gives out no token again.
+ *
+ * @param era How often the store had been restored from a copy.
+ * @returns The fencing token.
+ *
+ * @example
+ * ```ts
+ * console.log(firstFence(0)) // 1
+ * ```
+ */
+export function firstFence (era: number): number {
+  return era * FENCES_PER_ERA + 1
+}
+
 /** Interval between renewals, in ms; half the time in which a waiting request becomes late (1,500 ms). */
 const RENEW_MS = 700
 /** Time for which a write entitles the holder to send orders, in ms; tolerates two lost renewals. */
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -1,6 +1,6 @@
 import type { Configuration } from '@berylshed/fleet'
 import { step, type Step } from '@berylshed/reducer'
-import { failWrite, finishWrite, loseLease, orderDeadline, resolveConflict, observeLease, advanceLease } from './_hold_lease.ts'
+import { advanceLease, failWrite, finishWrite, loseLease, observeLease, orderDeadline, resolveConflict, voidLease } from './_hold_lease.ts'
 import { loadMs, weightSource } from './_placement_draft.ts'
 import { applyUpstreamList, applyReport, pollEngines, describeChange, endOrder, MAX_MISSED_REPORTS, openOrder } from './_track_engines.ts'
 import { REPORT_TTL_MS, sumDemand } from './demand.ts'
@@ -68,12 +68,13 @@
   switch (event.kind) {
     case 'configured': return step(_configure(state, event.configuration, event.nowMs))
     case 'listed': return step(applyUpstreamList(state, event.list, event.nowMs))
-    case 'lease_read': return observeLease(state, event, event)
+    case 'lease_read': return _chain(voidLease(state, event.era, event), (next) => event.era < next.leaseEra ? step(next) : observeLease(next, event, event))
     // A store that does not respond is no evidence that the holder has failed.
     case 'lease_read_failed': return step({ ...state, quietSinceMs: event.nowMs })
     case 'lease_written': return finishWrite(state, event, event)
     case 'lease_conflicted': return resolveConflict(state, event, event)
     case 'lease_write_failed': return failWrite(state, event.writeId, event)
+    case 'store_restored': return voidLease(state, event.era, event)
     case 'holder_reached': return _applyHolderContact(state, event)
     case 'holder_unreachable': return step({ ...state, holderRefusesConnections: event.refused })
     case 'instance_reported': return step({ ...state, reports: new Map(state.reports).set(event.report.instance, { report: event.report, receivedAtMs: event.nowMs }) })
--- a/packages/scheduler/scheduler_effect.ts
+++ b/packages/scheduler/scheduler_effect.ts
@@ -5,7 +5,7 @@
 /** A decision or an observed change, written to the log and counted in metrics. */
 export interface SchedulerRecord {
   readonly what:
-    | 'lease_taken' | 'lease_lost' | 'lease_given_up' | 'lease_overdue'
+    | 'lease_taken' | 'lease_lost' | 'lease_given_up' | 'lease_overdue' | 'lease_voided'
     | 'model_closed' | 'order_decided' | 'order_ended' | 'engine_changed' | 'engine_lost' | 'engine_regained'
   readonly fence?: number
   readonly upstream?: string
@@ -22,7 +22,7 @@
 /** Side effects that the scheduler requests. */
 export type SchedulerEffect =
   | { readonly kind: 'read_lease' }
-  | { readonly kind: 'write_lease', readonly expectedVersion: number, readonly lease: Lease }
+  | { readonly kind: 'write_lease', readonly era: number, readonly expectedVersion: number, readonly lease: Lease }
   | { readonly kind: 'poll_engine', readonly upstream: Upstream, readonly polledAtMs: number }
   | {
     readonly kind: 'send_order'
--- a/packages/scheduler/scheduler_event.ts
+++ b/packages/scheduler/scheduler_event.ts
@@ -17,11 +17,13 @@
 export type SchedulerEvent = Instant & (
   | { readonly kind: 'configured', readonly configuration: Configuration }
   | { readonly kind: 'listed', readonly list: UpstreamList }
-  | { readonly kind: 'lease_read', readonly version: number, readonly lease: Lease | undefined }
+  | { readonly kind: 'lease_read', readonly era: number, readonly version: number, readonly lease: Lease | undefined }
   | { readonly kind: 'lease_read_failed' }
   | { readonly kind: 'lease_written', readonly writeId: string, readonly version: number }
   | { readonly kind: 'lease_conflicted', readonly writeId: string, readonly version: number, readonly lease: Lease | undefined }
   | { readonly kind: 'lease_write_failed', readonly writeId: string }
+  /** The store has been restored from a copy since the lease was read, so that the lease of an earlier era is void. */
+  | { readonly kind: 'store_restored', readonly era: number }
   | { readonly kind: 'holder_reached', readonly fence: number, readonly validMs: number }
   | { readonly kind: 'holder_unreachable', readonly refused: boolean }
   | { readonly kind: 'instance_reported', readonly report: InstanceReport }
--- a/packages/scheduler/scheduler_simulation_test.ts
+++ b/packages/scheduler/scheduler_simulation_test.ts
@@ -13,3 +13,7 @@
 test('the checker detects engines that accept orders planned on an outdated view', (t) => {
   t.true(SEEDS.some((seed) => runSimulation(seed, 'engines_ignore_sequence').violations.some((violation) => violation.includes('MB'))))
 })
+
+test('the checker detects fencing tokens that are given out again after a restore that goes unnoticed', (t) => {
+  t.true(SEEDS.some((seed) => runSimulation(seed, 'store_hides_restores').violations.some((violation) => violation.startsWith('fence'))))
+})
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -32,7 +32,10 @@
   readonly policy: PlacementPolicy
   readonly configuration: Configuration | undefined
   readonly list: UpstreamList
+  /** The last known lease, which may be of an era of the store before `leaseEra`. */
   readonly lease: Lease | undefined
+  /** Era of the store whose lease object is used; each era has an object of its own. */
+  readonly leaseEra: number
   /** Store version of the lease object; 0 if it does not exist, undefined if it has not been read. */
   readonly leaseVersion: number | undefined
   /**
@@ -95,6 +98,7 @@
     configuration: undefined,
     list: NO_UPSTREAMS,
     lease: undefined,
+    leaseEra: 0,
     leaseVersion: undefined,
     quietSinceMs: -Infinity,
     leaseReadAtMs: -Infinity,
