Log the software version of upstreams and the stream that a request resumes

Change: the registration's version and the header `Resumes` are decoded, and both stand in the lines; no change of what is decided.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -83,6 +83,7 @@
       callerId: facts.id,
       fingerprint: _fingerprint(request, identified.body),
       promptParts: facts.promptParts,
+      resumedAttempt: facts.lastEventId === undefined ? undefined : facts.resumedAttempt ?? '',
       route: route.name,
       service: chooseService(route, options.random()),
       model: facts.model,
--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -95,6 +95,7 @@
     upstream: upstream.id,
     service: upstream.service,
     incarnation: current?.incarnation ?? upstream.incarnation,
+    softwareVersion: upstream.softwareVersion,
     availabilityZone: upstream.availabilityZone,
     slots: upstream.slots,
     leaving: upstream.leaving,
--- a/packages/edge/_test_instances.ts
+++ b/packages/edge/_test_instances.ts
@@ -6,7 +6,7 @@
 
 /** An engine that holds one model. */
 export const upstream: Upstream = {
-  id: 'e1', service: 'drafts', address: '10.0.0.1:80', availabilityZone: 'a', incarnation: 1, slots: 16, leaving: false, residents: [{ model: 'm', adapters: [] }], copies: { inMemory: [], onDisk: ['m'] }
+  id: 'e1', service: 'drafts', address: '10.0.0.1:80', availabilityZone: 'a', incarnation: 1, softwareVersion: 'v1', slots: 16, leaving: false, residents: [{ model: 'm', adapters: [] }], copies: { inMemory: [], onDisk: ['m'] }
 }
 /** A configuration with one service of engines. */
 export const configuration: Configuration = {
--- a/packages/edge/edge_effect.ts
+++ b/packages/edge/edge_effect.ts
@@ -13,6 +13,8 @@
   readonly from?: string
   readonly count?: number
   readonly upstream?: string
+  /** Software version of the upstream. */
+  readonly softwareVersion?: string
   readonly outcome?: string
   readonly fence?: number
   readonly holder?: string
--- a/packages/edge/follow_registry_test.ts
+++ b/packages/edge/follow_registry_test.ts
@@ -6,7 +6,7 @@
 import { followUpstreams, deferRemovals } from './_follow_registry.ts'
 
 const upstream: Upstream = {
-  id: 'u', service: 's', address: '10.0.0.1:80', availabilityZone: 'a', incarnation: 1, slots: 1, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }
+  id: 'u', service: 's', address: '10.0.0.1:80', availabilityZone: 'a', incarnation: 1, softwareVersion: 'v1', slots: 1, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }
 }
 const gone = { id: 'u', upstream: undefined }
 
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -97,7 +97,7 @@
   if (before === undefined) return [{ what: 'upstreams_listed', count: after.upstreams.size }]
   const restored: readonly EdgeRecord[] = storeRevision(after.revision).era > storeRevision(before.revision).era ? [{ what: 'store_restored', count: after.upstreams.size }] : []
   const changed = [...after.changedAt].filter(([, revision]) => revision > before.revision)
-  return [...restored, ...changed.map(([id]): EdgeRecord => ({ what: 'upstream_changed', upstream: id, outcome: _describeChange(before.upstreams.get(id), after.upstreams.get(id)) }))]
+  return [...restored, ...changed.map(([id]): EdgeRecord => ({ what: 'upstream_changed', upstream: id, outcome: _describeChange(before.upstreams.get(id), after.upstreams.get(id)), ..._softwareVersion(after.upstreams.get(id)) }))]
 }
 
 function _describeChange (before: Upstream | undefined, after: Upstream | undefined): string {
@@ -107,6 +107,10 @@
   return after.incarnation > before.incarnation ? 'restarted' : 'changed'
 }
 
+function _softwareVersion (upstream: Upstream | undefined): Pick<EdgeRecord, 'softwareVersion'> {
+  return upstream === undefined ? {} : { softwareVersion: upstream.softwareVersion }
+}
+
 type _HeartbeatFailed = Extract<EdgeEvent, { subject: 'heartbeat_failed' }>
 
 function _handleHeartbeatFailure (state: EdgeState, event: _HeartbeatFailed): EdgeStep {
--- a/packages/edge/run_edge_test.ts
+++ b/packages/edge/run_edge_test.ts
@@ -96,7 +96,7 @@
   await new Promise<void>((resolve) => upstreamServer.listen(0, '127.0.0.1', resolve))
   const address = `127.0.0.1:${(upstreamServer.address() as AddressInfo).port}`
   const upstream: Upstream = {
-    id: 'u1', service: 'orders', address, availabilityZone: 'a', incarnation: 1, slots: 4, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }
+    id: 'u1', service: 'orders', address, availabilityZone: 'a', incarnation: 1, softwareVersion: 'v1', slots: 4, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }
   }
   const configuration: Configuration = {
     version: 1,
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -19,7 +19,7 @@
 
 function draft (id: string, nowMs: number, fingerprint = id): ReceivedRequest {
   return {
-    id, callerId: id, fingerprint, promptParts: ['first', 'crashing', id], route: 'drafts', service: 'drafts', model: 'm', adapter: undefined, stream: true, retryable: false, maxRuns: 1, rank: 1, objectiveMs: 500, arrivedAtMs: nowMs, deadlineMs: nowMs + 9000
+    id, callerId: id, fingerprint, promptParts: ['first', 'crashing', id], resumedAttempt: undefined, route: 'drafts', service: 'drafts', model: 'm', adapter: undefined, stream: true, retryable: false, maxRuns: 1, rank: 1, objectiveMs: 500, arrivedAtMs: nowMs, deadlineMs: nowMs + 9000
   }
 }
 
--- a/packages/fleet/upstream.ts
+++ b/packages/fleet/upstream.ts
@@ -22,6 +22,8 @@
   readonly availabilityZone: string
   /** Start time of the process, in ms since the Unix epoch; a different value means a restart under the same id. */
   readonly incarnation: number
+  /** Version of the software that the upstream runs; empty if its registration does not name one. */
+  readonly softwareVersion: string
   /** Maximum number of concurrent requests. */
   readonly slots: number
   /** Whether the upstream is draining and accepts no new work. */
--- a/packages/fleet/upstream_list_test.ts
+++ b/packages/fleet/upstream_list_test.ts
@@ -3,7 +3,7 @@
 import { applyUpstreamUpdate, applyRegistrationChanges, NO_UPSTREAMS, upstreamUpdateSince } from './upstream_list.ts'
 
 const upstream: Upstream = {
-  id: 'u', service: 's', address: '10.0.0.1:80', availabilityZone: 'a', incarnation: 2, slots: 1, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }
+  id: 'u', service: 's', address: '10.0.0.1:80', availabilityZone: 'a', incarnation: 2, softwareVersion: 'v1', slots: 1, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }
 }
 
 test('a registration of an earlier incarnation never replaces a later one', (t) => {
--- a/packages/platform/_decode_upstream.ts
+++ b/packages/platform/_decode_upstream.ts
@@ -18,6 +18,8 @@
   Service: Schema.String,
   Address: Schema.String,
   Zone: Schema.String,
+  // Of the upstream's software, not of the weights of a model.
+  Version: Schema.optionalKey(Schema.String),
   Slots: Schema.Number,
   State: Schema.Literals(['ready', 'draining']),
   // `Sequence` is omitted: in a registration it counts heartbeats, unlike in a report, where it counts orders.
@@ -47,6 +49,7 @@
     address: wire.Address,
     availabilityZone: wire.Zone,
     incarnation: wire.born ?? 0,
+    softwareVersion: wire.Version ?? '',
     slots: wire.Slots,
     leaving: wire.State === 'draining',
     residents: _toResidents(wire.Models),
--- a/packages/platform/http_headers.ts
+++ b/packages/platform/http_headers.ts
@@ -8,6 +8,8 @@
   readonly callerTimeoutMs: number | undefined
   /** Last event that the caller received of the stream that it resumes. */
   readonly lastEventId: string | undefined
+  /** Id of the caller's attempt that brought the first event of the stream that this request resumes. */
+  readonly resumedAttempt: string | undefined
   /** Ids of the parts of the prompt, in order; the last one belongs to the request or its session alone. */
   readonly promptParts: readonly string[]
 }
@@ -78,6 +80,7 @@
     adapter: adapter === '' ? undefined : adapter,
     callerTimeoutMs: _positive(_firstValue(headers, 'deadline-ms')),
     lastEventId: _firstValue(headers, 'last-event-id'),
+    resumedAttempt: _firstValue(headers, 'resumes'),
     promptParts: _promptParts(_firstValue(headers, 'prompt-prefix'))
   }
 }
--- a/packages/replay/example_scenarios.ts
+++ b/packages/replay/example_scenarios.ts
@@ -175,6 +175,7 @@
     address: `engine-${i}`,
     availabilityZone: zones[i % zones.length] ?? '',
     incarnation: 1,
+    softwareVersion: 'v1',
     slots: size.slots,
     leaving: false,
     ..._initialModels(models, size, unit)
--- a/packages/replay/replay_workload.ts
+++ b/packages/replay/replay_workload.ts
@@ -204,6 +204,7 @@
       callerId: request.id,
       fingerprint: request.id,
       promptParts: [],
+      resumedAttempt: undefined,
       route: request.route,
       service: request.service,
       model: request.model,
--- a/packages/scheduler/_test_fleet.ts
+++ b/packages/scheduler/_test_fleet.ts
@@ -25,7 +25,7 @@
 /** Returns the registration of an engine. */
 export function testUpstream (id: string, changes: Partial<Upstream> = {}): Upstream {
   return {
-    id, service: 'drafts', address: `${id}:80`, availabilityZone: 'a', incarnation: 1, slots: 16, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }, ...changes
+    id, service: 'drafts', address: `${id}:80`, availabilityZone: 'a', incarnation: 1, softwareVersion: 'v1', slots: 16, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }, ...changes
   }
 }
 
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -104,7 +104,7 @@
   return step(countAgainstLimit(marked, upstream, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream },
     requestRecord('sent', next, {
-      nowMs, upstream, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion
+      nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion
     })
   ])
 }
--- a/packages/serving/_test_serving.ts
+++ b/packages/serving/_test_serving.ts
@@ -13,6 +13,7 @@
     callerId: `caller-${id}`,
     fingerprint: `fingerprint-${id}`,
     promptParts: [],
+    resumedAttempt: undefined,
     route: 'lookups',
     service: 'orders',
     model: undefined,
@@ -30,7 +31,7 @@
 
 /** Builds an upstream of the plain service. */
 export function testTarget (upstream: string, changes: Partial<RoutingTarget> = {}): RoutingTarget {
-  return { upstream, service: 'orders', incarnation: 1, availabilityZone: 'a', slots: 2, leaving: false, models: undefined, ...changes }
+  return { upstream, service: 'orders', incarnation: 1, softwareVersion: 'v1', availabilityZone: 'a', slots: 2, leaving: false, models: undefined, ...changes }
 }
 
 /** Builds an engine that holds models, each with its adapters. */
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -8,6 +8,8 @@
   readonly fingerprint: string
   /** Ids of the parts of the prompt, in order; the last one belongs to the request or its session alone. */
   readonly promptParts: readonly string[]
+  /** Caller's id of the attempt that brought the first event of the stream that this request resumes, if it does. */
+  readonly resumedAttempt: string | undefined
   readonly route: string
   readonly service: string
   readonly model: string | undefined
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -11,6 +11,8 @@
   readonly service: string
   /** Number of the upstream's process; increases with each restart. */
   readonly incarnation: number
+  /** Version of the software that the upstream runs; empty if it is not known. */
+  readonly softwareVersion: string
   readonly availabilityZone: string
   /** Requests that the upstream runs at the same time. */
   readonly slots: number
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -7,6 +7,10 @@
   readonly request?: string
   readonly route?: string
   readonly upstream?: string
+  /** Software version of the upstream. */
+  readonly softwareVersion?: string
+  /** Caller's id of the attempt that began the stream that the request resumes. */
+  readonly resumes?: string
   readonly model?: string
   readonly adapter?: string
   readonly reason?: string
