Continue a stream only at the software version that began it

Cause: an interrupted stream went to any engine with the model, and a request that resumes one was routed like a new one; nothing kept which version had begun a stream, least of all at the other instances. Resumptions whose origin is not known wait up to 1.5 s for it, and are then refused as not run. Why it works: every attempt after the first event is limited to upstreams of the recorded version; without a record, only a service that ran one single version for a minute counts as known.

--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -18,9 +18,9 @@
 }
 
 /** Effects of request serving that only make a heartbeat due. */
-const REPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['demand_changed', 'evidence_changed', 'limits_changed']
+const REPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['demand_changed', 'evidence_changed', 'limits_changed', 'origin_wanted']
 
-/** Reduces an event of request serving; a change of demand, crash evidence or limits makes a heartbeat due. */
+/** Reduces an event of request serving; a change of demand, crash evidence or limits, or an unknown origin, makes a heartbeat due. */
 export function applyServingEvent (state: EdgeState, event: ServingEvent): EdgeStep {
   const reduced = reduceServing(state.serving, event)
   const effects = reduced.effects.filter((effect) => !REPORTED_EFFECTS.includes(effect.kind)).map((effect): EdgeEffect => ({ subject: 'serving', effect }))
--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -1,5 +1,5 @@
 import type { AdapterUsage, InstanceReport, ReplicaLoad, UnmetDemand, RequestRate } from '@berylshed/scheduler'
-import type { EvidenceUpdate } from '@berylshed/serving'
+import type { EvidenceUpdate, OriginUpdate } from '@berylshed/serving'
 import { Schema } from 'effect'
 import superjson from 'superjson'
 import type { HeartbeatAnswer, HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
@@ -22,6 +22,13 @@
   quarantines: Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.Number]))
 })
 
+const OriginsWire = Schema.Struct({
+  origin: Schema.String,
+  version: Schema.Number,
+  records: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number])),
+  softwareVersions: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number]))
+})
+
 /** Wire format of a heartbeat. Tuples keep it small, as an instance sends several per second. */
 export const HeartbeatWire = Schema.Struct({
   report: ReportWire,
@@ -32,12 +39,17 @@
   crashes: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
   receivedEvidence: Schema.optional(Schema.Tuple([Schema.String, Schema.Number])),
   evidence: Schema.optional(EvidenceWire),
+  receivedOrigins: Schema.optional(Schema.Tuple([Schema.String, Schema.Number])),
+  origins: Schema.optional(OriginsWire),
+  wantedOrigins: Schema.optional(Schema.Array(Schema.String)),
   limits: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.NullOr(Schema.Number), Schema.Number]))),
   news: Schema.NullOr(Schema.String)
 })
 
 /** Wire format of an answer. The view needs no encoding, as it consists of strings and numbers. */
-export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits'> & {
+export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins'> & {
+  /** Absent if there are none or an earlier release answers. */
+  readonly origins?: OriginUpdate
   /** Absent if an earlier release answers. */
   readonly limits?: HeartbeatAnswer['limits']
   /** Empty; releases before the exchange of crash evidence require it. */
@@ -51,12 +63,14 @@
 
 /** Encodes a heartbeat. */
 export function encodeHeartbeat (request: HeartbeatRequest): typeof HeartbeatWire.Type {
-  const { report, receivedView, receivedEvidence, evidence, update, ...rest } = request
+  const { report, receivedView, receivedEvidence, evidence, receivedOrigins, origins, update, ...rest } = request
   return {
     ...rest,
     crashes: [],
     receivedEvidence: [receivedEvidence.origin, receivedEvidence.version],
     ...evidence === undefined ? {} : { evidence },
+    receivedOrigins: [receivedOrigins.origin, receivedOrigins.version],
+    ...origins === undefined ? {} : { origins },
     heard: [receivedView.holder, receivedView.version],
     report: {
       instance: report.instance,
@@ -72,13 +86,16 @@
 
 /** Decodes a heartbeat. */
 export function decodeHeartbeat (wire: typeof HeartbeatWire.Type): HeartbeatRequest {
-  const { report, heard: [holder, version], receivedEvidence: [origin, evidenceVersion] = ['', 0], configurationVersion, listRevision, news } = wire
+  const { report, heard: [holder, version], receivedEvidence: [origin, evidenceVersion] = ['', 0], receivedOrigins: [originsFrom, originsVersion] = ['', 0], configurationVersion, listRevision, news } = wire
   return {
     configurationVersion,
     listRevision,
     receivedView: { holder, version },
     receivedEvidence: { origin, version: evidenceVersion },
     evidence: wire.evidence,
+    receivedOrigins: { origin: originsFrom, version: originsVersion },
+    origins: wire.origins,
+    wantedOrigins: wire.wantedOrigins ?? [],
     limits: wire.limits ?? [],
     report: _decodeReport(report),
     update: news === null ? undefined : _decodeUpdate(news)
@@ -98,14 +115,14 @@
 
 /** Encodes the answer to a heartbeat. */
 export function encodeHeartbeatAnswer (answer: HeartbeatAnswer): AnswerWire {
-  const { update, registryAgeMs, evidence, ...rest } = answer
-  return { ...rest, crashes: [], ...evidence === undefined ? {} : { evidence }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
+  const { update, registryAgeMs, evidence, origins, ...rest } = answer
+  return { ...rest, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
 }
 
 /** Decodes the answer to a heartbeat. */
 export function decodeHeartbeatAnswer (wire: AnswerWire): HeartbeatAnswer {
-  const { news, registryAgeMs, crashes: _unused, evidence, limits = [], ...rest } = wire
-  return { ...rest, evidence, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], ...rest } = wire
+  return { ...rest, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
 }
 
 function _roundRate (ratePerS: number): number {
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -1,10 +1,10 @@
 import { upstreamUpdateSince } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
 import { fleetView, type InstanceReport, type Instant, type PlacedEngine } from '@berylshed/scheduler'
-import { evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, type EvidenceUpdate, type LimitRecord, type LimitShare } from '@berylshed/serving'
+import { evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, originUpdate, wantedOrigins, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate } from '@berylshed/serving'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
-import type { EvidenceExchange, ReceivedView, EdgeState } from './edge_state.ts'
+import type { HolderExchange, ReceivedView, EdgeState } from './edge_state.ts'
 import type { HeartbeatAnswer, HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
 
 /** Interval between heartbeats without unmet demand, in ms: the age of an engine's own report. */
@@ -13,6 +13,8 @@
 const URGENT_HEARTBEAT_MS = 40
 /** Interval added per instance while requests wait, in ms, which limits the holder to 250 heartbeats per second. */
 const URGENT_MS_PER_INSTANCE = 4
+/** Number of instances to which the holder sends all origins of streams, so that they outlast it; the others get those that they ask for. */
+const ORIGIN_COPIES = 3
 /** Time after which an instance that reported nothing no longer counts, in ms. */
 const INSTANCE_LIFE_MS = 4000
 /**
@@ -36,7 +38,9 @@
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
   const { received, updateWantedSince } = state
-  const evidence = _evidenceUpdate(state, { since: _acknowledgedVersion(state), relay: false, nowMs: at.nowMs })
+  const evidence = _evidenceUpdate(state, { since: _acknowledgedVersion(state, state.evidenceExchange), relay: false, nowMs: at.nowMs })
+  const receiver = state.scheduler.lease?.holder?.incarnation ?? ''
+  const origins = originUpdate(state.serving, state.self.incarnation, { since: _acknowledgedVersion(state, state.originExchange), receiver, wanted: [], nowMs: at.nowMs })
   const request: HeartbeatRequest = {
     report,
     configurationVersion: state.configuration?.version ?? 0,
@@ -44,11 +48,15 @@
     receivedView: { holder: received?.view.holder.incarnation ?? '', version: received?.view.version ?? 0 },
     receivedEvidence: { origin: state.evidenceExchange.holder, version: state.evidenceExchange.receivedVersion },
     evidence,
+    receivedOrigins: { origin: state.originExchange.holder, version: state.originExchange.receivedVersion },
+    origins,
+    wantedOrigins: wantedOrigins(state.serving),
     limits: limitRecords(state.serving, at.nowMs),
     update: updateWantedSince === undefined ? undefined : _update(state, { configurationVersion: 0, listRevision: updateWantedSince })
   }
   const evidenceExchange = { ...state.evidenceExchange, sentVersion: evidence?.version ?? state.serving.evidence.version }
-  return step({ ...next, heartbeatInFlight: true, evidenceExchange }, [{ subject: 'heartbeat', to, request }])
+  const originExchange = { ...state.originExchange, sentVersion: origins?.version ?? _acknowledgedVersion(state, state.originExchange) }
+  return step({ ...next, heartbeatInFlight: true, evidenceExchange, originExchange }, [{ subject: 'heartbeat', to, request }])
 }
 
 function _intervalMs (state: EdgeState): number {
@@ -70,8 +78,7 @@
 }
 
 // A new holder has acknowledged nothing.
-function _acknowledgedVersion (state: EdgeState): number {
-  const { holder, acknowledgedVersion } = state.evidenceExchange
+function _acknowledgedVersion (state: EdgeState, { holder, acknowledgedVersion }: HolderExchange): number {
   return holder === state.scheduler.lease?.holder?.incarnation ? acknowledgedVersion : 0
 }
 
@@ -102,11 +109,17 @@
   return applyServingEvent(state, { kind: 'evidence_received', update: evidence, nowMs: at.nowMs })
 }
 
+function _applyOrigins (state: EdgeState, update: OriginUpdate | undefined, at: Instant): EdgeStep {
+  if (update === undefined) return step(state)
+  return applyServingEvent(state, { kind: 'origins_received', update, nowMs: at.nowMs })
+}
+
 /** Applies the report in the heartbeat of another instance. */
 export function applyReport (state: EdgeState, request: HeartbeatRequest, at: Instant): EdgeStep {
   const reported = applySchedulerEvent(state, { kind: 'instance_reported', report: request.report, ...at })
   const informed = chain(reported, (s) => _applyEvidence(s, request.evidence, at))
-  return chain(informed, (s) => _applyLimits(s, request.limits, at))
+  const located = chain(informed, (s) => _applyOrigins(s, request.origins, at))
+  return chain(located, (s) => _applyLimits(s, request.limits, at))
 }
 
 /**
@@ -131,6 +144,7 @@
     instances: instancesOf(state, at),
     limits: _limitShares(state, request.report, at),
     evidence: _evidenceUpdate(state, { since: request.receivedEvidence.origin === state.self.incarnation ? request.receivedEvidence.version : 0, relay: true, nowMs: at.nowMs }),
+    origins: _originsFor(state, request, at),
     update: _update(state, request),
     wantsNews: (state.configuration?.version ?? 0) < request.configurationVersion || listRevision < request.listRevision,
     listRevision,
@@ -138,6 +152,15 @@
   }
 }
 
+// Copies at a few instances outlast the holder; copies at all of them would grow with the square of their number.
+function _originsFor (state: EdgeState, request: HeartbeatRequest, at: Instant): OriginUpdate | undefined {
+  const { instance, incarnation } = request.report
+  const keepers = [...state.scheduler.reports.keys()].filter((name) => name !== state.self.instance).sort().slice(0, ORIGIN_COPIES)
+  const received = request.receivedOrigins.origin === state.self.incarnation ? request.receivedOrigins.version : 0
+  const since = keepers.includes(instance) ? received : Infinity
+  return originUpdate(state.serving, state.self.incarnation, { since, receiver: incarnation, wanted: request.wantedOrigins, nowMs: at.nowMs })
+}
+
 /**
  * Counts the instances that share limits.
  *
@@ -167,23 +190,29 @@
     heartbeatAtMs: at.nowMs,
     updateWantedSince: answer.wantsNews ? answer.listRevision : undefined,
     received: view.validMs > 0 ? _merge(state.received, answer, at) : state.received,
-    evidenceExchange: _exchangeWith(state, answer)
+    evidenceExchange: _exchangeWith(state, state.evidenceExchange, { answer, update: answer.evidence }),
+    originExchange: _exchangeWith(state, state.originExchange, { answer, update: answer.origins })
   }
   const extended = chain(step(next, found), (s) => applySchedulerEvent(s, { kind: 'holder_reached', fence: view.fence, validMs: view.validMs, ...at }))
   const targeted = chain(extended, (s) => updateTargets(s, at))
   const informed = chain(targeted, (s) => _applyEvidence(s, answer.evidence, at))
-  const limited = chain(informed, (s) => _applyLimits(s, answer.limits, at))
+  const located = chain(informed, (s) => _applyOrigins(s, answer.origins, at))
+  const limited = chain(located, (s) => _applyLimits(s, answer.limits, at))
   return chain(limited, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
 }
 
-function _exchangeWith (state: EdgeState, answer: HeartbeatAnswer): EvidenceExchange {
-  const { evidenceExchange: before } = state
+interface _Exchanged {
+  readonly answer: HeartbeatAnswer
+  readonly update: { readonly version: number } | undefined
+}
+
+function _exchangeWith (state: EdgeState, before: HolderExchange, { answer, update }: _Exchanged): HolderExchange {
   const holder = answer.view.holder.incarnation
   const assumed = state.scheduler.lease?.holder?.incarnation
   return {
     ...before,
     holder,
-    receivedVersion: answer.evidence?.version ?? (before.holder === holder ? before.receivedVersion : 0),
+    receivedVersion: update?.version ?? (before.holder === holder ? before.receivedVersion : 0),
     acknowledgedVersion: assumed === holder ? before.sentVersion : 0
   }
 }
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -20,18 +20,20 @@
   readonly upstreams: number
 }
 
-/** How far this instance and the lease holder have exchanged their crash evidence. */
-export interface EvidenceExchange {
+/** How far this instance and the lease holder have exchanged what they learn, each with versions of its own. */
+export interface HolderExchange {
   /** Incarnation of the holder; empty if there was no exchange. */
   readonly holder: string
-  /** Version of the holder's evidence that arrived here. */
+  /** Version of the holder's knowledge that arrived here. */
   readonly receivedVersion: number
-  /** Version of this instance's evidence that the holder acknowledged. */
+  /** Version of this instance's knowledge that the holder acknowledged. */
   readonly acknowledgedVersion: number
-  /** Version of this instance's evidence in the heartbeat without an answer. */
+  /** Version of this instance's knowledge in the heartbeat without an answer. */
   readonly sentVersion: number
 }
 
+const NO_EXCHANGE: HolderExchange = { holder: '', receivedVersion: 0, acknowledgedVersion: 0, sentVersion: 0 }
+
 /** State of an entry instance. */
 export interface EdgeState {
   readonly self: Holder
@@ -49,7 +51,10 @@
   /** The holder's list revision if it requested a registry update, otherwise undefined. */
   readonly updateWantedSince: number | undefined
   readonly registryReads: RegistryReads
-  readonly evidenceExchange: EvidenceExchange
+  /** Exchange of crash evidence. */
+  readonly evidenceExchange: HolderExchange
+  /** Exchange of the origins of streams. */
+  readonly originExchange: HolderExchange
   /** Requests per second of all instances that each limited upstream could serve, as of the holder's last report. */
   readonly limitedRates: ReadonlyMap<string, number>
   /** Whether demand or crash evidence changed since the last heartbeat, so that the next one is sent without waiting. */
@@ -99,7 +104,8 @@
     heartbeatAtMs: -Infinity,
     updateWantedSince: undefined,
     registryReads: { configuration: -Infinity, upstreams: -Infinity },
-    evidenceExchange: { holder: '', receivedVersion: 0, acknowledgedVersion: 0, sentVersion: 0 },
+    evidenceExchange: NO_EXCHANGE,
+    originExchange: NO_EXCHANGE,
     limitedRates: new Map(),
     heartbeatDue: false,
     targetsVersion: 0,
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,6 +1,6 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
 import type { FleetView, InstanceReport } from '@berylshed/scheduler'
-import type { EvidenceUpdate, LimitRecord, LimitShare } from '@berylshed/serving'
+import type { EvidenceUpdate, LimitRecord, LimitShare, OriginUpdate } from '@berylshed/serving'
 
 /** Changes of the registry that one instance relays to another. */
 export interface RegistryUpdate {
@@ -21,6 +21,12 @@
   readonly receivedEvidence: { readonly origin: string, readonly version: number }
   /** Changes of the sender's crash evidence that the holder has not acknowledged. */
   readonly evidence: EvidenceUpdate | undefined
+  /** Sender and version of the stream origins that the sender received last; an empty origin and 0 if there are none. */
+  readonly receivedOrigins: { readonly origin: string, readonly version: number }
+  /** Origins of streams that the holder has not acknowledged. */
+  readonly origins: OriginUpdate | undefined
+  /** Attempts that began streams which callers resume at the sender, and whose origin it does not know. */
+  readonly wantedOrigins: readonly string[]
   /** Limits that upstreams have named to the sender. */
   readonly limits: readonly LimitRecord[]
   /** Registry update, if the holder requested one. */
@@ -36,6 +42,8 @@
   readonly limits: readonly LimitShare[]
   /** Changes of the holder's crash evidence that the sender lacks. */
   readonly evidence: EvidenceUpdate | undefined
+  /** Origins of streams that the sender lacks or asks for. */
+  readonly origins: OriginUpdate | undefined
   /** Registry update that the sender lacks. */
   readonly update: RegistryUpdate | undefined
   /** Whether the sender knows something newer and is to send it. */
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -33,6 +33,9 @@
   listRevision: 10,
   receivedView: { holder: '', version: 0 },
   receivedEvidence: { origin: '', version: 0 },
+  receivedOrigins: { origin: '', version: 0 },
+  origins: undefined,
+  wantedOrigins: [],
   evidence: undefined,
   limits: [],
   update: undefined
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -2,8 +2,10 @@
 import { step, type Step } from '@berylshed/reducer'
 import { dequeueRequest, recordAdapterUse, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
+import { isVersionUnavailable, pinRequest } from './_pin_streams.ts'
 import { countAgainstLimit } from './_limit_upstreams.ts'
 import { chooseUpstream, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
+import { wantedOrigins } from './origin_exchange.ts'
 import { unmetDemand } from './instance_report.ts'
 import type { RefusalReason } from './refusal.ts'
 import type { Request, Attempt } from './request.ts'
@@ -21,7 +23,7 @@
 const MIN_WAIT_MS = 900
 /** Time that a load may exceed its estimate before waiting requests are refused, in ms. */
 const LOAD_SLACK_MS = 400
-/** Maximum wait of an interrupted stream for another upstream, in ms; callers disconnect after two seconds without an event. */
+/** Maximum wait of an interrupted stream for another upstream, or for its origin, in ms; callers disconnect after two seconds without an event. */
 const MAX_INTERRUPTION_MS = 1500
 /** Remaining time at or below which a response can no longer reach the caller, in ms. */
 const MIN_REMAINING_MS = 5
@@ -58,10 +60,13 @@
   return step(reported.state, [...effects, ...reported.effects])
 }
 
-function _dispatchRequest (state: ServingState, request: Request, nowMs: number): _Step {
+function _dispatchRequest (before: ServingState, queued: Request, nowMs: number): _Step {
+  const request = pinRequest(before, queued, nowMs)
+  const state = request === queued ? before : putRequest(before, request)
   const quarantined = request.phase === 'interrupted' ? undefined : quarantinedKey(state.evidence, request, nowMs)
   if (quarantined !== undefined) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
-  const search: UpstreamSearch = _isHeldBack(state, request) ? { kind: 'suspected' } : chooseUpstream(state, request, nowMs)
+  if (isVersionUnavailable(state, request)) return refuseRequest(state, request, { reason: 'no_software_version', nowMs, retryAfterMs: DEFAULT_RETRY_AFTER_MS })
+  const search = _search(state, request, nowMs)
   if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, nowMs })
   return _waitOrRefuse(state, request, { search, nowMs })
 }
@@ -72,6 +77,12 @@
   return refuseRequest(state, request, { reason: 'suspected_crash', nowMs, detail: key, retryAfterMs })
 }
 
+function _search (state: ServingState, request: Request, nowMs: number): UpstreamSearch {
+  if (_isHeldBack(state, request)) return { kind: 'suspected' }
+  if (request.resumedAttempt !== undefined && request.softwareVersion === undefined) return { kind: 'unknown_origin' }
+  return chooseUpstream(state, request, nowMs)
+}
+
 // A request that may have crashed an upstream waits until the responses to others or further crashes tell whether it did.
 function _isHeldBack (state: ServingState, request: Request): boolean {
   return request.phase === 'waiting' && request.runs > 0 && hasSuspectedPart(state.evidence, request)
@@ -95,7 +106,7 @@
 function _send (state: ServingState, request: Request, options: _SendOptions): _Step {
   const { nowMs, choice } = options
   const { upstream } = choice.target
-  const attempt: Attempt = { number: request.attempts.length + 1, upstream, sentAtMs: nowMs }
+  const attempt: Attempt = { number: request.attempts.length + 1, upstream, softwareVersion: choice.target.softwareVersion, sentAtMs: nowMs }
   const next: Request = { ...request, phase: request.phase === 'interrupted' ? 'responding' : 'sent', attempts: [...request.attempts, attempt], runs: request.runs + 1 }
   const before = targetLoad(state, upstream)
   const window = countAttempt(state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW, { isRetry: attempt.number > 1, nowMs })
@@ -118,14 +129,15 @@
   const { nowMs } = options
   if (request.deadlineMs - nowMs <= MIN_REMAINING_MS) return refuseRequest(state, request, { reason: 'deadline_waiting', nowMs })
   if (state.shuttingDown) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS })
-  const waitUntilMs = _waitUntilMs(state, request, nowMs)
+  const waitUntilMs = _waitUntilMs(state, request, options)
   if (nowMs < waitUntilMs) return step(state)
   return refuseRequest(state, request, { reason: _refusalReason(state, request, options.search), nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
 }
 
 // A late response is worth more to the caller than a refusal, but a refusal must leave the caller time to retry.
-function _waitUntilMs (state: ServingState, request: Request, nowMs: number): number {
+function _waitUntilMs (state: ServingState, request: Request, { search, nowMs }: _WaitOptions): number {
   if (request.phase === 'interrupted') return request.waitingSinceMs + MAX_INTERRUPTION_MS
+  if (search.kind === 'unknown_origin') return request.arrivedAtMs + MAX_INTERRUPTION_MS
   const shareMs = (request.deadlineMs - request.arrivedAtMs) * WAIT_TIMEOUT_SHARE
   const waitUntilMs = request.arrivedAtMs + Math.min(Math.max(MIN_WAIT_MS, request.objectiveMs * WAIT_OBJECTIVE_FACTOR), Math.max(shareMs, request.objectiveMs))
   const readyInMs = request.model === undefined ? undefined : state.loadEstimatesMs.get(request.model)
@@ -137,6 +149,7 @@
 function _refusalReason (state: ServingState, request: Request, search: UpstreamSearch): RefusalReason {
   if (search.kind === 'full') return 'no_capacity'
   if (search.kind === 'suspected') return 'suspected_crash'
+  if (search.kind === 'unknown_origin') return 'unknown_origin'
   const offered = [...state.targets.values()].some((target) => target.service === request.service && !target.leaving)
   return offered && request.model !== undefined ? 'no_replica' : 'no_upstream'
 }
@@ -150,7 +163,8 @@
 // next heartbeat.
 function _reportDemand (state: ServingState, nowMs: number): _Step {
   const current = unmetDemand(state, nowMs).map((demand) => `${demand.service} ${demand.model} ${demand.adapter ?? ''}`).sort().join(';')
-  if (current === state.reportedDemand) return step(state)
+  const wanted: readonly ServingEffect[] = wantedOrigins(state).length === 0 ? [] : [{ kind: 'origin_wanted' }]
+  if (current === state.reportedDemand) return step(state, wanted)
   const changed = { ...state, reportedDemand: current }
-  return current === '' ? step(changed) : step(changed, [{ kind: 'demand_changed' }])
+  return current === '' ? step(changed, wanted) : step(changed, [...wanted, { kind: 'demand_changed' }])
 }
--- /dev/null
+++ b/packages/serving/_pin_streams.ts
@@ -0,0 +1,54 @@
+import { HashMap, Option } from 'effect'
+import type { Request } from './request.ts'
+import type { RoutingTarget } from './routing_target.ts'
+import type { ServingState } from './serving_state.ts'
+import { addOrigin, possibleVersions, pruneOrigins, recordVersions } from './stream_origins.ts'
+
+/** Incarnation that stands for this instance as the source of an origin. */
+const SELF = ''
+/** Time beyond the deadline of an attempt within which its caller may still resume the stream, in ms. */
+const RESUME_SLACK_MS = 10_000
+/** Interval at which the software versions of unchanged upstreams are noted, in ms; a fraction of how long they are kept. */
+const NOTE_INTERVAL_MS = 1000
+
+/** Notes the software versions that upstreams run. */
+export function noteVersions (state: ServingState, targets: ReadonlyMap<string, RoutingTarget>, nowMs: number): ServingState {
+  const run = [...targets.values()].map(({ service, softwareVersion }) => [service, softwareVersion, nowMs] as const)
+  return { ...state, softwareVersions: recordVersions(state.softwareVersions, run), versionsNotedAtMs: nowMs }
+}
+
+/** Forgets streams that can no longer be resumed, and notes the software versions from time to time. */
+export function maintainOrigins (state: ServingState, nowMs: number): ServingState {
+  const origins = pruneOrigins(state.origins, nowMs)
+  const pruned = origins === state.origins ? state : { ...state, origins }
+  return nowMs - state.versionsNotedAtMs < NOTE_INTERVAL_MS ? pruned : noteVersions(pruned, pruned.targets, nowMs)
+}
+
+/**
+ * Pins a request that resumes a stream to the software version that began it.
+ *
+ * The version is the one that the stream's origin names, or the only one that upstreams of the service run and have run recently.
+ */
+export function pinRequest (state: ServingState, request: Request, nowMs: number): Request {
+  if (request.resumedAttempt === undefined || request.softwareVersion !== undefined) return request
+  const origin = Option.getOrUndefined(HashMap.get(state.origins.byAttempt, request.resumedAttempt))
+  const [version, ...others] = possibleVersions(state.softwareVersions, request.service, nowMs)
+  const softwareVersion = origin?.softwareVersion ?? (others.length === 0 ? version : undefined)
+  return softwareVersion === undefined ? request : { ...request, softwareVersion }
+}
+
+/** Reports whether no upstream of the software version that a request is pinned to can continue its stream soon. */
+export function isVersionUnavailable (state: ServingState, request: Request): boolean {
+  if (request.softwareVersion === undefined) return false
+  const offered = [...state.targets.values()].filter((target) => target.service === request.service && !target.leaving)
+  const holds = (target: RoutingTarget): boolean => request.model === undefined || target.models === undefined || target.models.has(request.model)
+  const sameVersion = offered.filter((target) => target.softwareVersion === request.softwareVersion)
+  return sameVersion.length === 0 || (offered.some(holds) && !sameVersion.some(holds))
+}
+
+/** Remembers the software version that began the stream of a request whose response has started. */
+export function pinStream (state: ServingState, request: Request, softwareVersion: string): ServingState {
+  const attempt = request.resumedAttempt ?? request.callerId
+  if (!request.stream || !request.retryable || attempt === '') return state
+  return { ...state, origins: addOrigin(state.origins, attempt, { softwareVersion, untilMs: request.deadlineMs + RESUME_SLACK_MS, source: SELF }) }
+}
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -26,6 +26,8 @@
   | { readonly kind: 'chosen', readonly choice: UpstreamChoice }
   /** Eligible upstreams exist, but those considered are at capacity. */
   | { readonly kind: 'full' }
+  /** The request resumes a stream, and the software version that began it is not known. */
+  | { readonly kind: 'unknown_origin' }
   /** The request may have crashed an upstream, so that no other one is risked for now. */
   | { readonly kind: 'suspected' }
   /** No upstream is eligible. */
@@ -86,6 +88,7 @@
 export function isEligible (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
   const { request, nowMs } = query
   if (target.service !== request.service || target.leaving) return false
+  if (request.softwareVersion !== undefined && request.softwareVersion !== target.softwareVersion) return false
   const load = targetLoad(state, target.upstream)
   if (load.avoidedUntilMs > nowMs) return false
   if (request.model === undefined || target.models === undefined) return true
--- a/packages/serving/instance_report.ts
+++ b/packages/serving/instance_report.ts
@@ -62,6 +62,8 @@
     for (const id of queue) {
       const request = Option.getOrUndefined(HashMap.get(state.requests, id))
       if (request?.model === undefined) continue
+      // No load helps a request that waits to learn which software version began its stream.
+      if (request.resumedAttempt !== undefined && request.softwareVersion === undefined) continue
       const key = `${request.service} ${demandKey(request.model, request.adapter)}`
       demand.set(key, _addWaitingRequest(demand.get(key), request, nowMs))
     }
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -2,6 +2,8 @@
 import { step, type Step } from '@berylshed/reducer'
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { changeEvidence } from './_change_evidence.ts'
+import { applyOrigins } from './origin_exchange.ts'
+import { maintainOrigins, noteVersions, pinStream } from './_pin_streams.ts'
 import { failAttempt } from './_fail_attempt.ts'
 import { applyLimits, pruneLimits, stateLimit } from './_limit_upstreams.ts'
 import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
@@ -35,6 +37,7 @@
     case 'targets_changed': return _changeTargets(state, event)
     case 'peer_loads_received': return dispatchAll(_applyPeerLoads(state, event), event.nowMs)
     case 'evidence_received': return _applyEvidence(state, event)
+    case 'origins_received': return dispatchAll(applyOrigins(state, event.update, event.nowMs), event.nowMs)
     case 'limit_stated': return stateLimit(state, event)
     case 'limits_received': return applyLimits(state, event.limits, event.nowMs)
     case 'models_changed': return step({ ...state, models: event.models })
@@ -65,7 +68,7 @@
 
 function _admit (state: ServingState, received: ReceivedRequest, nowMs: number): _Step {
   const request: Request = {
-    ...received, phase: 'waiting', attempts: [], runs: 0, abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, hasErrorResponse: false
+    ...received, phase: 'waiting', softwareVersion: undefined, attempts: [], runs: 0, abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, hasErrorResponse: false
   }
   const { model, service } = request
   const counted = model === undefined ? state : _countRequest(state, `${service} ${model}`, nowMs)
@@ -85,7 +88,7 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = _observeSuccess(state, request, event.nowMs)
-  const responding = putRequest(observed, { ...request, phase: 'responding', respondingSinceMs: event.nowMs })
+  const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion: attempt.softwareVersion, respondingSinceMs: event.nowMs }), request, attempt.softwareVersion)
   return changeEvidence(responding, recordResponse(responding.evidence, request, event.nowMs), event.nowMs)
 }
 
@@ -136,7 +139,7 @@
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
     ...load, avoidedUntilMs: -Infinity, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, absentUntilMs: new Map()
   })), changed)
-  return dispatchAll(pruneLimits(reset), nowMs)
+  return dispatchAll(noteVersions(pruneLimits(reset), targets, nowMs), nowMs)
 }
 
 type _PeerLoadsReceived = Extract<ServingEvent, { kind: 'peer_loads_received' }>
@@ -169,6 +172,6 @@
     return step(refused.state, [...result.effects, ...refused.effects])
   }, step(state))
   const weighed = changeEvidence(ended.state, quarantineCulprits(ended.state.evidence, nowMs), nowMs)
-  const dispatched = dispatchAll(weighed.state, nowMs)
+  const dispatched = dispatchAll(maintainOrigins(weighed.state, nowMs), nowMs)
   return step(dispatched.state, [...ended.effects, ...weighed.effects, ...dispatched.effects])
 }
--- a/packages/serving/refusal.ts
+++ b/packages/serving/refusal.ts
@@ -18,6 +18,10 @@
   | 'upstream_silent'
   | 'answer_crossed'
   | 'answer_malformed'
+  /** It is not known at which software version the stream that the request resumes began. */
+  | 'unknown_origin'
+  /** No upstream of the software version that began the stream can continue it. */
+  | 'no_software_version'
   /** Requests with this fingerprint are suspected of having crashed several upstreams. */
   | 'suspected_crash'
 
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -34,6 +34,8 @@
   /** Position among the attempts of the request, from 1. */
   readonly number: number
   readonly upstream: string
+  /** Software version of the upstream. */
+  readonly softwareVersion: string
   /** Local time at which the request was sent, in ms. */
   readonly sentAtMs: number
 }
@@ -52,6 +54,8 @@
 /** State of a request from its arrival to its outcome. */
 export interface Request extends ReceivedRequest {
   readonly phase: RequestPhase
+  /** Software version that began the stream and has to continue it; undefined if the stream has not begun or it is not known. */
+  readonly softwareVersion: string | undefined
   readonly attempts: readonly Attempt[]
   /** Attempts that may have run the request. */
   readonly runs: number
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -59,6 +59,8 @@
   | { readonly kind: 'demand_changed' }
   /** This instance observed a crash or a response that changes what other instances should suspect. */
   | { readonly kind: 'evidence_changed' }
+  /** A waiting request resumes a stream whose origin is not known here. */
+  | { readonly kind: 'origin_wanted' }
   /** An upstream named, changed or lifted its limit. */
   | { readonly kind: 'limits_changed' }
   | { readonly kind: 'record', readonly record: ServingRecord }
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,4 +1,5 @@
 import type { EvidenceUpdate } from './evidence_update.ts'
+import type { OriginUpdate } from './stream_origins.ts'
 import type { RoutingTarget } from './routing_target.ts'
 import type { LimitRecord, LimitShare } from './upstream_limit.ts'
 import type { ReceivedRequest } from './request.ts'
@@ -41,6 +42,8 @@
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
   /** Another instance sent changes of its crash evidence, or the lease names quarantines. */
   | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines'> }
+  /** Another instance sent origins of streams. */
+  | { readonly kind: 'origins_received', readonly update: OriginUpdate }
   /** Another instance sent the limits of upstreams; the lease holder adds the shares of this instance. */
   | { readonly kind: 'limits_received', readonly limits: ReadonlyArray<LimitRecord | LimitShare> }
   | { readonly kind: 'models_changed', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -2,6 +2,7 @@
 import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
+import { NO_STREAM_ORIGINS, type SoftwareVersions, type StreamOrigins } from './stream_origins.ts'
 import type { UpstreamLimit } from './upstream_limit.ts'
 import type { RetryBudget, RetryWindow } from './retry_window.ts'
 
@@ -37,6 +38,12 @@
   readonly limits: ReadonlyMap<string, UpstreamLimit>
   readonly retryWindows: ReadonlyMap<string, RetryWindow>
   readonly evidence: CrashEvidence
+  /** Origins of streams that callers may resume. */
+  readonly origins: StreamOrigins
+  /** When upstreams last ran each software version, by service. */
+  readonly softwareVersions: SoftwareVersions
+  /** Local time at which the software versions were last noted, in ms. */
+  readonly versionsNotedAtMs: number
   /** Requests per second by service and model. */
   readonly requestRates: HashMap.HashMap<string, DecayingRate>
   /** Local time of the last use of each adapter on each upstream, in ms, by `adapterKey`. */
@@ -82,6 +89,9 @@
     limits: new Map(),
     retryWindows: new Map(),
     evidence: NO_CRASH_EVIDENCE,
+    origins: NO_STREAM_ORIGINS,
+    softwareVersions: new Map(),
+    versionsNotedAtMs: -Infinity,
     requestRates: HashMap.empty(),
     adapterUsedAtMs: HashMap.empty(),
     shuttingDown: false,
