Keep copies of stream origins at instances that live

Cause: the holder chose the three keepers among all instances that had ever reported, so ended ones took their places; found by reading. Figures: the new case of edge/shared_origins_test.ts failed before (no origin at the live instance), passes now. Conclusion: copies outlast replaced instances.

--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -155,7 +155,7 @@
 // Copies at a few instances outlast the holder; copies at all of them would grow with the square of their number.
 function _originsFor (state: EdgeState, request: HeartbeatRequest, at: Instant): OriginUpdate | undefined {
   const { instance, incarnation } = request.report
-  const keepers = [...state.scheduler.reports.keys()].filter((name) => name !== state.self.instance).sort().slice(0, ORIGIN_COPIES)
+  const keepers = _otherInstances(state, at).sort().slice(0, ORIGIN_COPIES)
   const received = request.receivedOrigins.origin === state.self.incarnation ? request.receivedOrigins.version : 0
   const since = keepers.includes(instance) ? received : Infinity
   return originUpdate(state.serving, state.self.incarnation, { since, receiver: incarnation, wanted: request.wantedOrigins, nowMs: at.nowMs })
@@ -174,9 +174,14 @@
  * ```
  */
 export function instancesOf (state: EdgeState, at: Instant): number {
-  const others = [...state.scheduler.reports.values()]
+  return _otherInstances(state, at).length + 1
+}
+
+// Names of the other instances that have reported recently.
+function _otherInstances (state: EdgeState, at: Instant): string[] {
+  return [...state.scheduler.reports.values()]
     .filter(({ report, receivedAtMs }) => report.instance !== state.self.instance && at.nowMs - receivedAtMs < INSTANCE_LIFE_MS)
-  return others.length + 1
+    .map(({ report }) => report.instance)
 }
 
 /** Applies the holder's answer to a heartbeat. */
--- a/packages/edge/shared_origins_test.ts
+++ b/packages/edge/shared_origins_test.ts
@@ -96,3 +96,10 @@
   const resumed = serve(last, stream('s', 2800, 'r'))
   t.truthy(exchange(resumed.state, crowd, 2801, resumed.heartbeat).upstream)
 })
+
+test('an instance that has ended does not take the place of one that keeps copies', (t) => {
+  const holder = know(startHolder(), 'holder')
+  const crowd = ['b', 'c', 'd'].reduce((state, name) => exchange(know(start(name), 'holder'), state, 2000).holder, holder)
+  const { holder: told } = exchange(begin(know(start('y'), 'holder'), 'r', 7000).state, crowd, 7300)
+  t.is(exchange(know(start('z'), 'holder'), told, 7400).instance.serving.origins.newest, 1)
+})
