--- a/packages/edge/run_edge_test.ts
+++ b/packages/edge/run_edge_test.ts
@@ -1,91 +1,12 @@
-import { createServer, request as httpRequest } from 'node:http'
-import { connect, createServer as createTcpServer, type AddressInfo } from 'node:net'
+import { createServer } from 'node:http'
+import { connect, type AddressInfo } from 'node:net'
 import type { Configuration, Upstream } from '@berylshed/fleet'
-import { EngineControl, PlatformStore, Registry, Store, type HostSettings, type UpstreamListing } from '@berylshed/platform'
+import { PlatformStore, type Store } from '@berylshed/platform'
 import test from 'ava'
-import { err, ok } from 'neverthrow'
 import { startTestStore } from './_test_store.ts'
-import { runEdge, type RunningEdge } from './run_edge.ts'
+import { ask, FixedRegistry, MemoryStore, pause, startInstance, statusOf, type TestInstance } from './_test_system.ts'
 
-const HOLD_MS = 60_000
-
-class FixedRegistry extends Registry {
-  readonly #configuration: Configuration
-  readonly #list: UpstreamListing
-
-  constructor (configuration: Configuration, upstreams: readonly Upstream[]) {
-    super()
-    this.#configuration = configuration
-    this.#list = { revision: 1, upstreams: new Map(upstreams.map((upstream) => [upstream.id, upstream])) }
-  }
-
-  override async readConfiguration () {
-    return ok({ revision: 1, configuration: this.#configuration })
-  }
-
-  override async watchConfiguration () {
-    await pause(HOLD_MS)
-    return ok({ revision: 1, configuration: undefined })
-  }
-
-  override async listUpstreams () {
-    return ok(this.#list)
-  }
-
-  override async watchUpstreams () {
-    await pause(HOLD_MS)
-    return ok({ revision: 1, changes: [] })
-  }
-}
-
-class MemoryStore extends Store {
-  #version = 0
-  #value = ''
-
-  override async read (key: string) {
-    return ok({ key, version: this.#version, value: this.#value })
-  }
-
-  override async update (key: string, update: { readonly value: string, readonly expectedVersion: number }) {
-    if (update.expectedVersion !== this.#version) return err({ kind: 'conflict' as const, current: { key, version: this.#version, value: this.#value } })
-    this.#version += 1
-    this.#value = update.value
-    return ok(this.#version)
-  }
-
-  override async watch () {
-    return ok(undefined)
-  }
-}
-
-class NoEngines extends EngineControl {
-  override async readReport () {
-    return err({ kind: 'unreachable' as const, message: '' })
-  }
-
-  override async sendOrder () {
-    return 'not_sent' as const
-  }
-}
-
-function pause (durationMs: number): Promise<void> {
-  return new Promise((resolve) => { setTimeout(resolve, durationMs).unref() })
-}
-
-function freePort (): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createTcpServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(port))
-    })
-  })
-}
-
-interface System {
-  readonly edge: RunningEdge
-  readonly callers: number
-  readonly readiness: number
-  readonly metrics: number
+interface System extends TestInstance {
   close (): void
 }
 
@@ -106,46 +27,8 @@
     services: new Map([['orders', { name: 'orders', engine: undefined }]]),
     limits: { maxBodyBytes: 100, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
   }
-  const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await Promise.all([freePort(), freePort(), freePort(), freePort()])
-  const settings: HostSettings = {
-    instance: 'entry-1',
-    availabilityZone: 'a',
-    callerAddress: `127.0.0.1:${callers}`,
-    readinessAddress: `127.0.0.1:${readiness}`,
-    peerAddress: `127.0.0.1:${peers}`,
-    metricsAddress: `127.0.0.1:${metrics}`,
-    storeAddress: '',
-    bounds: {
-      upstreamDrainMs: 2000, registrationTtlMs: 3600, configurationMs: 2000, shutdownGraceMs: 8000, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000
-    }
-  }
-  const logger = { write: () => {}, dropped: () => 0, end: async () => {} }
-  const edge = await runEdge(settings, { store, registry: new FixedRegistry(configuration, [upstream]), engines: new NoEngines(), logger })
-  while (await statusOf(readiness, '/readyz') !== 200) await pause(20)
-  return { edge, callers, readiness, metrics, close: () => upstreamServer.close() }
-}
-
-interface RequestOptions {
-  readonly method?: string
-  readonly headers?: Readonly<Record<string, string>>
-  readonly body?: string
-}
-
-function ask (port: number, path: string, options: RequestOptions = {}): Promise<{ readonly status: number, readonly text: string }> {
-  return new Promise((resolve, reject) => {
-    const headers = { host: 'api.example', 'attempt-id': 'a1', 'deadline-ms': '8000', ...options.headers }
-    const request = httpRequest({ port, host: '127.0.0.1', path, method: options.method ?? 'GET', headers, agent: false }, (response) => {
-      let text = ''
-      response.on('data', (chunk: Buffer) => { text += chunk.toString() })
-      response.on('end', () => resolve({ status: response.statusCode ?? 0, text }))
-    })
-    request.on('error', reject)
-    request.end(options.body)
-  })
-}
-
-async function statusOf (port: number, path: string, options?: RequestOptions): Promise<number> {
-  return (await ask(port, path, options)).status
+  const instance = await startInstance('entry-1', { store, registry: new FixedRegistry(configuration, [upstream]) })
+  return { ...instance, close: () => upstreamServer.close() }
 }
 
 function canConnect (port: number): Promise<boolean> {
