--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { chooseService, matchRoute, type Configuration, type Route } from '@berylshed/fleet'
-import { localResponseHeaders, readBody, readRequestHeaders, type RequestMetadata } from '@berylshed/platform'
+import { localResponseHeaders, readBody, readHandoverHeaders, readRequestHeaders, type HandoverMetadata, type RequestMetadata } from '@berylshed/platform'
 import { refusal, type ReceivedRequest } from '@berylshed/serving'
 import { sendRefusal, type CallerExchange } from './_exchanges.ts'
 import type { EdgeState } from './edge_state.ts'
@@ -20,6 +20,8 @@
 
 /** Options of {@linkcode createCallerServer}. */
 export interface CallerServerOptions {
+  /** Whether other instances connect, which hand over requests of their callers. */
+  readonly forInstances: boolean
   nowMs (): number
   random (): number
   state (): EdgeState
@@ -40,6 +42,9 @@
   readonly response: ServerResponse
   readonly facts: RequestMetadata
   readonly arrivedAtMs: number
+  readonly callerAddress: string
+  /** What the instance that hands the request over tells; undefined if it comes from a caller. */
+  readonly handover: HandoverMetadata | undefined
 }
 
 /** Creates the HTTP server for callers; it does not listen yet. */
@@ -50,7 +55,7 @@
     options.rejected(call.facts.id, status, reason)
     if (call.response.headersSent || call.response.destroyed) return
     const body = JSON.stringify({ error: { reason, outcome: 'not run' } })
-    call.response.writeHead(status, { ...localResponseHeaders(call.facts.id, undefined), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
+    call.response.writeHead(status, { ...localResponseHeaders(call.facts.id, undefined, { notRun: call.handover !== undefined }), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
   }
 
   async function handle (call: _Call): Promise<void> {
@@ -59,7 +64,7 @@
     if (state.configuration === undefined) {
       options.rejected(facts.id, 503, 'not_configured')
       await _drainBody(request)
-      return sendRefusal(response, refusal('not_configured', { mayHaveRun: false, retryAfterMs: NOT_CONFIGURED_RETRY_MS }), { callerId: facts.id, close: state.draining })
+      return sendRefusal(response, refusal('not_configured', { mayHaveRun: false, retryAfterMs: NOT_CONFIGURED_RETRY_MS }), { callerId: facts.id, close: state.draining, relayed: call.handover !== undefined })
     }
     const body = await readBody(request, state.configuration.limits.maxBodyBytes)
     if (body === undefined) return reject(call, 413, 'body_too_large')
@@ -71,17 +76,17 @@
     requestCount += 1
     const id = `${requestCount.toString(36)}.${facts.id}`
     options.receive(toReceivedRequest(call, route, { id, body }), {
-      id, callerId: facts.id, method: request.method ?? 'GET', path, headers: request.rawHeaders, body, response
+      id, callerId: facts.id, callerAddress: call.callerAddress, relayed: call.handover !== undefined, method: request.method ?? 'GET', path, headers: request.rawHeaders, body, response
     })
   }
 
   function toReceivedRequest (call: _Call, route: Route, identified: { readonly id: string, readonly body: Buffer }): ReceivedRequest {
-    const { facts, request, arrivedAtMs } = call
+    const { facts, arrivedAtMs, handover } = call
     const resumable = route.repetition === 'streaming' && route.resumable
     return {
       id: identified.id,
       callerId: facts.id,
-      fingerprint: _fingerprint(request, identified.body),
+      fingerprint: _fingerprint(call, identified.body),
       promptParts: facts.promptParts,
       resumedAttempt: facts.lastEventId === undefined ? undefined : facts.resumedAttempt ?? '',
       route: route.name,
@@ -90,16 +95,19 @@
       adapter: facts.adapter,
       stream: route.repetition === 'streaming',
       retryable: route.repetition === 'idempotent' || resumable,
-      maxRuns: Math.max(1, route.maxAttempts),
+      maxRuns: Math.max(1, handover?.maxRuns ?? route.maxAttempts),
       rank: route.rank,
       objectiveMs: route.objectiveMs,
       arrivedAtMs,
-      deadlineMs: arrivedAtMs + Math.min(route.timeoutMs, facts.callerTimeoutMs ?? Infinity)
+      deadlineMs: arrivedAtMs + Math.min(route.timeoutMs, facts.callerTimeoutMs ?? Infinity),
+      ...handover === undefined ? {} : { handover: { softwareVersion: handover.softwareVersion } }
     }
   }
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_SLACK_MS }, (request, response) => {
-    const call = { request, response, facts: readRequestHeaders(request.headers), arrivedAtMs: options.nowMs() }
+    const handover = options.forInstances ? readHandoverHeaders(request.headers) : undefined
+    const callerAddress = handover?.callerAddress ?? request.socket.remoteAddress ?? ''
+    const call = { request, response, facts: readRequestHeaders(request.headers), arrivedAtMs: options.nowMs(), callerAddress, handover }
     handle(call).catch((error: unknown) => {
       options.rejected(call.facts.id, 400, error instanceof Error ? error.message : String(error))
       response.destroy()
@@ -131,7 +139,7 @@
 }
 
 // The load balancer preserves the caller's address, so it identifies the caller.
-function _fingerprint (request: IncomingMessage, body: Buffer): string {
-  const name = `${request.headers.host ?? ''}\n${request.url ?? ''}\n${request.socket.remoteAddress ?? ''}\n`
+function _fingerprint ({ request, callerAddress }: _Call, body: Buffer): string {
+  const name = `${request.headers.host ?? ''}\n${request.url ?? ''}\n${callerAddress}\n`
   return createHash('sha256').update(name).update(body).digest('base64url').slice(0, 22)
 }
--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -54,7 +54,7 @@
     const { route = '', reason = '', elapsedMs = 0, status = 0 } = record
     switch (record.what) {
       case 'sent':
-        attempts.inc({ kind: record.sending === 1 ? 'first' : 'repeat' })
+        attempts.inc({ kind: record.relay !== undefined ? 'handed_over' : record.sending === 1 ? 'first' : 'repeat' })
         if (record.sending === 1) waitTime.observe({ route }, elapsedMs / MS_PER_SECOND)
         return
       case 'failed': return failedAttempts.inc({ reason })
@@ -62,6 +62,7 @@
       case 'refused': refused.inc({ reason, status }); return requestTime.observe({ route, outcome: 'refused' }, elapsedMs / MS_PER_SECOND)
       case 'broken_off': return brokenOff.inc({ reason })
       case 'left': return callersLeft.inc()
+      case 'upstream_unreachable':
       case 'upstream_avoided': return avoided.inc({ reason })
       case 'limit_named': return limits.inc({ change: 'named' })
       case 'limit_lifted': return limits.inc({ change: 'lifted' })
--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -1,7 +1,7 @@
 import type { Configuration, Upstream } from '@berylshed/fleet'
 import { step, type Step } from '@berylshed/reducer'
 import { expectedLoads, reduceScheduler, type Instant, type PlacedEngine, type SchedulerEvent } from '@berylshed/scheduler'
-import { reduceServing, type TargetModel, type RoutingTarget, type ServingEffect, type ServingEvent } from '@berylshed/serving'
+import { isIsolated, reduceServing, type TargetModel, type RoutingTarget, type ServingEffect, type ServingEvent } from '@berylshed/serving'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { EdgeState } from './edge_state.ts'
 
@@ -25,7 +25,7 @@
   const reduced = reduceServing(state.serving, event)
   const effects = reduced.effects.filter((effect) => !REPORTED_EFFECTS.includes(effect.kind)).map((effect): EdgeEffect => ({ subject: 'serving', effect }))
   const heartbeatDue = state.heartbeatDue || reduced.effects.some((effect) => REPORTED_EFFECTS.includes(effect.kind))
-  const scheduler = { ...state.scheduler, quarantines: reduced.state.evidence.quarantines }
+  const scheduler = { ...state.scheduler, quarantines: reduced.state.evidence.quarantines, isolated: isIsolated(reduced.state, event.nowMs) }
   return step({ ...state, serving: reduced.state, scheduler, heartbeatDue }, effects)
 }
 
--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -1,8 +1,8 @@
 import type { ServerResponse } from 'node:http'
 import type { Upstream } from '@berylshed/fleet'
-import { forwardedResponseHeaders, localResponseHeaders, attemptHeaders } from '@berylshed/platform'
-import type { Refusal, Request, AttemptFailure, ServingEffect, ServingEvent } from '@berylshed/serving'
-import { forwardAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
+import { attemptHeaders, forwardedResponseHeaders, handoverAnswerHeaders, handoverHeaders, localResponseHeaders, readSoftwareVersion } from '@berylshed/platform'
+import type { Refusal, Relay, Request, AttemptFailure, ServingEffect, ServingEvent } from '@berylshed/serving'
+import { forwardAttempt, type ForwardedAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
 
 /** Timeout for a connection to an upstream, in ms: many round trips within a region. */
 const CONNECT_TIMEOUT_MS = 250
@@ -14,12 +14,18 @@
  * has to start within that time.
  */
 const EVENT_TIMEOUT_MS = 1100
+/** Share of the time left after which a retryable request is taken back from a relay that has not begun to respond. */
+const RELAY_TIMEOUT_SHARE = 0.6
 const METHODS_WITHOUT_BODY = ['GET', 'HEAD', 'OPTIONS', 'DELETE']
 
 /** A caller's request as forwarded to upstreams, and the response to the caller. */
 export interface CallerExchange {
   readonly id: string
   readonly callerId: string
+  /** Network address of the caller. */
+  readonly callerAddress: string
+  /** Whether another instance handed the request over. */
+  readonly relayed: boolean
   readonly method: string
   readonly path: string
   /** Alternating header names and values, as the caller sent them. */
@@ -43,6 +49,10 @@
   running: RunningAttempt | undefined
   buffered: BufferedResponse | undefined
   lastEventId: string | undefined
+  /** Software version of the upstream that runs the request. */
+  softwareVersion: string | undefined
+  /** Whether a relay runs the request. */
+  isRelayed: boolean
 }
 
 /** Open exchanges of an instance with its callers. */
@@ -60,7 +70,7 @@
 
   function open (exchange: CallerExchange): void {
     const { id, response } = exchange
-    openExchanges.set(id, { exchange, running: undefined, buffered: undefined, lastEventId: undefined })
+    openExchanges.set(id, { exchange, running: undefined, buffered: undefined, lastEventId: undefined, softwareVersion: undefined, isRelayed: false })
     response.on('drain', () => openExchanges.get(id)?.running?.resume())
     response.on('close', () => {
       if (!response.writableFinished) options.dispatch({ kind: 'caller_left', id, nowMs: options.nowMs() })
@@ -68,39 +78,63 @@
     })
   }
 
-  function send (effect: Extract<ServingEffect, { kind: 'send' }>): void {
-    const { request, attempt } = effect
-    const entry = openExchanges.get(request.id)
+  function send (effect: _Send): void {
+    const entry = openExchanges.get(effect.request.id)
     if (entry === undefined) return
+    if (effect.relay === undefined) sendToUpstream(entry, effect)
+    else sendToRelay(entry, effect, effect.relay)
+  }
+
+  function sendToUpstream (entry: _OpenExchange, effect: _Send): void {
+    const { request, attempt } = effect
     const upstream = options.upstream(effect.upstream)
     if (upstream === undefined) return fail(request.id, attempt, { failure: 'not_connected', detail: 'upstream is not registered' })
-    const { exchange } = entry
-    const [host = '', port = ''] = upstream.address.split(':')
+    entry.softwareVersion = upstream.softwareVersion
+    entry.isRelayed = false
+    const passed = passedRequest(entry, effect)
+    forward(entry, effect, {
+      ..._addressOf(upstream.address),
+      headers: attemptHeaders({ ...passed, upstream: effect.upstream, rank: request.rank }),
+      reuseConnection: passed.keepAlive,
+      ..._timeouts(request)
+    })
+  }
+
+  function sendToRelay (entry: _OpenExchange, effect: _Send, relay: Relay): void {
+    const { request } = effect
+    entry.softwareVersion = request.softwareVersion
+    entry.isRelayed = true
+    const passed = passedRequest(entry, effect)
+    forward(entry, effect, {
+      ..._addressOf(relay.address),
+      headers: handoverHeaders({
+        ...passed, callerAddress: entry.exchange.callerAddress, maxRuns: Math.max(1, request.maxRuns - request.runs + 1), softwareVersion: request.softwareVersion
+      }),
+      reuseConnection: passed.keepAlive,
+      ..._relayTimeouts(request, passed.remainingMs)
+    })
+  }
+
+  function passedRequest (entry: _OpenExchange, effect: _Send) {
+    const { exchange, lastEventId } = entry
     const hasBody = !METHODS_WITHOUT_BODY.includes(exchange.method) || exchange.body.length > 0
-    const remainingMs = request.deadlineMs - options.nowMs()
-    // A reused connection may fail for reasons unrelated to the request, which only a retryable request tolerates.
-    const reuseConnection = request.retryable && attempt === 1
+    return {
+      callerHeaders: exchange.headers,
+      remainingMs: effect.request.deadlineMs - options.nowMs(),
+      lastEventId,
+      bodyBytes: hasBody ? exchange.body.length : undefined,
+      // A reused connection may fail for reasons unrelated to the request, which only a retryable request tolerates.
+      keepAlive: effect.request.retryable && effect.attempt === 1
+    }
+  }
+
+  function forward (entry: _OpenExchange, effect: _Send, target: Pick<ForwardedAttempt, 'host' | 'port' | 'headers' | 'reuseConnection' | 'firstByteTimeoutMs' | 'eventTimeoutMs'>): void {
+    const { exchange } = entry
+    const { request, attempt, relay } = effect
     entry.running = forwardAttempt({
-      id: exchange.callerId,
-      host,
-      port: Number(port),
-      method: exchange.method,
-      path: exchange.path,
-      headers: attemptHeaders({
-        callerHeaders: exchange.headers,
-        upstream: effect.upstream,
-        remainingMs,
-        rank: request.rank,
-        lastEventId: entry.lastEventId,
-        bodyBytes: hasBody ? exchange.body.length : undefined,
-        keepAlive: reuseConnection
-      }),
-      body: exchange.body,
-      reuseConnection,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      ..._timeouts(request)
+      id: exchange.callerId, method: exchange.method, path: exchange.path, body: exchange.body, connectTimeoutMs: CONNECT_TIMEOUT_MS, ...target
     }, {
-      limit: (perS) => options.dispatch({ kind: 'limit_stated', upstream: effect.upstream, perS, nowMs: options.nowMs() }),
+      limit: (perS) => { if (relay === undefined) options.dispatch({ kind: 'limit_stated', upstream: effect.upstream, perS, nowMs: options.nowMs() }) },
       events: (head, chunk, lastEventId) => relayEvents(entry, { head, attempt }, { chunk, lastEventId }),
       ended: (head, body) => completeAttempt(entry, { head, attempt }, body),
       failed: (failure, detail, errorResponse) => {
@@ -124,8 +158,9 @@
   function relayEvents (entry: _OpenExchange, source: _AttemptResponse, events: _RelayedEvents): boolean {
     const { response, id } = entry.exchange
     if (!response.headersSent) {
+      if (entry.isRelayed) entry.softwareVersion = _namedVersion(source.head)
       sendHead(entry, source.head, undefined)
-      options.dispatch({ kind: 'response_started', id, attempt: source.attempt, nowMs: options.nowMs() })
+      options.dispatch({ kind: 'response_started', id, attempt: source.attempt, softwareVersion: entry.softwareVersion ?? '', nowMs: options.nowMs() })
     }
     entry.lastEventId = events.lastEventId ?? entry.lastEventId
     return response.write(events.chunk)
@@ -134,6 +169,7 @@
   function sendHead (entry: _OpenExchange, head: ResponseHead, length: number | undefined): void {
     const { response } = entry.exchange
     const headers = [...forwardedResponseHeaders(head.headers)]
+    if (entry.exchange.relayed) headers.push(...handoverAnswerHeaders(entry.softwareVersion ?? ''))
     if (length !== undefined) headers.push('Content-Length', String(length))
     if (options.isDraining()) headers.push('Connection', 'close')
     response.sendDate = false
@@ -164,7 +200,7 @@
   function refuse (id: string, refused: Refusal): void {
     const entry = openExchanges.get(id)
     openExchanges.delete(id)
-    if (entry !== undefined) sendRefusal(entry.exchange.response, refused, { callerId: entry.exchange.callerId, close: options.isDraining() })
+    if (entry !== undefined) sendRefusal(entry.exchange.response, refused, { callerId: entry.exchange.callerId, close: options.isDraining(), relayed: entry.exchange.relayed })
   }
 
   function perform (effect: ServingEffect): void {
@@ -189,6 +225,8 @@
   return { open, perform, size: () => openExchanges.size }
 }
 
+type _Send = Extract<ServingEffect, { kind: 'send' }>
+
 interface _AttemptResponse {
   readonly head: ResponseHead
   readonly attempt: number
@@ -207,12 +245,37 @@
   return request.stream ? { firstByteTimeoutMs, eventTimeoutMs: EVENT_TIMEOUT_MS } : { firstByteTimeoutMs, eventTimeoutMs: Infinity }
 }
 
+// A relay waits for an upstream and times out its attempts itself; only one that has stopped responding is given up.
+function _relayTimeouts (request: Request, remainingMs: number): ReturnType<typeof _timeouts> {
+  if (!request.retryable) return _timeouts(request)
+  return { firstByteTimeoutMs: remainingMs * RELAY_TIMEOUT_SHARE, eventTimeoutMs: Infinity }
+}
+
+function _addressOf (address: string): Pick<ForwardedAttempt, 'host' | 'port'> {
+  const [host = '', port = ''] = address.split(':')
+  return { host, port: Number(port) }
+}
+
+// Names the software version of the upstream that a relay used.
+function _namedVersion (head: ResponseHead): string | undefined {
+  return readSoftwareVersion(Object.fromEntries(head.headers.flatMap((name, i) => i % 2 === 0 ? [[name.toLowerCase(), head.headers[i + 1]]] : [])))
+}
+
+/** How a refusal is delivered. */
+export interface RefusalOptions {
+  readonly callerId: string
+  /** Whether the connection is closed afterwards. */
+  readonly close: boolean
+  /** Whether another instance handed the request over. */
+  readonly relayed: boolean
+}
+
 /** Responds to a request that this instance refuses. */
-export function sendRefusal (response: ServerResponse, refused: Refusal, options: { readonly callerId: string, readonly close: boolean }): void {
+export function sendRefusal (response: ServerResponse, refused: Refusal, options: RefusalOptions): void {
   if (response.destroyed || response.headersSent) return
   const body = JSON.stringify({ error: { reason: refused.reason, outcome: refused.notRun ? 'not run' : 'outcome unknown' } })
   response.writeHead(refused.status, {
-    ...localResponseHeaders(options.callerId, refused.retryAfterMs),
+    ...localResponseHeaders(options.callerId, refused.retryAfterMs, { notRun: options.relayed && refused.notRun }),
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(body),
     ...options.close ? { Connection: 'close' } : {}
--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -7,6 +7,8 @@
 const ReportWire = Schema.Struct({
   instance: Schema.String,
   incarnation: Schema.String,
+  relayAddress: Schema.optional(Schema.String),
+  isolated: Schema.optional(Schema.Boolean),
   needs: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.String, Schema.Number, Schema.Array(Schema.Number)])),
   uses: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number])),
   loads: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number])),
@@ -47,7 +49,9 @@
 })
 
 /** Wire format of an answer. The view needs no encoding, as it consists of strings and numbers. */
-export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins'> & {
+export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays'> & {
+  /** Absent if an earlier release answers. */
+  readonly relays?: HeartbeatAnswer['relays']
   /** Absent if there are none or an earlier release answers. */
   readonly origins?: OriginUpdate
   /** Absent if an earlier release answers. */
@@ -75,6 +79,8 @@
     report: {
       instance: report.instance,
       incarnation: report.incarnation,
+      ...report.relayAddress === undefined ? {} : { relayAddress: report.relayAddress },
+      ...report.isolated === true ? { isolated: true } : {},
       needs: report.unmetDemand.map((demand) => [demand.service, demand.model, demand.adapter ?? '', demand.waiting, demand.dueInMs.map(Math.round)] as const),
       uses: report.requestRates.map((use) => [use.service, use.model, _roundRate(use.ratePerS)] as const),
       loads: report.loads.map((load) => [load.upstream, load.model, load.running] as const),
@@ -106,6 +112,8 @@
   return {
     instance: wire.instance,
     incarnation: wire.incarnation,
+    ...wire.relayAddress === undefined ? {} : { relayAddress: wire.relayAddress },
+    ...wire.isolated === true ? { isolated: true } : {},
     unmetDemand: wire.needs.map(([service, model, adapter, waiting, dueInMs]): UnmetDemand => ({ service, model, adapter: adapter === '' ? undefined : adapter, waiting, dueInMs })),
     requestRates: wire.uses.map(([service, model, ratePerS]): RequestRate => ({ service, model, ratePerS })),
     loads: wire.loads.map(([upstream, model, running]): ReplicaLoad => ({ upstream, model, running })),
@@ -121,8 +129,8 @@
 
 /** Decodes the answer to a heartbeat. */
 export function decodeHeartbeatAnswer (wire: AnswerWire): HeartbeatAnswer {
-  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], ...rest } = wire
-  return { ...rest, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], ...rest } = wire
+  return { ...rest, relays, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
 }
 
 function _roundRate (ratePerS: number): number {
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -1,7 +1,7 @@
 import { upstreamUpdateSince } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
 import { fleetView, type InstanceReport, type Instant, type PlacedEngine } from '@berylshed/scheduler'
-import { evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, originUpdate, wantedOrigins, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate } from '@berylshed/serving'
+import { evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, originUpdate, wantedOrigins, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate, type Relay } from '@berylshed/serving'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { HolderExchange, ReceivedView, EdgeState } from './edge_state.ts'
@@ -15,6 +15,8 @@
 const URGENT_MS_PER_INSTANCE = 4
 /** Number of instances to which the holder sends all origins of streams, so that they outlast it; the others get those that they ask for. */
 const ORIGIN_COPIES = 3
+/** Number of instances that the holder names to each other one as relays. */
+const RELAYS_PER_INSTANCE = 3
 /** Time after which an instance that reported nothing no longer counts, in ms. */
 const INSTANCE_LIFE_MS = 4000
 /**
@@ -28,12 +30,13 @@
 /** Sends a heartbeat to the lease holder if one is due; the holder applies its own report directly. */
 export function sendHeartbeat (state: EdgeState, at: Instant): EdgeStep {
   if (state.heartbeatInFlight || at.nowMs < state.heartbeatAtMs + _intervalMs(state)) return step(state)
-  const report = instanceReport(state.serving, state.self, at)
+  const report = _report(state, at)
   const next = { ...state, heartbeatDue: false, heartbeatAtMs: at.nowMs }
   if (state.scheduler.held !== undefined) {
     const reported = applySchedulerEvent(next, { kind: 'instance_reported', report, ...at })
     const summed = chain(reported, (s) => step(_sumLimitedRates(s, at)))
-    return chain(summed, (s) => _applyLimits(s, _limitShares(s, report, at), at))
+    const limited = chain(summed, (s) => _applyLimits(s, _limitShares(s, report, at), at))
+    return chain(limited, (s) => _applyRelays(s, _relaysFor(s, report.instance, at), at))
   }
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
@@ -59,6 +62,28 @@
   return step({ ...next, heartbeatInFlight: true, evidenceExchange, originExchange }, [{ subject: 'heartbeat', to, request }])
 }
 
+function _report (state: EdgeState, at: Instant): InstanceReport {
+  const report = instanceReport(state.serving, state.self, at)
+  return state.draining || state.relayAddress === '' ? report : { ...report, relayAddress: state.relayAddress }
+}
+
+// Consecutive instances get different relays, so that those of a zone that is cut off spread over the others.
+function _relaysFor (state: EdgeState, requester: string, at: Instant): readonly Relay[] {
+  const live = [...state.scheduler.reports.values()].filter(({ receivedAtMs }) => at.nowMs - receivedAtMs < INSTANCE_LIFE_MS).map(({ report }) => report)
+  const candidates = live.flatMap(({ instance, relayAddress, isolated }) => {
+    return instance === requester || relayAddress === undefined || isolated === true ? [] : [{ instance, address: relayAddress }]
+  }).sort((a, b) => a.instance < b.instance ? -1 : 1)
+  if (candidates.length <= RELAYS_PER_INSTANCE) return candidates
+  const first = live.filter(({ instance }) => instance < requester).length * RELAYS_PER_INSTANCE
+  return Array.from({ length: RELAYS_PER_INSTANCE }, (_, i) => candidates[(first + i) % candidates.length]).filter((relay) => relay !== undefined)
+}
+
+function _applyRelays (state: EdgeState, relays: readonly Relay[], at: Instant): EdgeStep {
+  const known = state.serving.relays
+  if (relays.length === known.length && relays.every(({ instance, address }, i) => known[i]?.instance === instance && known[i]?.address === address)) return step(state)
+  return applyServingEvent(state, { kind: 'relays_received', relays, nowMs: at.nowMs })
+}
+
 function _intervalMs (state: EdgeState): number {
   if (state.heartbeatDue) return 0
   if (state.serving.reportedDemand === '') return HEARTBEAT_MS
@@ -143,6 +168,7 @@
     view: fleetView(state.scheduler, at, { requester: request.report.instance, since }),
     instances: instancesOf(state, at),
     limits: _limitShares(state, request.report, at),
+    relays: _relaysFor(state, request.report.instance, at),
     evidence: _evidenceUpdate(state, { since: request.receivedEvidence.origin === state.self.incarnation ? request.receivedEvidence.version : 0, relay: true, nowMs: at.nowMs }),
     origins: _originsFor(state, request, at),
     update: _update(state, request),
@@ -203,7 +229,8 @@
   const informed = chain(targeted, (s) => _applyEvidence(s, answer.evidence, at))
   const located = chain(informed, (s) => _applyOrigins(s, answer.origins, at))
   const limited = chain(located, (s) => _applyLimits(s, answer.limits, at))
-  return chain(limited, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
+  const relayed = chain(limited, (s) => _applyRelays(s, answer.relays, at))
+  return chain(relayed, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
 }
 
 interface _Exchanged {
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -100,13 +100,14 @@
 
 /** Starts an instance and waits until it is ready. */
 export async function startInstance (instance: string, platform: TestPlatform): Promise<TestInstance> {
-  const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await Promise.all([freePort(), freePort(), freePort(), freePort()])
+  const [callers = 0, readiness = 0, peers = 0, relay = 0, metrics = 0] = await Promise.all([freePort(), freePort(), freePort(), freePort(), freePort()])
   const settings: HostSettings = {
     instance,
     availabilityZone: 'a',
     callerAddress: `127.0.0.1:${callers}`,
     readinessAddress: `127.0.0.1:${readiness}`,
     peerAddress: `127.0.0.1:${peers}`,
+    relayAddress: `127.0.0.1:${relay}`,
     metricsAddress: `127.0.0.1:${metrics}`,
     storeAddress: '',
     bounds: {
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -64,6 +64,8 @@
   /** Time of the last tick by both clocks. */
   readonly tickedAt: Instant
   readonly draining: boolean
+  /** Host and port at which other instances hand over requests. */
+  readonly relayAddress: string
 }
 
 /** Options of {@linkcode newEdgeState}. */
@@ -74,6 +76,8 @@
   readonly leaseBounds: LeaseBounds
   /** Number between 0 and 1 that differs between instances; 1 by default. */
   readonly phase?: number
+  /** Host and port at which other instances hand over requests; none by default. */
+  readonly relayAddress?: string
   /** Placement policy; defaults to the one used in production. */
   readonly policy?: PlacementPolicy
 }
@@ -110,7 +114,8 @@
     heartbeatDue: false,
     targetsVersion: 0,
     tickedAt: { nowMs: 0, clockMs: 0 },
-    draining: false
+    draining: false,
+    relayAddress: options.relayAddress ?? ''
   }
 }
 
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,6 +1,6 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
 import type { FleetView, InstanceReport } from '@berylshed/scheduler'
-import type { EvidenceUpdate, LimitRecord, LimitShare, OriginUpdate } from '@berylshed/serving'
+import type { EvidenceUpdate, LimitRecord, LimitShare, OriginUpdate, Relay } from '@berylshed/serving'
 
 /** Changes of the registry that one instance relays to another. */
 export interface RegistryUpdate {
@@ -38,6 +38,8 @@
   readonly view: FleetView
   /** Number of instances that share limits, including the holder. */
   readonly instances: number
+  /** Instances to which the sender may hand over requests whose upstreams it cannot reach. */
+  readonly relays: readonly Relay[]
   /** Limits of upstreams with the sender's shares. */
   readonly limits: readonly LimitShare[]
   /** Changes of the holder's crash evidence that the sender lacks. */
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -1,5 +1,6 @@
 import { applyUpstreamUpdate, buildRouteTable, NO_UPSTREAMS, storeRevision, type Upstream } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
+import { noteContact } from '@berylshed/serving'
 import { fleetView, type Instant, type SchedulerEvent } from '@berylshed/scheduler'
 import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, instancesOf } from './_peer_heartbeat.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
@@ -30,7 +31,7 @@
 function _reduce (state: EdgeState, event: EdgeEvent): EdgeStep {
   switch (event.subject) {
     case 'serving': return applyServingEvent(state, event.event)
-    case 'scheduler': return chain(applySchedulerEvent(state, event.event), (s) => _applyLeasedQuarantines(s, event.event))
+    case 'scheduler': return chain(chain(applySchedulerEvent(state, event.event), (s) => _applyLeasedQuarantines(s, event.event)), (s) => _applyEngineContact(s, event.event))
     case 'configured': return _applyConfiguration(state, event)
     case 'listed': return _applyList(state, event.list, { from: 'store', at: event.at })
     case 'upstreams_updated': return _applyList(state, applyUpstreamUpdate(state.list ?? NO_UPSTREAMS, event.update), { from: 'peer', at: event.at })
@@ -49,6 +50,13 @@
   return applyServingEvent(state, { kind: 'evidence_received', update: { suspicions: [], quarantines }, nowMs: event.nowMs })
 }
 
+// The holder polls all engines, so it learns of a lost path even without requests.
+function _applyEngineContact (state: EdgeState, event: SchedulerEvent): EdgeStep {
+  if (event.kind === 'engine_reported') return step({ ...state, serving: noteContact(state.serving, event.nowMs) })
+  if (event.kind !== 'engine_report_failed') return step(state)
+  return applyServingEvent(state, { kind: 'upstream_probed', upstream: event.upstream, reached: false, nowMs: event.nowMs })
+}
+
 // Derives the wall-clock time from the last tick, so that the reducer stays deterministic.
 function _instantOf (state: EdgeState, event: EdgeEvent): Instant {
   if ('at' in event) return event.at
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -4,12 +4,14 @@
 import type { EngineControl, HostSettings, Registry, Store } from '@berylshed/platform'
 import { createEventLoop } from '@berylshed/reducer'
 import type { Instant, Lease, OrderOutcome, SchedulerEffect } from '@berylshed/scheduler'
+import type { ReceivedRequest } from '@berylshed/serving'
 import { Effect, Fiber, HashMap } from 'effect'
 import { createCallerServer } from './_caller_server.ts'
 import { createEdgeMetrics } from './_edge_metrics.ts'
-import { createExchanges } from './_exchanges.ts'
+import { createExchanges, type CallerExchange } from './_exchanges.ts'
 import { followConfiguration, followUpstreams, type RegistryHooks } from './_follow_registry.ts'
 import { closeServer, listenAt } from './_listen.ts'
+import { probeAddress } from './_probe_address.ts'
 import { createPeerClient } from './_peer_client.ts'
 import { createPeerServer } from './_peer_router.ts'
 import type { EdgeEffect } from './edge_effect.ts'
@@ -78,7 +80,8 @@
       availabilityZone: settings.availabilityZone,
       retryBudget: { ratio: bounds.retryBudgetRatio, minRetries: bounds.freeRetriesPerWindow, windowMs: bounds.retryWindowMs },
       leaseBounds: bounds,
-      phase: Math.random()
+      phase: Math.random(),
+      relayAddress: settings.relayAddress
     }),
     reduce: reduceEdge,
     perform
@@ -90,19 +93,21 @@
     isDraining: () => loop.state().draining,
     dispatch: (event) => loop.dispatch({ subject: 'serving', event })
   })
-  const callerServer = createCallerServer({
+  const callerServerOptions = {
     nowMs,
     random: () => Math.random(),
     state: loop.state,
-    receive: (request, exchange) => {
+    receive: (request: ReceivedRequest, exchange: CallerExchange): void => {
       exchanges.open(exchange)
       loop.dispatch({ subject: 'serving', event: { kind: 'received', request, nowMs: nowMs() } })
     },
-    rejected: (callerId, status, reason) => {
+    rejected: (callerId: string, status: number, reason: string): void => {
       metrics.countRejected(status, reason)
       logger.write('callers', { what: 'rejected', request: callerId, status, reason, configuration: loop.state().configuration?.version ?? 0 })
     }
-  })
+  }
+  const callerServer = createCallerServer({ ...callerServerOptions, forInstances: false })
+  const relayServer = createCallerServer({ ...callerServerOptions, forInstances: true })
   const peerServer = createPeerServer({
     heartbeat: (request) => {
       applyUpdate(request.update)
@@ -122,12 +127,13 @@
 
   function applyConfiguration (configuration: NonNullable<EdgeState['configuration']>, from: 'store' | 'peer'): void {
     loop.dispatch({ subject: 'configured', configuration, from, at: at() })
-    callerServer.configure(loop.state().configuration ?? configuration)
+    for (const server of [callerServer, relayServer]) server.configure(loop.state().configuration ?? configuration)
   }
 
   function perform (effect: EdgeEffect): void {
     switch (effect.subject) {
       case 'serving':
+        if (effect.effect.kind === 'probe') return probe(effect.effect.upstream)
         if (effect.effect.kind !== 'record') return exchanges.perform(effect.effect)
         metrics.countRequest(effect.effect.record)
         return logger.write('requests', _roundNumbers(effect.effect.record))
@@ -139,6 +145,14 @@
     }
   }
 
+  function probe (upstream: string): void {
+    const address = loop.state().list?.upstreams.get(upstream)?.address
+    if (address === undefined) return
+    probeAddress(address).then((reached) => {
+      loop.dispatch({ subject: 'serving', event: { kind: 'upstream_probed', upstream, reached, nowMs: nowMs() } })
+    }).catch(logFailure)
+  }
+
   function logFailure (error: unknown): void {
     logger.write('process', { what: 'effect_failed', reason: error instanceof Error ? error.stack ?? error.message : String(error) })
   }
@@ -235,6 +249,7 @@
 
   await Promise.all([
     listenAt(callerServer.server, settings.callerAddress),
+    listenAt(relayServer.server, settings.relayAddress),
     listenAt(readinessServer, settings.readinessAddress),
     listenAt(peerServer, settings.peerAddress),
     listenAt(metrics.server, settings.metricsAddress)
@@ -246,8 +261,9 @@
   async function close (): Promise<void> {
     clearInterval(tickTimer)
     await Promise.all(registryFibers.map((fiber) => Effect.runPromise(Fiber.interrupt(fiber))))
-    for (const server of [callerServer.server, readinessServer, peerServer, metrics.server]) server.closeAllConnections()
-    await Promise.all([callerServer.server, readinessServer, peerServer, metrics.server].map(closeServer))
+    const servers = [callerServer.server, relayServer.server, readinessServer, peerServer, metrics.server]
+    for (const server of servers) server.closeAllConnections()
+    await Promise.all(servers.map(closeServer))
     logger.write('process', { what: 'stopped' })
   }
 
@@ -258,10 +274,10 @@
     await _sleep(READINESS_DELAY_MS)
     loop.dispatch({ subject: 'serving', event: { kind: 'shutdown_started', nowMs: nowMs() } })
     // A request accepted later could be cut off at the end of the grace period.
-    const closed = closeServer(callerServer.server)
+    const closed = Promise.all([callerServer, relayServer].map(({ server }) => closeServer(server)))
     while (nowMs() < endMs && (exchanges.size() > 0 || loop.state().scheduler.held !== undefined)) {
       await _sleep(DRAIN_POLL_MS)
-      callerServer.server.closeIdleConnections()
+      for (const { server } of [callerServer, relayServer]) server.closeIdleConnections()
     }
     await close()
     await closed
--- a/packages/platform/host_settings.ts
+++ b/packages/platform/host_settings.ts
@@ -34,6 +34,8 @@
   readonly readinessAddress: string
   /** Host and port on which the process accepts other instances. */
   readonly peerAddress: string
+  /** Host and port on which the process takes over requests of other instances. */
+  readonly relayAddress: string
   /** Host and port on which metrics are served. */
   readonly metricsAddress: string
   /** Host and port of the platform's store. */
@@ -90,6 +92,7 @@
     callerAddress: wire.Listen.Front,
     readinessAddress: wire.Listen.Ready,
     peerAddress: wire.Listen.Control,
+    relayAddress: `${wire.Ip}:${wire.InternalPorts[0] + 1}`,
     metricsAddress: `${wire.Ip}:${wire.InternalPorts[0]}`,
     storeAddress: wire.Platform.Address,
     bounds: {
--- a/packages/platform/http_headers.ts
+++ b/packages/platform/http_headers.ts
@@ -32,6 +32,19 @@
   readonly keepAlive: boolean
 }
 
+/** A request as handed over to another instance. */
+export interface HandedOverRequest extends Pick<Attempt, 'callerHeaders' | 'remainingMs' | 'lastEventId' | 'bodyBytes' | 'keepAlive'> {
+  /** Network address of the caller. */
+  readonly callerAddress: string
+  /** Number of attempts at upstreams that may still run the request. */
+  readonly maxRuns: number
+  /** Software version that began the stream and has to continue it, if it has begun. */
+  readonly softwareVersion: string | undefined
+}
+
+/** What the headers of a handed-over request tell beside those of the caller. */
+export type HandoverMetadata = Pick<HandedOverRequest, 'callerAddress' | 'maxRuns' | 'softwareVersion'>
+
 /** Metadata of an upstream's response. */
 export interface ResponseMetadata {
   /** Id of the request that the response belongs to. */
@@ -57,8 +70,13 @@
   'expect-instance', 'expect-version', 'deadline-ms', 'request-priority', 'hold', 'pin-ms',
   'kv-fetch', 'kv-from', 'kv-backup', 'proxy-authorization', 'instance-id', 'not-executed'
 ]
-const STRIPPED_REQUEST_HEADERS = new Set([...HOP_HEADERS, ...UPSTREAM_CONTROL_HEADERS])
-const STRIPPED_RESPONSE_HEADERS = new Set(HOP_HEADERS)
+// Headers between instances. Values sent by a caller or an upstream are dropped.
+const CALLER_HEADER = 'Berylshed-Caller'
+const RUNS_HEADER = 'Berylshed-Runs'
+const VERSION_HEADER = 'Berylshed-Software-Version'
+const INTERNAL_HEADERS = [CALLER_HEADER, RUNS_HEADER, VERSION_HEADER].map((name) => name.toLowerCase())
+const STRIPPED_REQUEST_HEADERS = new Set([...HOP_HEADERS, ...UPSTREAM_CONTROL_HEADERS, ...INTERNAL_HEADERS])
+const STRIPPED_RESPONSE_HEADERS = new Set([...HOP_HEADERS, ...INTERNAL_HEADERS])
 const MISDIRECTED_REQUEST = 421
 
 /**
@@ -99,17 +117,94 @@
  * ```
  */
 export function attemptHeaders (attempt: Attempt): readonly string[] {
-  const resumed = attempt.lastEventId !== undefined
-  const kept = _filter(attempt.callerHeaders, (name) => !STRIPPED_REQUEST_HEADERS.has(name) && !(resumed && name === 'last-event-id'))
-  const own = [
+  return _passedHeaders(attempt, [
     'Expect-Instance', attempt.upstream,
-    'Deadline-Ms', String(Math.max(1, Math.floor(attempt.remainingMs))),
-    'Request-Priority', String(Math.min(9, Math.max(0, attempt.rank))),
-    'Connection', attempt.keepAlive ? 'keep-alive' : 'close'
-  ]
-  const length = attempt.bodyBytes === undefined ? [] : ['Content-Length', String(attempt.bodyBytes)]
-  const resume = attempt.lastEventId === undefined ? [] : ['Last-Event-Id', attempt.lastEventId]
-  return [...kept, ...own, ...length, ...resume]
+    'Deadline-Ms', _wholeMs(attempt.remainingMs),
+    'Request-Priority', String(Math.min(9, Math.max(0, attempt.rank)))
+  ])
+}
+
+/**
+ * Returns the headers of a request that is handed over to another instance.
+ *
+ * @param request The request.
+ * @returns Alternating header names and values.
+ *
+ * @example
+ * ```ts
+ * const headers = handoverHeaders(request)
+ * ```
+ */
+export function handoverHeaders (request: HandedOverRequest): readonly string[] {
+  return _passedHeaders(request, [
+    'Deadline-Ms', _wholeMs(request.remainingMs),
+    CALLER_HEADER, request.callerAddress,
+    RUNS_HEADER, String(request.maxRuns),
+    ...request.softwareVersion === undefined ? [] : [VERSION_HEADER, request.softwareVersion]
+  ])
+}
+
+/**
+ * Reads what another instance tells of a request that it hands over.
+ *
+ * @param headers The request's headers in lower case.
+ * @returns The metadata.
+ *
+ * @example
+ * ```ts
+ * console.log(readHandoverHeaders({ 'berylshed-runs': '2' }).maxRuns) // 2
+ * ```
+ */
+export function readHandoverHeaders (headers: _Headers): HandoverMetadata {
+  return {
+    callerAddress: _firstValue(headers, CALLER_HEADER.toLowerCase()) ?? '',
+    maxRuns: _positive(_firstValue(headers, RUNS_HEADER.toLowerCase())) ?? 1,
+    softwareVersion: readSoftwareVersion(headers)
+  }
+}
+
+/**
+ * Returns the headers that tell another instance which upstream responds.
+ *
+ * @param softwareVersion The software version of the upstream.
+ * @returns Alternating header names and values.
+ *
+ * @example
+ * ```ts
+ * console.log(handoverAnswerHeaders('v1')) // ['Berylshed-Software-Version', 'v1']
+ * ```
+ */
+export function handoverAnswerHeaders (softwareVersion: string): readonly string[] {
+  return [VERSION_HEADER, softwareVersion]
+}
+
+/**
+ * Reads the software version of the upstream that responded to another instance.
+ *
+ * @param headers The response's headers in lower case.
+ * @returns The version, or undefined if none is named.
+ *
+ * @example
+ * ```ts
+ * console.log(readSoftwareVersion({ 'berylshed-software-version': 'v1' })) // 'v1'
+ * ```
+ */
+export function readSoftwareVersion (headers: _Headers): string | undefined {
+  return _firstValue(headers, VERSION_HEADER.toLowerCase())
+}
+
+type _PassedRequest = Pick<Attempt, 'callerHeaders' | 'lastEventId' | 'bodyBytes' | 'keepAlive'>
+
+function _passedHeaders (request: _PassedRequest, own: readonly string[]): readonly string[] {
+  const resumed = request.lastEventId !== undefined
+  const kept = _filter(request.callerHeaders, (name) => !STRIPPED_REQUEST_HEADERS.has(name) && !(resumed && name === 'last-event-id'))
+  const length = request.bodyBytes === undefined ? [] : ['Content-Length', String(request.bodyBytes)]
+  const resume = request.lastEventId === undefined ? [] : ['Last-Event-Id', request.lastEventId]
+  return [...kept, ...own, 'Connection', request.keepAlive ? 'keep-alive' : 'close', ...length, ...resume]
+}
+
+function _wholeMs (durationMs: number): string {
+  return String(Math.max(1, Math.floor(durationMs)))
 }
 
 /**
@@ -172,6 +267,7 @@
  *
  * @param id Id of the request; empty if the caller sent none.
  * @param retryAfterMs Time after which the caller can retry, in ms, if a retry is useful.
+ * @param options Whether another instance is told that the request has not run; callers take it from the status.
  * @returns The headers.
  *
  * @example
@@ -179,10 +275,11 @@
  * console.log(localResponseHeaders('a1', 250)) // { 'Attempt-Id': 'a1', 'Retry-After': '0.25' }
  * ```
  */
-export function localResponseHeaders (id: string, retryAfterMs: number | undefined): Readonly<Record<string, string>> {
+export function localResponseHeaders (id: string, retryAfterMs: number | undefined, options: { readonly notRun?: boolean } = {}): Readonly<Record<string, string>> {
   return {
     ...id === '' ? {} : { 'Attempt-Id': id },
-    ...retryAfterMs === undefined ? {} : { 'Retry-After': String(Math.ceil(retryAfterMs) / MS_PER_SECOND) }
+    ...retryAfterMs === undefined ? {} : { 'Retry-After': String(Math.ceil(retryAfterMs) / MS_PER_SECOND) },
+    ...options.notRun === true ? { 'Not-Executed': '1' } : {}
   }
 }
 
--- a/packages/scheduler/demand.ts
+++ b/packages/scheduler/demand.ts
@@ -37,6 +37,10 @@
 
 /** Demand and load that an instance reports to the lease holder. */
 export interface InstanceReport {
+  /** Host and port at which the instance takes over requests of others; absent if it is draining or runs an earlier release. */
+  readonly relayAddress?: string
+  /** Whether the instance reaches none of several upstreams; absent if an earlier release reports. */
+  readonly isolated?: boolean
   readonly instance: string
   readonly incarnation: string
   readonly unmetDemand: readonly UnmetDemand[]
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -69,6 +69,8 @@
   /** Counter for the ids of orders and lease writes. */
   readonly nextId: number
   readonly stopping: boolean
+  /** Whether this instance reaches none of several upstreams. */
+  readonly isolated: boolean
 }
 
 /** Options of {@linkcode newSchedulerState}. */
@@ -114,6 +116,7 @@
     plannedAtMs: -Infinity,
     published: EMPTY_PLACEMENT,
     nextId: 0,
-    stopping: false
+    stopping: false,
+    isolated: false
   }
 }
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -4,7 +4,8 @@
 import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
 import { isVersionUnavailable, pinRequest } from './_pin_streams.ts'
 import { countAgainstLimit } from './_limit_upstreams.ts'
-import { chooseUpstream, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
+import { chooseUpstream, offersModel, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
+import { chooseRelay, relayKey, type Relay } from './relay.ts'
 import { wantedOrigins } from './origin_exchange.ts'
 import { unmetDemand } from './instance_report.ts'
 import type { RefusalReason } from './refusal.ts'
@@ -68,6 +69,8 @@
   if (isVersionUnavailable(state, request)) return refuseRequest(state, request, { reason: 'no_software_version', nowMs, retryAfterMs: DEFAULT_RETRY_AFTER_MS })
   const search = _search(state, request, nowMs)
   if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, nowMs })
+  const relay = search.kind === 'absent' && _isOnlyOutOfReach(state, request, nowMs) ? chooseRelay(state, request, nowMs) : undefined
+  if (relay !== undefined) return _handOver(state, request, { relay, nowMs })
   return _waitOrRefuse(state, request, { search, nowMs })
 }
 
@@ -98,6 +101,36 @@
   })
 }
 
+// Reports whether upstreams offer what a request needs, and only this instance has no path to any of them.
+function _isOnlyOutOfReach (state: ServingState, request: Request, nowMs: number): boolean {
+  return [...state.unreachable.keys()].some((upstream) => {
+    const target = state.targets.get(upstream)
+    return target !== undefined && offersModel(state, target, { request, nowMs })
+  })
+}
+
+interface _HandOverOptions {
+  readonly relay: Relay
+  readonly nowMs: number
+}
+
+// The relay counts the request against limits and budgets, as it reaches upstreams from there.
+function _handOver (state: ServingState, request: Request, options: _HandOverOptions): _Step {
+  const { relay, nowMs } = options
+  const upstream = relayKey(relay)
+  const attempt: Attempt = { number: request.attempts.length + 1, upstream, relay, softwareVersion: '', sentAtMs: nowMs }
+  const next = _sentRequest(request, attempt)
+  const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
+  return step(counted, [
+    { kind: 'send', request: next, attempt: attempt.number, upstream, relay },
+    requestRecord('sent', next, { nowMs, upstream, relay: relay.instance, sending: attempt.number, detail: `${state.unreachable.size} of ${state.targets.size} upstreams cannot be reached` })
+  ])
+}
+
+function _sentRequest (request: Request, attempt: Attempt): Request {
+  return { ...request, phase: request.phase === 'interrupted' ? 'responding' : 'sent', attempts: [...request.attempts, attempt], runs: request.runs + 1 }
+}
+
 interface _SendOptions {
   readonly choice: UpstreamChoice
   readonly nowMs: number
@@ -106,14 +139,14 @@
 function _send (state: ServingState, request: Request, options: _SendOptions): _Step {
   const { nowMs, choice } = options
   const { upstream } = choice.target
-  const attempt: Attempt = { number: request.attempts.length + 1, upstream, softwareVersion: choice.target.softwareVersion, sentAtMs: nowMs }
-  const next: Request = { ...request, phase: request.phase === 'interrupted' ? 'responding' : 'sent', attempts: [...request.attempts, attempt], runs: request.runs + 1 }
+  const attempt: Attempt = { number: request.attempts.length + 1, upstream, relay: undefined, softwareVersion: choice.target.softwareVersion, sentAtMs: nowMs }
+  const next = _sentRequest(request, attempt)
   const before = targetLoad(state, upstream)
   const window = countAttempt(state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW, { isRetry: attempt.number > 1, nowMs })
   const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
   const marked = recordAdapterUse({ ...counted, retryWindows: new Map(counted.retryWindows).set(request.service, window) }, request, { upstream, nowMs })
   return step(countAgainstLimit(marked, upstream, nowMs), [
-    { kind: 'send', request: next, attempt: attempt.number, upstream },
+    { kind: 'send', request: next, attempt: attempt.number, upstream, relay: undefined },
     requestRecord('sent', next, {
       nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion
     })
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -6,6 +6,8 @@
 import { demandKey, type TargetLoad } from './routing_target.ts'
 import type { RefusalReason } from './refusal.ts'
 import { currentAttempt, type Request, type Attempt } from './request.ts'
+import { markUnreachable, noteContact } from './reach.ts'
+import type { Relay } from './relay.ts'
 import { EMPTY_RETRY_WINDOW, isRetryAllowed } from './retry_window.ts'
 import type { ServingEffect, ServingRecord } from './serving_effect.ts'
 import type { AttemptFailure } from './serving_event.ts'
@@ -36,6 +38,9 @@
 /** Failures after which the request certainly has not run. */
 const NOT_RUN_FAILURES: readonly AttemptFailure[] = ['not_connected', 'refused', 'misdirected']
 
+/** Failures in which the upstream responded. */
+const RESPONDED_FAILURES: readonly AttemptFailure[] = ['refused', 'misdirected', 'crossed', 'malformed', 'upstream_error']
+
 /** Description of a failed attempt. */
 export interface FailedAttempt {
   /** Number of the attempt. */
@@ -60,9 +65,9 @@
     hasErrorResponse: request.hasErrorResponse || failure === 'upstream_error'
   }
   const observed = _observeFailure(putRequest(releaseSlot(state, request, nowMs), next), request, { attempt, failed })
-  const blamed = failure === 'broken' && !responding ? _blame(observed.state, request, { attempt, nowMs }) : step<ServingState, ServingEffect>(observed.state)
+  const blamed = failure === 'broken' && !responding && attempt.relay === undefined ? _blame(observed.state, request, { attempt, nowMs }) : step<ServingState, ServingEffect>(observed.state)
   const record = requestRecord('failed', next, { nowMs, upstream: attempt.upstream, reason: failure, detail, sending: attempt.number, runs: next.runs, ..._traceFields(request, failed) })
-  const followUp = _retryOrRefuse(blamed.state, next, failed)
+  const followUp = _retryOrRefuse(blamed.state, next, { ...failed, relay: attempt.relay })
   return step(followUp.state, [record, ...observed.effects, ...blamed.effects, ...followUp.effects])
 }
 
@@ -74,15 +79,21 @@
   return { fingerprint: request.fingerprint, ...parts, ...responding }
 }
 
-function _retryOrRefuse (state: ServingState, request: Request, failed: FailedAttempt): _Step {
+interface _EndedAttempt extends FailedAttempt {
+  readonly relay: Relay | undefined
+}
+
+function _retryOrRefuse (state: ServingState, request: Request, failed: _EndedAttempt): _Step {
   const { nowMs, failure } = failed
   const stop = (reason: RefusalReason): _Step => refuseRequest(state, request, { reason, nowMs, detail: failed.detail })
   if (request.abandoned) return stop(REASONS[failure])
   if (request.runs > 0 && !request.retryable) return stop(REASONS[failure])
+  // A relay has made the attempts that the request is allowed.
+  if (failed.relay !== undefined && failure === 'upstream_error') return stop(REASONS[failure])
   if (request.runs >= request.maxRuns || request.attempts.length >= MAX_ATTEMPTS) return stop(REASONS[failure])
   if (isSuspectedRequest(state.evidence, request)) return stop('suspected_crash')
   const window = state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW
-  const arrived = failure !== 'not_connected'
+  const arrived = failure !== 'not_connected' && failed.relay === undefined
   if (arrived && !isRetryAllowed(window, state.retryBudget, { instances: state.instances, nowMs })) return stop('retry_budget')
   return enqueueRequest(state, request, nowMs)
 }
@@ -94,11 +105,14 @@
 
 function _observeFailure (state: ServingState, request: Request, observation: _FailureObservation): _Step {
   const { failure, nowMs } = observation.failed
-  const { upstream } = observation.attempt
-  if (failure === 'misdirected') return step(updateTargetLoad(state, upstream, (load) => _markAbsent(load, request, nowMs)))
-  if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(state, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
-  const avoided = updateTargetLoad(state, upstream, (load) => _avoidUpstream(observeOutcome(load, { failed: true, nowMs }), nowMs))
-  return step(avoided, [{ kind: 'record', record: { what: 'upstream_avoided', upstream, reason: failure, request: request.callerId } }])
+  const { upstream, relay } = observation.attempt
+  const contacted = relay === undefined && RESPONDED_FAILURES.includes(failure) ? noteContact(state, nowMs) : state
+  if (failure === 'misdirected') return step(updateTargetLoad(contacted, upstream, (load) => _markAbsent(load, request, nowMs)))
+  if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
+  const avoided = updateTargetLoad(contacted, upstream, (load) => _avoidUpstream(observeOutcome(load, { failed: true, nowMs }), nowMs))
+  const marked = markUnreachable(avoided, upstream, nowMs)
+  const what = marked === avoided ? 'upstream_avoided' : 'upstream_unreachable'
+  return step(marked, [{ kind: 'record', record: { what, upstream, reason: failure, request: request.callerId } }])
 }
 
 // Failures of concurrent attempts count once: while the upstream is avoided, further ones are not added.
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -33,7 +33,7 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined) return state
   const freed = updateTargetLoad(state, attempt.upstream, (load) => ({ ...load, ownRequests: Math.max(0, load.ownRequests - 1) }))
-  return recordAdapterUse(freed, request, { upstream: attempt.upstream, nowMs })
+  return attempt.relay === undefined ? recordAdapterUse(freed, request, { upstream: attempt.upstream, nowMs }) : freed
 }
 
 /** Records the time of the last use of an adapter. */
--- a/packages/serving/_test_serving.ts
+++ b/packages/serving/_test_serving.ts
@@ -71,6 +71,7 @@
     case 'send': return `send ${effect.request.id}#${effect.attempt} to ${effect.upstream}`
     case 'refuse': return `refuse ${effect.id} ${effect.refusal.status} ${effect.refusal.reason}${effect.refusal.notRun ? ' not run' : ''}`
     case 'cancel': return `cancel ${effect.id}#${effect.attempt}`
+    case 'probe': return `probe ${effect.upstream}`
     case 'finish':
     case 'abort': return `${effect.kind} ${effect.id}`
     default: return effect.kind
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -86,16 +86,32 @@
  * ```
  */
 export function isEligible (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
+  if (state.unreachable.has(target.upstream) || targetLoad(state, target.upstream).avoidedUntilMs > query.nowMs) return false
+  return offersModel(state, target, query)
+}
+
+/**
+ * Reports whether an upstream offers the model and adapter of a request, whether or not this instance reaches it.
+ *
+ * @param state The state of the requests.
+ * @param target The upstream.
+ * @param query The request and the time.
+ * @returns Whether some instance may send the request there.
+ *
+ * @example
+ * ```ts
+ * const offered = offersModel(state, target, { request, nowMs })
+ * ```
+ */
+export function offersModel (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
   const { request, nowMs } = query
   if (target.service !== request.service || target.leaving) return false
   if (request.softwareVersion !== undefined && request.softwareVersion !== target.softwareVersion) return false
-  const load = targetLoad(state, target.upstream)
-  if (load.avoidedUntilMs > nowMs) return false
   if (request.model === undefined || target.models === undefined) return true
   const targetModel = target.models.get(request.model)
   if (targetModel === undefined || !targetModel.usable) return false
   if (request.adapter !== undefined && !targetModel.adapters.has(request.adapter)) return false
-  const absentUntilMs = load.absentUntilMs.get(demandKey(request.model, request.adapter)) ?? -Infinity
+  const absentUntilMs = targetLoad(state, target.upstream).absentUntilMs.get(demandKey(request.model, request.adapter)) ?? -Infinity
   return absentUntilMs <= nowMs
 }
 
--- a/packages/serving/instance_report.ts
+++ b/packages/serving/instance_report.ts
@@ -1,5 +1,6 @@
 import { HashMap, Option } from 'effect'
 import { adapterKey, replicaKey, type AdapterUsage, type InstanceReport, type ReplicaLoad, type UnmetDemand, type RequestRate } from '@berylshed/scheduler'
+import { isIsolated } from './reach.ts'
 import { demandKey } from './routing_target.ts'
 import { currentAttempt, type Request } from './request.ts'
 import type { DecayingRate, ServingState } from './serving_state.ts'
@@ -37,6 +38,7 @@
   const { nowMs } = options
   return {
     ...reporter,
+    isolated: isIsolated(state, nowMs),
     unmetDemand: unmetDemand(state, nowMs),
     requestRates: _uses(state, nowMs),
     loads: _loads(state),
@@ -117,7 +119,7 @@
   const loads = new Map<string, ReplicaLoad>()
   for (const request of HashMap.values(state.requests)) {
     const attempt = currentAttempt(request)
-    if (attempt === undefined) continue
+    if (attempt === undefined || attempt.relay !== undefined) continue
     const model = request.model ?? ''
     const key = replicaKey(attempt.upstream, model)
     loads.set(key, { upstream: attempt.upstream, model, running: (loads.get(key)?.running ?? 0) + 1 })
@@ -129,7 +131,7 @@
   const running = new Map<string, number>()
   for (const request of HashMap.values(state.requests)) {
     const attempt = currentAttempt(request)
-    if (attempt === undefined || request.model === undefined || request.adapter === undefined) continue
+    if (attempt === undefined || attempt.relay !== undefined || request.model === undefined || request.adapter === undefined) continue
     const key = adapterKey(attempt.upstream, request.model, { adapter: request.adapter })
     running.set(key, (running.get(key) ?? 0) + 1)
   }
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -10,6 +10,7 @@
 import { observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
+import { markReached, markUnreachable, noteContact, probeUnreachable } from './reach.ts'
 import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
@@ -40,6 +41,8 @@
     case 'origins_received': return dispatchAll(applyOrigins(state, event.update, event.nowMs), event.nowMs)
     case 'limit_stated': return stateLimit(state, event)
     case 'limits_received': return applyLimits(state, event.limits, event.nowMs)
+    case 'upstream_probed': return _applyProbe(state, event)
+    case 'relays_received': return dispatchAll({ ...state, relays: event.relays }, event.nowMs)
     case 'models_changed': return step({ ...state, models: event.models })
     case 'shutdown_started': return dispatchAll({ ...state, shuttingDown: true }, event.nowMs)
     case 'ticked': return _tick(state, event.nowMs)
@@ -68,10 +71,11 @@
 
 function _admit (state: ServingState, received: ReceivedRequest, nowMs: number): _Step {
   const request: Request = {
-    ...received, phase: 'waiting', softwareVersion: undefined, attempts: [], runs: 0, abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, hasErrorResponse: false
+    ...received, phase: 'waiting', softwareVersion: received.handover?.softwareVersion, attempts: [], runs: 0, abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, hasErrorResponse: false
   }
   const { model, service } = request
-  const counted = model === undefined ? state : _countRequest(state, `${service} ${model}`, nowMs)
+  // The instance that handed a request over has counted it.
+  const counted = model === undefined || received.handover !== undefined ? state : _countRequest(state, `${service} ${model}`, nowMs)
   const models = state.models.get(service)
   if (model !== undefined && models !== undefined && !models.has(model)) return refuseRequest(counted, request, { reason: 'unknown_model', nowMs })
   return enqueueRequest(counted, request, nowMs)
@@ -88,7 +92,8 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = _observeSuccess(state, request, event.nowMs)
-  const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion: attempt.softwareVersion, respondingSinceMs: event.nowMs }), request, attempt.softwareVersion)
+  const softwareVersion = event.softwareVersion ?? attempt.softwareVersion
+  const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion, respondingSinceMs: event.nowMs }), request, softwareVersion)
   return changeEvidence(responding, recordResponse(responding.evidence, request, event.nowMs), event.nowMs)
 }
 
@@ -96,7 +101,8 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined) return state
   const firstByteMs = nowMs - attempt.sentAtMs
-  return updateTargetLoad(state, attempt.upstream, (load) => ({
+  const contacted = attempt.relay === undefined ? noteContact(state, nowMs) : state
+  return updateTargetLoad(contacted, attempt.upstream, (load) => ({
     ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), consecutiveFailures: 0, avoidedUntilMs: -Infinity
   }))
 }
@@ -134,7 +140,8 @@
     const before = state.targets.get(target.upstream)
     return before !== undefined && before.incarnation < target.incarnation
   })
-  const changed: ServingState = { ...state, targets, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
+  const unreachable = new Map([...state.unreachable].filter(([id]) => targets.has(id) && !restarted.some(({ upstream }) => upstream === id)))
+  const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
     ...load, avoidedUntilMs: -Infinity, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, absentUntilMs: new Map()
@@ -142,6 +149,17 @@
   return dispatchAll(noteVersions(pruneLimits(reset), targets, nowMs), nowMs)
 }
 
+type _UpstreamProbed = Extract<ServingEvent, { kind: 'upstream_probed' }>
+
+function _applyProbe (state: ServingState, event: _UpstreamProbed): _Step {
+  const { upstream, reached, nowMs } = event
+  const next = reached ? markReached(state, upstream, nowMs) : markUnreachable(state, upstream, nowMs)
+  if (next.unreachable === state.unreachable) return step(next)
+  const record: ServingEffect = { kind: 'record', record: { what: reached ? 'upstream_reached' : 'upstream_unreachable', upstream, detail: 'probe' } }
+  const dispatched = dispatchAll(next, nowMs)
+  return step(dispatched.state, [record, ...dispatched.effects])
+}
+
 type _PeerLoadsReceived = Extract<ServingEvent, { kind: 'peer_loads_received' }>
 
 function _applyPeerLoads (state: ServingState, event: _PeerLoadsReceived): ServingState {
@@ -172,6 +190,7 @@
     return step(refused.state, [...result.effects, ...refused.effects])
   }, step(state))
   const weighed = changeEvidence(ended.state, quarantineCulprits(ended.state.evidence, nowMs), nowMs)
-  const dispatched = dispatchAll(maintainOrigins(weighed.state, nowMs), nowMs)
-  return step(dispatched.state, [...ended.effects, ...weighed.effects, ...dispatched.effects])
+  const probed = probeUnreachable(weighed.state, nowMs)
+  const dispatched = dispatchAll(maintainOrigins(probed.state, nowMs), nowMs)
+  return step(dispatched.state, [...ended.effects, ...weighed.effects, ...probed.effects, ...dispatched.effects])
 }
--- a/packages/serving/reduce_serving_test.ts
+++ b/packages/serving/reduce_serving_test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { isIsolated } from './reach.ts'
 import { newServingHarness, openRequests, testEngineTarget, testTarget, testRequest } from './_test_serving.ts'
 import { MAX_REQUEST_CRASHES } from './_weigh_evidence.ts'
 import { instanceReport } from './instance_report.ts'
@@ -103,13 +104,17 @@
   t.deepEqual(cleared.apply({ kind: 'received', request: testRequest('r'), nowMs: 10 }), ['send r#1 to u1'])
 })
 
-test('an upstream that accepts no connection is avoided for a while and then tried again', (t) => {
+test('an upstream that accepts no connection receives no requests until a probe reaches it', (t) => {
   const harness = newServingHarness([testTarget('u1'), testTarget('u2')])
   harness.apply({ kind: 'received', request: testRequest('a'), nowMs: 0 })
   harness.apply(failed('a', 1, 'not_connected', 250))
   const next = (id: string, nowMs: number): string | undefined => harness.apply({ kind: 'received', request: testRequest(id, { arrivedAtMs: nowMs, deadlineMs: nowMs + 1000 }), nowMs })[0]
   t.deepEqual([next('b', 300), next('c', 310)], ['send b#1 to u2', 'send c#1 to u2'])
-  t.is(next('d', 60_000), 'send d#1 to u1')
+  t.deepEqual(harness.apply({ kind: 'ticked', nowMs: 320 }), ['probe u1'])
+  harness.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 330 })
+  t.is(next('d', 60_000), 'send d#1 to u2')
+  harness.apply({ kind: 'upstream_probed', upstream: 'u1', reached: true, nowMs: 60_010 })
+  t.is(next('e', 60_020), 'send e#1 to u1')
 })
 
 test('a leaving upstream and one that lacks the model receive no requests', (t) => {
@@ -138,3 +143,42 @@
   t.is(sent.filter((effect) => effect.startsWith('send')).length, 16)
   t.deepEqual(instanceReport(harness.state(), { instance: 'i', incarnation: 'x' }, { nowMs: 0 }).unmetDemand, [{ service: 'drafts', model: 'm', adapter: undefined, waiting: 2, dueInMs: [500, 500] }])
 })
+
+test('a request whose upstreams are all out of reach is handed to another instance, once or twice', (t) => {
+  const harness = newServingHarness([testTarget('u1')])
+  const relays = ['b', 'c', 'd'].map((instance) => ({ instance, address: instance }))
+  harness.apply({ kind: 'relays_received', relays, nowMs: 0 })
+  harness.apply({ kind: 'received', request: testRequest('r', { retryable: false }), nowMs: 0 })
+  const handedOver = harness.apply(failed('r', 1, 'not_connected', 5))
+  const again = harness.apply(failed('r', 2, 'refused', 10))
+  const refused = harness.apply(failed('r', 3, 'refused', 20))
+  t.deepEqual([handedOver, again, refused], [['send r#2 to relay b'], ['send r#3 to relay c'], []])
+  t.deepEqual(harness.apply({ kind: 'ticked', nowMs: 950 }), ['probe u1', 'refuse r 503 no_upstream not run'])
+})
+
+test('a request that another instance handed over is not handed over again', (t) => {
+  const harness = newServingHarness([testTarget('u1')])
+  harness.apply({ kind: 'relays_received', relays: [{ instance: 'b', address: 'b' }], nowMs: 0 })
+  harness.apply({ kind: 'received', request: testRequest('r', { handover: { softwareVersion: undefined } }), nowMs: 0 })
+  t.deepEqual(harness.apply(failed('r', 1, 'not_connected', 5)), [])
+})
+
+test('a booking whose relay breaks off has an unknown outcome and is not sent again', (t) => {
+  const harness = newServingHarness([testTarget('u1')])
+  harness.apply({ kind: 'relays_received', relays: [{ instance: 'b', address: 'b' }, { instance: 'c', address: 'c' }], nowMs: 0 })
+  harness.apply({ kind: 'received', request: testRequest('r', { retryable: false }), nowMs: 0 })
+  harness.apply(failed('r', 1, 'not_connected', 5))
+  t.deepEqual(harness.apply(failed('r', 2, 'broken', 50)), ['refuse r 502 upstream_broken'])
+})
+
+test('an instance counts as isolated only if several upstreams are out of reach and none has responded lately', (t) => {
+  const harness = newServingHarness([testTarget('u1'), testTarget('u2'), testTarget('u3')])
+  const isolated: boolean[] = []
+  for (const [i, upstream] of ['u1', 'u2'].entries()) {
+    harness.apply({ kind: 'upstream_probed', upstream, reached: false, nowMs: i })
+    isolated.push(isIsolated(harness.state(), 600))
+  }
+  harness.apply({ kind: 'received', request: testRequest('r'), nowMs: 610 })
+  harness.apply({ kind: 'response_ended', id: 'r', attempt: 1, status: 200, nowMs: 620 })
+  t.deepEqual([...isolated, isIsolated(harness.state(), 630)], [false, true, false])
+})
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -1,3 +1,5 @@
+import type { Relay } from './relay.ts'
+
 /** Properties of a request that are known on arrival. */
 export interface ReceivedRequest {
   /** Id of the request, unique on this instance. */
@@ -27,14 +29,25 @@
   readonly arrivedAtMs: number
   /** Local time of the deadline, in ms. */
   readonly deadlineMs: number
+  /** What the instance that handed the request over tells of it; absent if the request came from a caller. */
+  readonly handover?: Handover
+}
+
+/** A request as another instance hands it over. */
+export interface Handover {
+  /** Software version that began the stream and has to continue it; undefined if the stream has not begun. */
+  readonly softwareVersion: string | undefined
 }
 
 /** One attempt to run a request on an upstream. */
 export interface Attempt {
   /** Position among the attempts of the request, from 1. */
   readonly number: number
+  /** The upstream, or the key of the relay. */
   readonly upstream: string
-  /** Software version of the upstream. */
+  /** The instance that the request was handed to, or undefined if it was sent to an upstream. */
+  readonly relay: Relay | undefined
+  /** Software version of the upstream; empty while a relay has not told it. */
   readonly softwareVersion: string
   /** Local time at which the request was sent, in ms. */
   readonly sentAtMs: number
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -1,12 +1,15 @@
+import type { Relay } from './relay.ts'
 import type { Request } from './request.ts'
 import type { Refusal } from './refusal.ts'
 
 /** Record of a decision about a request, for logs and counters. */
 export interface ServingRecord {
-  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
+  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
   readonly request?: string
   readonly route?: string
   readonly upstream?: string
+  /** Instance that the request was handed to. */
+  readonly relay?: string
   /** Software version of the upstream. */
   readonly softwareVersion?: string
   /** Caller's id of the attempt that began the stream that the request resumes. */
@@ -46,7 +49,9 @@
 
 /** Action for the caller of the reducer to carry out. */
 export type ServingEffect =
-  | { readonly kind: 'send', readonly request: Request, readonly attempt: number, readonly upstream: string }
+  | { readonly kind: 'send', readonly request: Request, readonly attempt: number, readonly upstream: string, readonly relay: Relay | undefined }
+  /** Opens a connection to an upstream to see whether it can be reached. */
+  | { readonly kind: 'probe', readonly upstream: string }
   /** Cancels an attempt whose response is no longer needed. */
   | { readonly kind: 'cancel', readonly id: string, readonly attempt: number }
   /** Completes the response to the caller, all of which has been forwarded or collected. */
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,4 +1,5 @@
 import type { EvidenceUpdate } from './evidence_update.ts'
+import type { Relay } from './relay.ts'
 import type { OriginUpdate } from './stream_origins.ts'
 import type { RoutingTarget } from './routing_target.ts'
 import type { LimitRecord, LimitShare } from './upstream_limit.ts'
@@ -32,11 +33,16 @@
 /** Event that affects the requests of an instance. */
 export type ServingEvent = { readonly nowMs: number } & (
   | { readonly kind: 'received', readonly request: ReceivedRequest }
-  | { readonly kind: 'response_started', readonly id: string, readonly attempt: number }
+  /** A relay tells the software version of its upstream. */
+  | { readonly kind: 'response_started', readonly id: string, readonly attempt: number, readonly softwareVersion?: string }
   | { readonly kind: 'response_ended', readonly id: string, readonly attempt: number, readonly status: number }
   | { readonly kind: 'attempt_failed', readonly id: string, readonly attempt: number, readonly failure: AttemptFailure, readonly detail: string }
   /** A response of an upstream names a limit on its requests, or none. */
   | { readonly kind: 'limit_stated', readonly upstream: string, readonly perS: number | undefined }
+  /** A probe or a report shows whether a connection to an upstream can be opened. */
+  | { readonly kind: 'upstream_probed', readonly upstream: string, readonly reached: boolean }
+  /** The lease holder names instances that reach the upstreams. */
+  | { readonly kind: 'relays_received', readonly relays: readonly Relay[] }
   | { readonly kind: 'caller_left', readonly id: string }
   | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -2,6 +2,7 @@
 import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
+import type { Relay } from './relay.ts'
 import { NO_STREAM_ORIGINS, type SoftwareVersions, type StreamOrigins } from './stream_origins.ts'
 import type { UpstreamLimit } from './upstream_limit.ts'
 import type { RetryBudget, RetryWindow } from './retry_window.ts'
@@ -34,6 +35,12 @@
   /** Models named by the configuration, by service. */
   readonly models: ReadonlyMap<string, ReadonlySet<string>>
   readonly loads: HashMap.HashMap<string, TargetLoad>
+  /** Upstreams to which no connection can be opened, and the local time of the next probe of each, in ms. */
+  readonly unreachable: ReadonlyMap<string, number>
+  /** Local time at which an upstream last responded or accepted a connection, in ms. */
+  readonly contactAtMs: number
+  /** Instances that take over requests whose upstreams cannot be reached. */
+  readonly relays: readonly Relay[]
   /** Limits that upstreams name, and those that they have lifted. */
   readonly limits: ReadonlyMap<string, UpstreamLimit>
   readonly retryWindows: ReadonlyMap<string, RetryWindow>
@@ -86,6 +93,9 @@
     estimatedAtMs: -Infinity,
     models: new Map(),
     loads: HashMap.empty(),
+    unreachable: new Map(),
+    contactAtMs: -Infinity,
+    relays: [],
     limits: new Map(),
     retryWindows: new Map(),
     evidence: NO_CRASH_EVIDENCE,
