Release the lease at a holder that reaches no engine

Cause: only the store and a stop decided who holds the lease, never whether the holder could use it. Evidence: engine_lost and order_ended with not_sent in the holder's log, no lease_taken in the others'.

Test: edge/isolated_holder_test.ts; two of three cases failed before (the lease was renewed at 2,600 ms; the third, that it is kept when no peer is better off, held before). Fences and orders are guarded as at any change of the holder.

--- a/packages/scheduler/_hold_lease.ts
+++ b/packages/scheduler/_hold_lease.ts
@@ -1,4 +1,5 @@
 import { step, type Step } from '@berylshed/reducer'
+import { REPORT_TTL_MS } from './demand.ts'
 import { firstFence, type Lease } from './lease.ts'
 import { quarantineRecords } from './quarantine.ts'
 import type { Instant } from './scheduler_event.ts'
@@ -20,6 +21,8 @@
  * lease before it sends further orders.
  */
 const SUSPENSION_GAP_MS = 1000
+/** Additional time for which an instance that reaches no engine does not take the lease, in ms. */
+const ISOLATED_DELAY_MS = 3000
 
 /** Returns the longer of the times elapsed by both clocks, as only the wall clock advances during a suspension. */
 export function elapsedMs (from: Instant, to: Instant): number {
@@ -62,12 +65,19 @@
 function _renew (state: SchedulerState, at: Instant): _Step {
   const { held, stopping } = state
   if (held === undefined) return step(state)
-  if (stopping) return _release(state, at)
+  if (stopping || (state.isolated && _hasConnectedPeer(state, at))) return _release(state, at)
   if (held.fence < firstFence(state.leaseEra)) return _startWrite(state, { fence: _nextFence(state), holder: state.self }, at)
   if (elapsedMs(held.renewedAt, at) < state.times.renewMs) return step(state)
   return _startWrite(state, { fence: held.fence, holder: state.self }, at)
 }
 
+// Another instance can take the lease over and reach the engines.
+function _hasConnectedPeer (state: SchedulerState, at: Instant): boolean {
+  return [...state.reports.values()].some(({ report, receivedAtMs }) => {
+    return report.instance !== state.self.instance && report.isolated !== true && at.nowMs - receivedAtMs < REPORT_TTL_MS
+  })
+}
+
 function _nextFence (state: SchedulerState): number {
   return Math.max((state.lease?.fence ?? 0) + 1, firstFence(state.leaseEra))
 }
@@ -95,6 +105,8 @@
 
 function _isLeaseVacant (state: SchedulerState, at: Instant): boolean {
   if (state.leaseVersion === undefined) return false
+  // An instance that reaches no engine leaves the lease to others for a while.
+  if (state.isolated && at.nowMs - state.quietSinceMs < state.times.takeoverMs + ISOLATED_DELAY_MS) return false
   const holder = state.lease?.holder ?? undefined
   if (holder === undefined && state.leaseVersion > 0) return true
   // A missing lease object may be one that a restored store has lost, while its holder is still active.
