Keep the origins of streams in the store while a service changes its version

Cause: origins of streams, and which versions had been in service, lay in the memory of the instances only.

Now each goes on at its version, or is refused if none is left.

--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -1,5 +1,5 @@
 import type { AdapterUsage, InstanceReport, ReplicaLoad, UnmetDemand, RequestRate } from '@berylshed/scheduler'
-import type { EvidenceUpdate, OriginUpdate } from '@berylshed/serving'
+import type { EvidenceUpdate, OriginSegment, OriginUpdate } from '@berylshed/serving'
 import { Schema } from 'effect'
 import superjson from 'superjson'
 import type { HeartbeatAnswer, HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
@@ -43,13 +43,16 @@
   evidence: Schema.optional(EvidenceWire),
   receivedOrigins: Schema.optional(Schema.Tuple([Schema.String, Schema.Number])),
   origins: Schema.optional(OriginsWire),
+  historyKnown: Schema.optional(Schema.Boolean),
   wantedOrigins: Schema.optional(Schema.Array(Schema.String)),
   limits: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.NullOr(Schema.Number), Schema.Number]))),
   news: Schema.NullOr(Schema.String)
 })
 
 /** Wire format of an answer. The view needs no encoding, as it consists of strings and numbers. */
-export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays'> & {
+export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays' | 'versionHistory'> & {
+  /** Absent if the receiver knows it or an earlier release answers. */
+  readonly versionHistory?: OriginSegment
   /** Absent if an earlier release answers. */
   readonly relays?: HeartbeatAnswer['relays']
   /** Absent if there are none or an earlier release answers. */
@@ -102,6 +105,7 @@
     receivedOrigins: { origin: originsFrom, version: originsVersion },
     origins: wire.origins,
     wantedOrigins: wire.wantedOrigins ?? [],
+    historyKnown: wire.historyKnown ?? true,
     limits: wire.limits ?? [],
     report: _decodeReport(report),
     update: news === null ? undefined : _decodeUpdate(news)
@@ -123,14 +127,14 @@
 
 /** Encodes the answer to a heartbeat. */
 export function encodeHeartbeatAnswer (answer: HeartbeatAnswer): AnswerWire {
-  const { update, registryAgeMs, evidence, origins, ...rest } = answer
-  return { ...rest, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
+  const { update, registryAgeMs, evidence, origins, versionHistory, ...rest } = answer
+  return { ...rest, ...versionHistory === undefined ? {} : { versionHistory }, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
 }
 
 /** Decodes the answer to a heartbeat. */
 export function decodeHeartbeatAnswer (wire: AnswerWire): HeartbeatAnswer {
-  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], ...rest } = wire
-  return { ...rest, relays, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], versionHistory, ...rest } = wire
+  return { ...rest, versionHistory, relays, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
 }
 
 function _roundRate (ratePerS: number): number {
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -1,7 +1,8 @@
 import { upstreamUpdateSince } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
 import { fleetView, type InstanceReport, type Instant, type PlacedEngine } from '@berylshed/scheduler'
-import { evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, originUpdate, wantedOrigins, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate, type Relay } from '@berylshed/serving'
+import { evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, originUpdate, versionHistory, wantedOrigins, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate, type Relay } from '@berylshed/serving'
+import { learnHistory } from './_archive_origins.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { HolderExchange, ReceivedView, EdgeState } from './edge_state.ts'
@@ -54,6 +55,7 @@
     receivedOrigins: { origin: state.originExchange.holder, version: state.originExchange.receivedVersion },
     origins,
     wantedOrigins: wantedOrigins(state.serving),
+    historyKnown: state.archive.historyKnown,
     limits: limitRecords(state.serving, at.nowMs),
     update: updateWantedSince === undefined ? undefined : _update(state, { configurationVersion: 0, listRevision: updateWantedSince })
   }
@@ -169,6 +171,7 @@
     instances: instancesOf(state, at),
     limits: _limitShares(state, request.report, at),
     relays: _relaysFor(state, request.report.instance, at),
+    versionHistory: !request.historyKnown && state.archive.historyKnown ? versionHistory(state.serving, at.nowMs) : undefined,
     evidence: _evidenceUpdate(state, { since: request.receivedEvidence.origin === state.self.incarnation ? request.receivedEvidence.version : 0, relay: true, nowMs: at.nowMs }),
     origins: _originsFor(state, request, at),
     update: _update(state, request),
@@ -228,7 +231,8 @@
   const targeted = chain(extended, (s) => updateTargets(s, at))
   const informed = chain(targeted, (s) => _applyEvidence(s, answer.evidence, at))
   const located = chain(informed, (s) => _applyOrigins(s, answer.origins, at))
-  const limited = chain(located, (s) => _applyLimits(s, answer.limits, at))
+  const dated = chain(located, (s) => answer.versionHistory === undefined || s.archive.historyKnown ? step(s) : learnHistory(s, answer.versionHistory, at))
+  const limited = chain(dated, (s) => _applyLimits(s, answer.limits, at))
   const relayed = chain(limited, (s) => _applyRelays(s, answer.relays, at))
   return chain(relayed, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
 }
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -1,7 +1,7 @@
 import { request as httpRequest } from 'node:http'
 import { createServer as createTcpServer, type AddressInfo } from 'node:net'
 import type { Configuration, Upstream } from '@berylshed/fleet'
-import { EngineControl, Registry, Store, type HostSettings, type UpstreamListing } from '@berylshed/platform'
+import { EngineControl, Registry, Store, type HostSettings, type StoredObject, type UpstreamListing } from '@berylshed/platform'
 import { err, ok } from 'neverthrow'
 import { runEdge, type RunningEdge } from './run_edge.ts'
 
@@ -37,20 +37,27 @@
   }
 }
 
-/** A store with one object. */
+/** A store in memory. */
 export class MemoryStore extends Store {
-  #version = 0
-  #value = ''
+  readonly #objects = new Map<string, StoredObject>()
 
   override async read (key: string) {
-    return ok({ key, version: this.#version, value: this.#value })
+    return ok(this.#read(key))
+  }
+
+  override async list (kind: string) {
+    return ok([...this.#objects.values()].filter(({ key }) => key.startsWith(`${kind}/`)))
   }
 
   override async update (key: string, update: { readonly value: string, readonly expectedVersion: number }) {
-    if (update.expectedVersion !== this.#version) return err({ kind: 'conflict' as const, current: { key, version: this.#version, value: this.#value } })
-    this.#version += 1
-    this.#value = update.value
-    return ok(this.#version)
+    const current = this.#read(key)
+    if (update.expectedVersion !== current.version) return err({ kind: 'conflict' as const, current })
+    this.#objects.set(key, { key, version: current.version + 1, value: update.value })
+    return ok(current.version + 1)
+  }
+
+  #read (key: string): StoredObject {
+    return this.#objects.get(key) ?? { key, version: 0, value: '' }
   }
 
   override async watch () {
--- a/packages/edge/edge_event.ts
+++ b/packages/edge/edge_event.ts
@@ -2,6 +2,7 @@
 import type { Instant, SchedulerEvent } from '@berylshed/scheduler'
 import type { ServingEvent } from '@berylshed/serving'
 import type { HeartbeatAnswer, HeartbeatRequest } from './heartbeat.ts'
+import type { ArchiveEvent } from './origin_archive.ts'
 
 /** Event of an entry instance. */
 export type EdgeEvent =
@@ -16,5 +17,7 @@
   | { readonly subject: 'heartbeat_received', readonly request: HeartbeatRequest, readonly at: Instant }
   | { readonly subject: 'heartbeat_answered', readonly answer: HeartbeatAnswer, readonly at: Instant }
   | { readonly subject: 'heartbeat_failed', readonly refused: boolean, readonly at: Instant }
+  /** An action on the stored origins of streams ended. */
+  | { readonly subject: 'archive', readonly event: ArchiveEvent, readonly at: Instant }
   | { readonly subject: 'draining', readonly at: Instant }
   | { readonly subject: 'tick', readonly at: Instant }
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -1,6 +1,7 @@
 import { buildRouteTable, type Configuration, type RouteTable, type UpstreamList } from '@berylshed/fleet'
 import { leaseTimes, newSchedulerState, type FleetView, type Holder, type Instant, type LeaseBounds, type PlacedEngine, type PlacementPolicy, type SchedulerState } from '@berylshed/scheduler'
 import { newServingState, type RetryBudget, type ServingState } from '@berylshed/serving'
+import { UNREAD_ARCHIVE, type OriginArchive } from './origin_archive.ts'
 
 /** State received from the lease holder. */
 export interface ReceivedView {
@@ -53,6 +54,8 @@
   readonly registryReads: RegistryReads
   /** Exchange of crash evidence. */
   readonly evidenceExchange: HolderExchange
+  /** How far the origins of streams are stored. */
+  readonly archive: OriginArchive
   /** Exchange of the origins of streams. */
   readonly originExchange: HolderExchange
   /** Requests per second of all instances that each limited upstream could serve, as of the holder's last report. */
@@ -102,13 +105,14 @@
     routes: buildRouteTable({ version: 0, routes: [], services: new Map(), limits: { maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 } }),
     list: undefined,
     scheduler: newSchedulerState(self, { times: leaseTimes(options.leaseBounds), ...options.policy === undefined ? {} : { policy: options.policy } }),
-    serving: newServingState(options),
+    serving: { ...newServingState(options), historyKnown: false },
     received: undefined,
     heartbeatInFlight: false,
     heartbeatAtMs: -Infinity,
     updateWantedSince: undefined,
     registryReads: { configuration: -Infinity, upstreams: -Infinity },
     evidenceExchange: NO_EXCHANGE,
+    archive: UNREAD_ARCHIVE,
     originExchange: NO_EXCHANGE,
     limitedRates: new Map(),
     heartbeatDue: false,
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,6 +1,6 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
 import type { FleetView, InstanceReport } from '@berylshed/scheduler'
-import type { EvidenceUpdate, LimitRecord, LimitShare, OriginUpdate, Relay } from '@berylshed/serving'
+import type { EvidenceUpdate, LimitRecord, LimitShare, OriginSegment, OriginUpdate, Relay } from '@berylshed/serving'
 
 /** Changes of the registry that one instance relays to another. */
 export interface RegistryUpdate {
@@ -27,6 +27,8 @@
   readonly origins: OriginUpdate | undefined
   /** Attempts that began streams which callers resume at the sender, and whose origin it does not know. */
   readonly wantedOrigins: readonly string[]
+  /** Whether the sender knows the software versions that streams begun before its start may have begun at. */
+  readonly historyKnown: boolean
   /** Limits that upstreams have named to the sender. */
   readonly limits: readonly LimitRecord[]
   /** Registry update, if the holder requested one. */
@@ -46,6 +48,8 @@
   readonly evidence: EvidenceUpdate | undefined
   /** Origins of streams that the sender lacks or asks for. */
   readonly origins: OriginUpdate | undefined
+  /** Software versions that open streams may have begun at, by service, if the sender lacks them. */
+  readonly versionHistory: OriginSegment | undefined
   /** Registry update that the sender lacks. */
   readonly update: RegistryUpdate | undefined
   /** Whether the sender knows something newer and is to send it. */
--- a/packages/edge/peer_heartbeat_test.ts
+++ b/packages/edge/peer_heartbeat_test.ts
@@ -14,6 +14,7 @@
     receivedOrigins: { origin: '', version: 0 },
     origins: undefined,
     wantedOrigins: [],
+    historyKnown: true,
     evidence: { origin: 'other', version: 2, suspicions: [['part 5c1e', null, [['print', 'e1#1', 60, 10]]]], quarantines: [['part 91bd', 1, 9000]] },
     limits: [['e1', 1, 7.25, 40]],
     update: undefined,
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -2,6 +2,7 @@
 import { step } from '@berylshed/reducer'
 import { noteContact } from '@berylshed/serving'
 import { fleetView, type Instant, type SchedulerEvent } from '@berylshed/scheduler'
+import { applyArchiveEvent, maintainArchive } from './_archive_origins.ts'
 import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, instancesOf } from './_peer_heartbeat.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect, EdgeRecord } from './edge_effect.ts'
@@ -39,6 +40,7 @@
     case 'heartbeat_received': return applyReport(state, event.request, event.at)
     case 'heartbeat_answered': return applyHolderAnswer(state, event.answer, event.at)
     case 'heartbeat_failed': return _handleHeartbeatFailure(state, event)
+    case 'archive': return applyArchiveEvent(state, event.event, event.at)
     case 'draining': return applySchedulerEvent({ ...state, draining: true }, { kind: 'stopping', ...event.at })
     case 'tick': return _tick(state, event.at)
   }
@@ -131,7 +133,8 @@
   const ticked = applySchedulerEvent({ ...state, tickedAt: at }, { kind: 'ticked', ...at })
   const others = chain(ticked, (s) => s.scheduler.held === undefined ? step(s) : _applyReportedLoads(s, at))
   const served = chain(others, (s) => applyServingEvent(s, { kind: 'ticked', nowMs: at.nowMs }))
-  return chain(served, (s) => sendHeartbeat(s, at))
+  const archived = chain(served, (s) => maintainArchive(s, at))
+  return chain(archived, (s) => sendHeartbeat(s, at))
 }
 
 // The holder receives no answer to a heartbeat, so it derives the load of its peers from their reports.
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -19,11 +19,15 @@
 import { isReady, newEdgeState, type EdgeState } from './edge_state.ts'
 import type { HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
 import type { Logger } from './logger.ts'
+import type { ArchiveEffect, ArchiveEvent } from './origin_archive.ts'
+import { HISTORY_NAME } from './_archive_origins.ts'
 import { answerHeartbeat, isRegistryRelayed } from './_peer_heartbeat.ts'
 import { reduceEdge } from './reduce_edge.ts'
 
 /** Interval between ticks, in ms: a fraction of the shortest latency objective. */
 const TICK_MS = 40
+/** Kind of the objects that hold the origins of streams. */
+const ARCHIVE_KIND = 'berylshed-origins'
 /** Key of the lease in the store, which the era of the store completes. */
 const LEASE_KEY = 'berylshed-leases/scheduler'
 /**
@@ -141,6 +145,9 @@
       case 'heartbeat':
         sendHeartbeat(effect.to, effect.request).catch(logFailure)
         return
+      case 'archive':
+        performArchive(effect.effect).catch(logFailure)
+        return
       case 'record': return logger.write('beliefs', _roundNumbers(effect.record))
     }
   }
@@ -198,6 +205,35 @@
     })
   }
 
+  async function performArchive (effect: ArchiveEffect): Promise<void> {
+    loop.dispatch({ subject: 'archive', event: await archiveEvent(effect), at: at() })
+  }
+
+  async function archiveEvent (effect: ArchiveEffect): Promise<ArchiveEvent> {
+    switch (effect.kind) {
+      case 'read_history': {
+        const read = await store.read(`${ARCHIVE_KIND}/${HISTORY_NAME}`)
+        return read.match(({ version, value }): ArchiveEvent => ({ kind: 'history_read', version, value }), ({ message }) => archiveFailed({ kind: 'read_failed' }, message))
+      }
+      case 'read_segments': {
+        const listed = await store.list(ARCHIVE_KIND)
+        return listed.match((objects): ArchiveEvent => ({ kind: 'segments_read', values: objects.filter(({ key }) => key !== `${ARCHIVE_KIND}/${HISTORY_NAME}`).map(({ value }) => value) }), ({ message }) => archiveFailed({ kind: 'read_failed' }, message))
+      }
+      case 'write': {
+        const { name, value, expectedVersion } = effect
+        const written = await store.update(`${ARCHIVE_KIND}/${name}`, { value, expectedVersion })
+        return written.match((version): ArchiveEvent => ({ kind: 'written', name, version }), (failure) => failure.kind === 'conflict'
+          ? { kind: 'conflicted', name, version: failure.current.version, value: failure.current.value }
+          : archiveFailed({ kind: 'write_failed', name }, failure.message))
+      }
+    }
+  }
+
+  function archiveFailed (event: ArchiveEvent, reason: string): ArchiveEvent {
+    logger.write('dependencies', { what: 'archive_failed', name: event.kind, reason })
+    return event
+  }
+
   async function askEngine (effect: Extract<SchedulerEffect, { kind: 'poll_engine' }>): Promise<void> {
     const { id } = effect.upstream
     const report = await dependencies.engines.readReport(effect.upstream)
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -36,6 +36,7 @@
   receivedOrigins: { origin: '', version: 0 },
   origins: undefined,
   wantedOrigins: [],
+  historyKnown: true,
   evidence: undefined,
   limits: [],
   update: undefined
--- a/packages/platform/http_store.ts
+++ b/packages/platform/http_store.ts
@@ -31,6 +31,10 @@
     this.#timeoutMs = options.timeoutMs ?? 1000
   }
 
+  override async list (kind: string): Promise<Result<readonly StoredObject[], StoreFailure>> {
+    return err({ kind: 'unavailable', message: `Cannot list ${kind}: this store has no listings` })
+  }
+
   override async read (key: string): Promise<Result<StoredObject, StoreFailure>> {
     const response = await httpCall({ method: 'GET', url: this.#url(key), timeoutMs: this.#timeoutMs, agent: this.#agent })
     if (response.isErr()) return err({ kind: 'unavailable', message: response.error.message })
--- a/packages/platform/platform_store.ts
+++ b/packages/platform/platform_store.ts
@@ -75,6 +75,23 @@
     return this.#decodeObject(key, response.value)
   }
 
+  override async list (kind: string): Promise<Result<readonly StoredObject[], StoreFailure>> {
+    const objects: StoredObject[] = []
+    let after = ''
+    for (;;) {
+      const response = await this.request('GET', `/objects/${kind}${after}`)
+      if (response.isErr()) return err(response.error)
+      const page = _decodeResponse(response.value, WirePage)
+      if (page.isErr()) return err({ kind: 'unavailable', message: page.error.message })
+      const { era } = response.value
+      const decoded = page.value.items.flatMap((item) => _decodeObject(item) ?? [])
+      objects.push(...decoded.map(({ Metadata, Spec }) => ({ key: `${kind}/${Metadata.Name}`, version: storePosition({ era, revision: Metadata.Revision }), value: JSON.stringify(Spec ?? null) })))
+      const last = decoded.at(-1)
+      if (page.value.More !== true || last === undefined) return ok(objects)
+      after = `?after=${encodeURIComponent(last.Metadata.Name)}`
+    }
+  }
+
   override async update (key: string, update: Update): Promise<Result<number, UpdateFailure>> {
     const name = key.split('/').at(-1) ?? key
     const kind = key.slice(0, key.length - name.length - 1)
--- a/packages/platform/store.ts
+++ b/packages/platform/store.ts
@@ -60,6 +60,14 @@
    */
   abstract read (key: string): Promise<Result<StoredObject, StoreFailure>>
 
+  /**
+   * Lists the objects of a kind.
+   *
+   * @param kind The part of the keys before the last slash.
+   * @returns The objects.
+   */
+  abstract list (kind: string): Promise<Result<readonly StoredObject[], StoreFailure>>
+
   /**
    * Creates or replaces an object if it has the expected version.
    *
--- a/packages/serving/_pin_streams.ts
+++ b/packages/serving/_pin_streams.ts
@@ -27,13 +27,14 @@
 /**
  * Pins a request that resumes a stream to the software version that began it.
  *
- * The version is the one that the stream's origin names, or the only one that upstreams of the service run and have run recently.
+ * The version is the one that the stream's origin names, or the only one that upstreams of the service run and are known to have run
+ * recently.
  */
 export function pinRequest (state: ServingState, request: Request, nowMs: number): Request {
   if (request.resumedAttempt === undefined || request.softwareVersion !== undefined) return request
   const origin = Option.getOrUndefined(HashMap.get(state.origins.byAttempt, request.resumedAttempt))
   const [version, ...others] = possibleVersions(state.softwareVersions, request.service, nowMs)
-  const softwareVersion = origin?.softwareVersion ?? (others.length === 0 ? version : undefined)
+  const softwareVersion = origin?.softwareVersion ?? (others.length === 0 && state.historyKnown ? version : undefined)
   return softwareVersion === undefined ? request : { ...request, softwareVersion }
 }
 
--- a/packages/serving/origin_exchange.ts
+++ b/packages/serving/origin_exchange.ts
@@ -37,7 +37,7 @@
  * ```
  */
 export function originUpdate (state: ServingState, self: string, query: OriginQuery): OriginUpdate | undefined {
-  const services = [...state.softwareVersions.keys()].filter((service) => possibleVersions(state.softwareVersions, service, query.nowMs).length > 1)
+  const services = _changingServices(state, query.nowMs)
   if (services.length === 0) return undefined
   const { version, records } = originsSince(state.origins, query)
   const softwareVersions = services.flatMap((service) => possibleVersions(state.softwareVersions, service, query.nowMs)
@@ -45,6 +45,26 @@
   return records.length === 0 && query.since > 0 ? undefined : { origin: self, version, records, softwareVersions }
 }
 
+/**
+ * Reports whether open streams of some service may have begun at several software versions.
+ *
+ * @param state The state of the requests.
+ * @param nowMs The local time in ms.
+ * @returns Whether the origins of streams matter.
+ *
+ * @example
+ * ```ts
+ * if (hasSeveralVersions(state, performance.now())) storeOrigins()
+ * ```
+ */
+export function hasSeveralVersions (state: ServingState, nowMs: number): boolean {
+  return _changingServices(state, nowMs).length > 0
+}
+
+function _changingServices (state: ServingState, nowMs: number): readonly string[] {
+  return [...state.softwareVersions.keys()].filter((service) => possibleVersions(state.softwareVersions, service, nowMs).length > 1)
+}
+
 /**
  * Adds the origins that another instance sent.
  *
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -47,6 +47,8 @@
   readonly evidence: CrashEvidence
   /** Origins of streams that callers may resume. */
   readonly origins: StreamOrigins
+  /** Whether `softwareVersions` includes what earlier processes of all instances have seen, so that one alone began every stream. */
+  readonly historyKnown: boolean
   /** When upstreams last ran each software version, by service. */
   readonly softwareVersions: SoftwareVersions
   /** Local time at which the software versions were last noted, in ms. */
@@ -100,6 +102,7 @@
     retryWindows: new Map(),
     evidence: NO_CRASH_EVIDENCE,
     origins: NO_STREAM_ORIGINS,
+    historyKnown: true,
     softwareVersions: new Map(),
     versionsNotedAtMs: -Infinity,
     requestRates: HashMap.empty(),
--- a/packages/serving/stream_origins.ts
+++ b/packages/serving/stream_origins.ts
@@ -8,12 +8,15 @@
 /** Maximum number of records in one update; the rest follows with the next one. */
 const MAX_RECORDS_PER_UPDATE = 400
 
+/** Source of the origins that were read from the store. */
+export const STORED_ORIGIN = 'store'
+
 /** The upstream software that began a stream, which is the only one that can continue it. */
 export interface StreamOrigin {
   readonly softwareVersion: string
   /** Local time until which the caller may resume the stream, in ms. */
   readonly untilMs: number
-  /** Incarnation of the instance that this instance learned it from. */
+  /** Incarnation of the instance that this instance learned it from, or {@linkcode STORED_ORIGIN}. */
   readonly source: string
 }
 
@@ -122,7 +125,7 @@
   for (; version < origins.newest && records.length < MAX_RECORDS_PER_UPDATE; version += 1) {
     const attempt = Option.getOrElse(HashMap.get(origins.attempts, version + 1), () => '')
     const origin = Option.getOrUndefined(HashMap.get(origins.byAttempt, attempt))
-    if (origin !== undefined && origin.source !== query.receiver) records.push(..._record(origins, attempt, query.nowMs))
+    if (origin !== undefined && origin.source !== query.receiver && origin.source !== STORED_ORIGIN) records.push(..._record(origins, attempt, query.nowMs))
   }
   return { version, records }
 }
