Store the origin of a stream before its first event is forwarded

Cause: the caller knew of the stream before the store did. The test of the loss of all instances waited a second for the write; it now kills at once and failed so on the code before (SAFE_MS 0).

--- a/packages/edge/_archive_origins.ts
+++ b/packages/edge/_archive_origins.ts
@@ -1,32 +1,41 @@
 import { step } from '@berylshed/reducer'
 import type { Instant } from '@berylshed/scheduler'
-import { applySegments, cutSegment, hasSeveralVersions, recordVersions, versionHistory, wantedOrigins, type OriginSegment } from '@berylshed/serving'
+import { applySegments, cutSegment, hasSeveralVersions, recordVersions, versionHistory, wantedOrigins, type OriginSegment, type ServingEffect } from '@berylshed/serving'
 import { Schema } from 'effect'
 import { applyServingEvent, chain, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { EdgeState } from './edge_state.ts'
-import type { ArchiveEvent, ArchiveWrite, OriginArchive } from './origin_archive.ts'
+import type { ArchiveEvent, ArchiveWrite, CurrentSegment, OriginArchive } from './origin_archive.ts'
 
 /** Name of the object that holds the history of versions. */
 export const HISTORY_NAME = 'history'
-/** Interval between two writes of the archive, in ms; together with a heartbeat, the most of what a loss of all instances loses. */
-const WRITE_INTERVAL_MS = 200
+/** Minimum interval between two writes of an instance, in ms; a fraction of the shortest latency objective of a stream. */
+const WRITE_INTERVAL_MS = 80
+/** Share of the store's rate of writes that all instances use together. */
+const WRITE_SHARE = 0.15
+/** Time for which the first event of a stream waits at most, in ms; a store that is slow must not stop streams. */
+const MAX_HOLD_MS = 400
 /** Time after which another segment is begun, in ms. */
-const SEGMENT_MS = 1000
-/** Segments in the ring of one holder; with `SEGMENT_MS`, longer than the timeout of a route and the slack of resumptions. */
-const SEGMENTS = 40
-/** Number of rings, used by consecutive holders in turn, so that none overwrites the newest segments of its predecessor. */
-const RINGS = 4
+const SEGMENT_MS = 2000
+/** Segments in the ring of an instance; with `SEGMENT_MS`, longer than the timeout of a route and the slack of resumptions. */
+const SEGMENTS = 20
 /** Interval between two reads while something is not known, in ms. */
 const READ_INTERVAL_MS = 300
+const MS_PER_SECOND = 1000
+const NEVER_WRITTEN = 0
 
-const NO_WRITE_YET = 0
+const Streams = Schema.Record(Schema.String, Schema.Array(Schema.String))
+const StoredSegment = Schema.Struct({
+  // Wall-clock time of the write, which tells a segment of an earlier process from one of an earlier turn of the ring.
+  atMs: Schema.Number,
+  streams: Streams
+})
 
-const Segment = Schema.Record(Schema.String, Schema.Array(Schema.String))
-
-/** Reads what is missing of the archive and writes what is not stored yet. */
+/** Reads what is missing of the archive, writes what is not stored yet and ends holds that have lasted too long. */
 export function maintainArchive (state: EdgeState, at: Instant): EdgeStep {
-  return chain(_read(state, at), (s) => _write(s, at))
+  const read = _read(state, at)
+  const written = chain(read, (s) => writeArchive(s, at))
+  return chain(written, (s) => _release(s, ({ sinceMs }) => at.nowMs - sinceMs >= MAX_HOLD_MS))
 }
 
 function _read (state: EdgeState, at: Instant): EdgeStep {
@@ -34,39 +43,58 @@
   if (archive.isReading || at.nowMs - archive.readAtMs < READ_INTERVAL_MS) return step(state)
   const kind = !archive.historyKnown ? 'read_history' : wantedOrigins(state.serving).length > 0 ? 'read_segments' : undefined
   if (kind === undefined) return step(state)
-  return step({ ...state, archive: { ...archive, isReading: true, readAtMs: at.nowMs } }, [{ subject: 'archive', effect: { kind } }])
+  return step(_withArchive(state, { isReading: true, readAtMs: at.nowMs }), [{ subject: 'archive', effect: { kind } }])
 }
 
-function _write (state: EdgeState, at: Instant): EdgeStep {
-  const { archive } = state
-  const { held } = state.scheduler
-  if (held === undefined || !archive.historyKnown || archive.pending !== undefined || at.nowMs - archive.writtenAtMs < WRITE_INTERVAL_MS) return step(state)
-  const history = JSON.stringify(versionHistory(state.serving, at.nowMs))
-  if (history !== archive.storedHistory) return _startWrite(state, { name: HISTORY_NAME, value: history, upTo: undefined }, at)
-  if (state.serving.origins.newest <= archive.storedUpTo || !hasSeveralVersions(state.serving, at.nowMs)) return step(state)
-  const isOver = at.nowMs - archive.segmentSinceMs >= SEGMENT_MS
-  const current = isOver ? { ...archive, segment: (archive.segment + 1) % SEGMENTS, segmentAfter: archive.storedUpTo, segmentSinceMs: at.nowMs } : archive
-  const { segment, upTo, streams } = cutSegment(state.serving.origins, current.segmentAfter)
-  if (streams === 0) return step({ ...state, archive: { ...current, storedUpTo: upTo } })
-  // A full segment is followed by the next one at once.
-  const next = upTo < state.serving.origins.newest ? { ...current, segmentSinceMs: -Infinity } : current
-  return _startWrite({ ...state, archive: next }, { name: `${held.fence % RINGS}-${current.segment}`, value: JSON.stringify(segment), upTo }, at)
+/** Writes the history or the newest origins, if they are not stored and a write is due. */
+export function writeArchive (state: EdgeState, at: Instant): EdgeStep {
+  const { archive, serving } = state
+  if (!archive.historyKnown || archive.pending !== undefined || at.nowMs - archive.writtenAtMs < _writeIntervalMs(state)) return step(state)
+  const history = JSON.stringify(versionHistory(serving, at.nowMs))
+  if (state.scheduler.held !== undefined && history !== archive.storedHistory) return _startWrite(state, { name: HISTORY_NAME, value: history, upTo: undefined }, at)
+  if (serving.origins.newest <= archive.storedUpTo || !hasSeveralVersions(serving, at.nowMs)) return step(state)
+  const segment = _currentSegment(state, at)
+  const streams = _merge(segment.kept, cutSegment(serving.origins, segment.after))
+  return _startWrite(_withArchive(state, { segment }), { name: segment.name, value: JSON.stringify({ atMs: at.clockMs, streams }), upTo: serving.origins.newest }, at)
+}
+
+function _writeIntervalMs (state: EdgeState): number {
+  return Math.max(WRITE_INTERVAL_MS, state.serving.instances / (WRITE_SHARE * state.storeWritesPerS) * MS_PER_SECOND)
+}
+
+function _currentSegment (state: EdgeState, at: Instant): CurrentSegment {
+  const { segment, storedUpTo } = state.archive
+  const name = `${state.self.instance}-${Math.floor(at.clockMs / SEGMENT_MS) % SEGMENTS}`
+  return segment?.name === name ? segment : { name, after: storedUpTo, kept: {} }
 }
 
 function _startWrite (state: EdgeState, pending: ArchiveWrite, at: Instant): EdgeStep {
-  const { archive } = state
   const { name, value } = pending
-  const expectedVersion = archive.versions.get(name) ?? NO_WRITE_YET
-  return step({ ...state, archive: { ...archive, pending, writtenAtMs: at.nowMs } }, [{ subject: 'archive', effect: { kind: 'write', name, value, expectedVersion } }])
+  const expectedVersion = state.archive.versions.get(name) ?? NEVER_WRITTEN
+  return step(_withArchive(state, { pending, writtenAtMs: at.nowMs }), [{ subject: 'archive', effect: { kind: 'write', name, value, expectedVersion } }])
+}
+
+type _OriginAdded = Extract<ServingEffect, { kind: 'store_origin' }>
+
+/** Holds a stream until its origin is stored. */
+export function holdStream (state: EdgeState, effect: _OriginAdded, at: Instant): EdgeStep {
+  const held = [...state.archive.held, { id: effect.id, origin: effect.origin, sinceMs: at.nowMs }]
+  return writeArchive(_withArchive(state, { held }), at)
+}
+
+function _release (state: EdgeState, isDue: (held: OriginArchive['held'][number]) => boolean): EdgeStep {
+  const due = state.archive.held.filter(isDue)
+  if (due.length === 0) return step(state)
+  return step(_withArchive(state, { held: state.archive.held.filter((held) => !due.includes(held)) }), due.map(({ id }): EdgeEffect => ({ subject: 'serving', effect: { kind: 'begin_response', id } })))
 }
 
 /** Applies the outcome of an action on the archive. */
 export function applyArchiveEvent (state: EdgeState, event: ArchiveEvent, at: Instant): EdgeStep {
   switch (event.kind) {
-    case 'history_read': return learnHistory(_withArchive(state, { isReading: false, storedHistory: event.value, versions: _withVersion(state.archive, HISTORY_NAME, event.version) }), _decode(event.value), at)
-    case 'segments_read': return _applySegments(_withArchive(state, { isReading: false }), event.values.map(_decode), at)
+    case 'history_read': return learnHistory(_withArchive(state, { isReading: false, storedHistory: event.value, versions: _withVersion(state.archive, HISTORY_NAME, event.version) }), _parse(event.value, Streams) ?? {}, at)
+    case 'segments_read': return _applySegments(_withArchive(state, { isReading: false }), event.values, at)
     case 'read_failed': return step(_withArchive(state, { isReading: false }))
-    case 'written': return step(_finishWrite(state, event.name, event.version))
+    case 'written': return chain(_finishWrite(state, event.name, event.version), (s) => writeArchive(s, at))
     case 'conflicted': return _resolveConflict(state, event, at)
     case 'write_failed': return step(_withArchive(state, { pending: undefined }))
   }
@@ -81,28 +109,40 @@
   return chain(step(known, [record]), (s) => applyServingEvent(s, { kind: 'ticked', nowMs: at.nowMs }))
 }
 
-function _applySegments (state: EdgeState, segments: readonly OriginSegment[], at: Instant): EdgeStep {
+function _applySegments (state: EdgeState, values: readonly string[], at: Instant): EdgeStep {
   const before = state.serving.origins.newest
-  const serving = applySegments(state.serving, segments, at.nowMs)
-  const record: EdgeEffect = { subject: 'record', record: { what: 'stream_origins_read', count: serving.origins.newest - before } }
-  return chain(step({ ...state, serving }, [record]), (s) => applyServingEvent(s, { kind: 'ticked', nowMs: at.nowMs }))
+  const serving = applySegments(state.serving, values.map((value) => _parse(value, StoredSegment)?.streams ?? {}), at.nowMs)
+  const count = serving.origins.newest - before
+  const records: readonly EdgeEffect[] = count === 0 ? [] : [{ subject: 'record', record: { what: 'stream_origins_read', count } }]
+  return chain(step({ ...state, serving }, records), (s) => applyServingEvent(s, { kind: 'ticked', nowMs: at.nowMs }))
 }
 
-function _finishWrite (state: EdgeState, name: string, version: number): EdgeState {
+function _finishWrite (state: EdgeState, name: string, version: number): EdgeStep {
   const { archive } = state
   const { pending } = archive
-  if (pending?.name !== name) return state
-  const written = { pending: undefined, versions: _withVersion(archive, name, version) }
-  return pending.upTo === undefined ? _withArchive(state, { ...written, storedHistory: pending.value }) : _withArchive(state, { ...written, storedUpTo: pending.upTo })
+  if (pending?.name !== name) return step(state)
+  const { upTo } = pending
+  const written = _withArchive(state, { pending: undefined, versions: _withVersion(archive, name, version) })
+  if (upTo === undefined) return step(_withArchive(written, { storedHistory: pending.value }))
+  return _release(_withArchive(written, { storedUpTo: upTo }), ({ origin }) => origin <= upTo)
 }
 
 type _Conflicted = Extract<ArchiveEvent, { kind: 'conflicted' }>
 
-// What another holder wrote of the history is kept; its segment has been passed over once and may be replaced.
+// Keeps what another holder wrote of the history, and what an earlier process of this instance has just stored in a segment.
 function _resolveConflict (state: EdgeState, event: _Conflicted, at: Instant): EdgeStep {
   const { archive } = state
   const next = _withArchive(state, { pending: undefined, writtenAtMs: -Infinity, versions: _withVersion(archive, event.name, event.version) })
-  return event.name === HISTORY_NAME ? learnHistory(_withArchive(next, { storedHistory: event.value }), _decode(event.value), at) : step(next)
+  if (event.name === HISTORY_NAME) return learnHistory(_withArchive(next, { storedHistory: event.value }), _parse(event.value, Streams) ?? {}, at)
+  const stored = _parse(event.value, StoredSegment)
+  const isRecent = stored !== undefined && Math.abs(at.clockMs - stored.atMs) < SEGMENT_MS * (SEGMENTS - 1)
+  if (!isRecent || archive.segment?.name !== event.name) return writeArchive(next, at)
+  return writeArchive(_withArchive(next, { segment: { ...archive.segment, kept: _merge(archive.segment.kept, stored.streams) } }), at)
+}
+
+function _merge (a: OriginSegment, b: OriginSegment): OriginSegment {
+  const versions = new Set([...Object.keys(a), ...Object.keys(b)])
+  return Object.fromEntries([...versions].map((version) => [version, [...new Set([...a[version] ?? [], ...b[version] ?? []])]]))
 }
 
 function _withArchive (state: EdgeState, changes: Partial<OriginArchive>): EdgeState {
@@ -114,8 +154,8 @@
 }
 
 // An object that does not exist, or that another writer made, holds nothing.
-function _decode (value: string): OriginSegment {
-  if (value === '') return {}
+function _parse<T> (value: string, schema: Schema.Codec<T>): T | undefined {
+  if (value === '') return undefined
   const parsed: unknown = JSON.parse(value)
-  return Schema.is(Segment)(parsed) ? parsed : {}
+  return Schema.is(schema)(parsed) ? parsed : undefined
 }
--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -41,6 +41,8 @@
   upstream (id: string): Upstream | undefined
   /** Reports whether callers are asked to reconnect to another instance. */
   isDraining (): boolean
+  /** Reports whether the origin of a request's stream has to be stored before its first event is forwarded. */
+  needsStoredOrigin (id: string): boolean
   dispatch (event: ServingEvent): void
 }
 
@@ -53,6 +55,8 @@
   softwareVersion: string | undefined
   /** Whether a relay runs the request. */
   isRelayed: boolean
+  /** First events of a stream whose origin is being stored. */
+  held: _HeldEvents | undefined
 }
 
 /** Open exchanges of an instance with its callers. */
@@ -70,7 +74,7 @@
 
   function open (exchange: CallerExchange): void {
     const { id, response } = exchange
-    openExchanges.set(id, { exchange, running: undefined, buffered: undefined, lastEventId: undefined, softwareVersion: undefined, isRelayed: false })
+    openExchanges.set(id, { exchange, running: undefined, buffered: undefined, lastEventId: undefined, softwareVersion: undefined, isRelayed: false, held: undefined })
     response.on('drain', () => openExchanges.get(id)?.running?.resume())
     response.on('close', () => {
       if (!response.writableFinished) options.dispatch({ kind: 'caller_left', id, nowMs: options.nowMs() })
@@ -139,6 +143,7 @@
       ended: (head, body) => completeAttempt(entry, { head, attempt }, body),
       failed: (failure, detail, errorResponse) => {
         entry.running = undefined
+        entry.held = undefined
         if (errorResponse !== undefined) entry.buffered = errorResponse
         fail(request.id, attempt, { failure, detail })
         removeIfAbandoned(entry)
@@ -156,6 +161,26 @@
   }
 
   function relayEvents (entry: _OpenExchange, source: _AttemptResponse, events: _RelayedEvents): boolean {
+    const { response, id } = entry.exchange
+    if (entry.held !== undefined) {
+      entry.held = { source, events: { chunk: Buffer.concat([entry.held.events.chunk, events.chunk]), lastEventId: events.lastEventId ?? entry.held.events.lastEventId } }
+      return false
+    }
+    if (response.headersSent || entry.isRelayed || !options.needsStoredOrigin(id)) return writeEvents(entry, source, events)
+    entry.held = { source, events }
+    options.dispatch({ kind: 'stream_began', id, attempt: source.attempt, nowMs: options.nowMs() })
+    return false
+  }
+
+  function beginResponse (id: string): void {
+    const entry = openExchanges.get(id)
+    if (entry?.held === undefined || entry.exchange.response.destroyed) return
+    const { source, events } = entry.held
+    entry.held = undefined
+    if (writeEvents(entry, source, events)) entry.running?.resume()
+  }
+
+  function writeEvents (entry: _OpenExchange, source: _AttemptResponse, events: _RelayedEvents): boolean {
     const { response, id } = entry.exchange
     if (!response.headersSent) {
       if (entry.isRelayed) entry.softwareVersion = _namedVersion(source.head)
@@ -206,6 +231,7 @@
   function perform (effect: ServingEffect): void {
     switch (effect.kind) {
       case 'send': return send(effect)
+      case 'begin_response': return beginResponse(effect.id)
       case 'finish': return finish(effect.id)
       case 'refuse': return refuse(effect.id, effect.refusal)
       case 'cancel': {
@@ -232,6 +258,11 @@
   readonly attempt: number
 }
 
+interface _HeldEvents {
+  readonly source: _AttemptResponse
+  readonly events: _RelayedEvents
+}
+
 interface _RelayedEvents {
   readonly chunk: Buffer
   readonly lastEventId: string | undefined
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -117,6 +117,7 @@
     relayAddress: `127.0.0.1:${relay}`,
     metricsAddress: `127.0.0.1:${metrics}`,
     storeAddress: '',
+    storeWritesPerS: 400,
     bounds: {
       upstreamDrainMs: 2000, registrationTtlMs: 3600, configurationMs: 2000, shutdownGraceMs: 8000, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000
     }
--- a/packages/edge/cut_instance_test.ts
+++ b/packages/edge/cut_instance_test.ts
@@ -1,33 +1,20 @@
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Configuration, Route, Upstream } from '@berylshed/fleet'
 import test, { type ExecutionContext } from 'ava'
 import { startTestLink, type Cut, type TestLink } from './_test_link.ts'
-import { ask, FixedRegistry, MemoryStore, pause, startInstance, type TestInstance } from './_test_system.ts'
+import { plainUpstream, startInstances } from './_test_fleet.ts'
+import { ask, pause, type TestInstance } from './_test_system.ts'
 
 const UPSTREAMS = 3
 const REQUESTS = 24
 /** Time after which an instance that is cut off has to serve its callers, in ms: `ContactMs` of the current deployments. */
 const CONTACT_MS = 3000
 
-const route: Route = { name: 'lookups', host: 'api.example', pathPrefix: '/lookups/', repetition: 'idempotent', timeoutMs: 4000, objectiveMs: 300, rank: 0, maxAttempts: 2, resumable: false, services: [{ service: 'orders', weight: 1 }] }
-const configuration: Configuration = {
-  version: 1,
-  routes: [
-    route,
-    { ...route, name: 'bookings', pathPrefix: '/bookings/', repetition: 'non_idempotent' },
-    { ...route, name: 'drafts', pathPrefix: '/drafts/', repetition: 'streaming', resumable: true }
-  ],
-  services: new Map([['orders', { name: 'orders', engine: undefined }]]),
-  limits: { maxBodyBytes: 100, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
-}
-
 interface System {
   readonly cut: TestInstance
   readonly links: readonly TestLink[]
   /** Paths of all requests that reached an upstream. */
   readonly arrivals: readonly string[]
-  close (): Promise<void>
 }
 
 function startUpstream (arrivals: string[]): Promise<Server> {
@@ -40,30 +27,20 @@
   return new Promise((resolve) => server.listen(0, '127.0.0.1', () => resolve(server)))
 }
 
-// Two instances reach the same upstreams, the first one over links that can be cut.
-async function startSystem (): Promise<System> {
+// Two instances reach the same upstreams, the second one over links that can be cut.
+async function startSystem (t: ExecutionContext): Promise<System> {
   const arrivals: string[] = []
   const servers = await Promise.all(Array.from({ length: UPSTREAMS }, () => startUpstream(arrivals)))
   const ports = servers.map((server) => (server.address() as AddressInfo).port)
   const links = await Promise.all(ports.map(startTestLink))
-  const upstreams = ports.map((port, i): Upstream => ({
-    id: `u${i}`, service: 'orders', address: `127.0.0.1:${port}`, availabilityZone: 'a', incarnation: 1, softwareVersion: 'v1', slots: 4, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] }
-  }))
-  const store = new MemoryStore()
-  const whole = await startInstance('entry-2', { store, registry: new FixedRegistry(configuration, upstreams) })
-  while (whole.edge.state().scheduler.held === undefined) await pause(20)
-  const cut = await startInstance('entry-1', { store, registry: new FixedRegistry(configuration, upstreams.map((upstream, i) => ({ ...upstream, address: links[i]?.address ?? '' }))) })
-  while (cut.edge.state().received === undefined) await pause(20)
-  return {
-    cut,
-    links,
-    arrivals,
-    close: async () => {
-      for (const link of links) link.close()
-      await Promise.all([cut.edge.close(), whole.edge.close()])
-      for (const server of servers) server.close()
-    }
-  }
+  t.teardown(() => {
+    for (const link of links) link.close()
+    for (const server of servers) server.close()
+  })
+  const whole = ports.map((port, i) => plainUpstream(`u${i}`, `127.0.0.1:${port}`))
+  const [, cut] = await startInstances(t, [whole, whole.map((upstream, i) => ({ ...upstream, address: links[i]?.address ?? '' }))])
+  if (cut === undefined) throw new Error('Started fewer than two instances')
+  return { cut, links, arrivals }
 }
 
 let requestCount = 0
@@ -80,8 +57,7 @@
 }
 
 async function serveWhileCut (t: ExecutionContext, how: Cut): Promise<void> {
-  const system = await startSystem()
-  t.teardown(system.close)
+  const system = await startSystem(t)
   await askAll(system, '/lookups/before')
   await Promise.all(system.links.map((link) => link.cut(how)))
   const cutAtMs = Date.now()
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -33,6 +33,8 @@
   readonly sentVersion: number
 }
 
+/** Writes per second of the store of the smallest deployments. */
+const DEFAULT_STORE_WRITES_PER_S = 400
 const NO_EXCHANGE: HolderExchange = { holder: '', receivedVersion: 0, acknowledgedVersion: 0, sentVersion: 0 }
 
 /** State of an entry instance. */
@@ -67,6 +69,8 @@
   /** Time of the last tick by both clocks. */
   readonly tickedAt: Instant
   readonly draining: boolean
+  /** Writes per second that the store takes from all instances together. */
+  readonly storeWritesPerS: number
   /** Host and port at which other instances hand over requests. */
   readonly relayAddress: string
 }
@@ -79,6 +83,8 @@
   readonly leaseBounds: LeaseBounds
   /** Number between 0 and 1 that differs between instances; 1 by default. */
   readonly phase?: number
+  /** Writes per second that the store takes from all instances together; those of the smallest deployment by default. */
+  readonly storeWritesPerS?: number
   /** Host and port at which other instances hand over requests; none by default. */
   readonly relayAddress?: string
   /** Placement policy; defaults to the one used in production. */
@@ -119,6 +125,7 @@
     targetsVersion: 0,
     tickedAt: { nowMs: 0, clockMs: 0 },
     draining: false,
+    storeWritesPerS: options.storeWritesPerS ?? DEFAULT_STORE_WRITES_PER_S,
     relayAddress: options.relayAddress ?? ''
   }
 }
--- a/packages/edge/origin_archive.ts
+++ b/packages/edge/origin_archive.ts
@@ -1,3 +1,5 @@
+import type { OriginSegment } from '@berylshed/serving'
+
 /** A write of the archive of stream origins that awaits its outcome. */
 export interface ArchiveWrite {
   readonly name: string
@@ -6,11 +8,31 @@
   readonly upTo: number | undefined
 }
 
+/** The segment that an instance adds origins to. */
+export interface CurrentSegment {
+  readonly name: string
+  /** Number of the last origin before the segment. */
+  readonly after: number
+  /** What an earlier process of the instance stored in it. */
+  readonly kept: OriginSegment
+}
+
+/** A stream whose first event waits until its origin is stored. */
+export interface HeldStream {
+  /** Id of the request. */
+  readonly id: string
+  /** Number of the origin. */
+  readonly origin: number
+  /** Local time from which the event waits, in ms. */
+  readonly sinceMs: number
+}
+
 /**
  * How far the origins of streams are stored, so that they outlast a loss of all instances.
  *
- * The lease holder writes them, while a service runs several software versions, in a ring of segments of about a second each. The
- * history, which it always keeps, names the software versions that open streams of each service may have begun at.
+ * While a service runs several software versions, each instance stores the origins of its streams before their first events are
+ * forwarded, in a ring of segments of a few seconds each. The history, which the lease holder keeps, names the software versions that
+ * open streams of each service may have begun at.
  */
 export interface OriginArchive {
   /** Whether the history was read, or learnt from another instance; before, no version may be taken for the only one. */
@@ -21,12 +43,8 @@
   readonly versions: ReadonlyMap<string, number>
   /** Number of the newest origin that is stored. */
   readonly storedUpTo: number
-  /** Position of the current segment in the ring. */
-  readonly segment: number
-  /** Number of the last origin before the current segment. */
-  readonly segmentAfter: number
-  /** Local time at which the current segment was begun, in ms. */
-  readonly segmentSinceMs: number
+  readonly segment: CurrentSegment | undefined
+  readonly held: readonly HeldStream[]
   readonly pending: ArchiveWrite | undefined
   readonly isReading: boolean
   /** Local time of the last read of the history or the segments, in ms. */
@@ -41,9 +59,8 @@
   storedHistory: undefined,
   versions: new Map(),
   storedUpTo: 0,
-  segment: 0,
-  segmentAfter: 0,
-  segmentSinceMs: -Infinity,
+  segment: undefined,
+  held: [],
   pending: undefined,
   isReading: false,
   readAtMs: -Infinity,
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -2,7 +2,7 @@
 import { step } from '@berylshed/reducer'
 import { noteContact } from '@berylshed/serving'
 import { fleetView, type Instant, type SchedulerEvent } from '@berylshed/scheduler'
-import { applyArchiveEvent, maintainArchive } from './_archive_origins.ts'
+import { applyArchiveEvent, holdStream, maintainArchive } from './_archive_origins.ts'
 import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, instancesOf } from './_peer_heartbeat.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect, EdgeRecord } from './edge_effect.ts'
@@ -25,8 +25,17 @@
  */
 export function reduceEdge (state: EdgeState, event: EdgeEvent): EdgeStep {
   const reduced = _reduce(state, event)
-  if (!reduced.state.heartbeatDue) return reduced
-  return chain(reduced, (s) => sendHeartbeat(s, _instantOf(s, event)))
+  const held = _holdStreams(reduced, _instantOf(state, event))
+  if (!held.state.heartbeatDue) return held
+  return chain(held, (s) => sendHeartbeat(s, _instantOf(s, event)))
+}
+
+// A stream whose origin has to be stored is held by the archive.
+function _holdStreams (reduced: EdgeStep, at: Instant): EdgeStep {
+  const stored = reduced.effects.flatMap((effect) => effect.subject === 'serving' && effect.effect.kind === 'store_origin' ? [effect.effect] : [])
+  if (stored.length === 0) return reduced
+  const others = reduced.effects.filter((effect) => effect.subject !== 'serving' || effect.effect.kind !== 'store_origin')
+  return stored.reduce((result, effect) => chain(result, (s) => holdStream(s, effect, at)), step<EdgeState, EdgeEffect>(reduced.state, others))
 }
 
 function _reduce (state: EdgeState, event: EdgeEvent): EdgeStep {
--- a/packages/edge/resumed_after_power_loss_test.ts
+++ b/packages/edge/resumed_after_power_loss_test.ts
@@ -7,9 +7,6 @@
 import { FixedRegistry, pause, startInstance, type TestInstance } from './_test_system.ts'
 
 const STREAMS = 12
-/** Time within which the origin of a stream has to be safe, in ms. */
-const SAFE_MS = 1000
-
 const configuration: Configuration = {
   version: 1,
   routes: [{ name: 'drafts', host: 'api.example', pathPrefix: '/drafts/', repetition: 'streaming', timeoutMs: 12_000, objectiveMs: 500, rank: 0, maxAttempts: 2, resumable: true, services: [{ service: 'drafts', weight: 1 }] }],
@@ -87,7 +84,6 @@
     const instance = instances[i % 2]
     if (instance !== undefined) begun.set(`a${i}`, await beginStream(instance, `a${i}`))
   }
-  await pause(SAFE_MS)
   await Promise.all(instances.map(({ edge }) => edge.close()))
   return begun
 }
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -4,7 +4,7 @@
 import type { EngineControl, HostSettings, Registry, Store } from '@berylshed/platform'
 import { createEventLoop } from '@berylshed/reducer'
 import type { Instant, Lease, OrderOutcome, SchedulerEffect } from '@berylshed/scheduler'
-import type { ReceivedRequest } from '@berylshed/serving'
+import { needsStoredOrigin, type ReceivedRequest } from '@berylshed/serving'
 import { Effect, Fiber, HashMap } from 'effect'
 import { createCallerServer } from './_caller_server.ts'
 import { createEdgeMetrics } from './_edge_metrics.ts'
@@ -85,7 +85,8 @@
       retryBudget: { ratio: bounds.retryBudgetRatio, minRetries: bounds.freeRetriesPerWindow, windowMs: bounds.retryWindowMs },
       leaseBounds: bounds,
       phase: Math.random(),
-      relayAddress: settings.relayAddress
+      relayAddress: settings.relayAddress,
+      storeWritesPerS: settings.storeWritesPerS
     }),
     reduce: reduceEdge,
     perform
@@ -95,6 +96,7 @@
     nowMs,
     upstream: (id) => loop.state().list?.upstreams.get(id),
     isDraining: () => loop.state().draining,
+    needsStoredOrigin: (id) => needsStoredOrigin(loop.state().serving, id, nowMs()),
     dispatch: (event) => loop.dispatch({ subject: 'serving', event })
   })
   const callerServerOptions = {
--- a/packages/platform/host_settings.ts
+++ b/packages/platform/host_settings.ts
@@ -40,6 +40,8 @@
   readonly metricsAddress: string
   /** Host and port of the platform's store. */
   readonly storeAddress: string
+  /** Writes per second that the store takes from all instances together. */
+  readonly storeWritesPerS: number
   readonly bounds: PlatformBounds
 }
 
@@ -62,10 +64,12 @@
     FencingEnforced: Schema.Boolean,
     LeaseMs: Schema.Number
   }),
-  Platform: Schema.Struct({ Address: Schema.NonEmptyString })
+  Platform: Schema.Struct({ Address: Schema.NonEmptyString, WritesPerS: Schema.optionalKey(Schema.Number) })
 })
 
 const MS_PER_SECOND = 1000
+/** Default rate of writes that the store takes, per second; the lowest one of the deployments so far. */
+const DEFAULT_STORE_WRITES_PER_S = 400
 /** Default interval between the heartbeats of an upstream, in ms; the one of all deployments so far. */
 const DEFAULT_HEARTBEAT_MS = 1200
 /** Missed heartbeats after which the store removes a registration. */
@@ -95,6 +99,7 @@
     relayAddress: `${wire.Ip}:${wire.InternalPorts[0] + 1}`,
     metricsAddress: `${wire.Ip}:${wire.InternalPorts[0]}`,
     storeAddress: wire.Platform.Address,
+    storeWritesPerS: wire.Platform.WritesPerS ?? DEFAULT_STORE_WRITES_PER_S,
     bounds: {
       upstreamDrainMs: wire.Bounds.DrainMs,
       registrationTtlMs: MAX_MISSED_HEARTBEATS * (wire.HeartbeatMs ?? DEFAULT_HEARTBEAT_MS),
--- a/packages/serving/_pin_streams.ts
+++ b/packages/serving/_pin_streams.ts
@@ -2,10 +2,8 @@
 import type { Request } from './request.ts'
 import type { RoutingTarget } from './routing_target.ts'
 import type { ServingState } from './serving_state.ts'
-import { addOrigin, possibleVersions, pruneOrigins, recordVersions } from './stream_origins.ts'
+import { addOrigin, OWN_ORIGIN, possibleVersions, pruneOrigins, recordVersions } from './stream_origins.ts'
 
-/** Incarnation that stands for this instance as the source of an origin. */
-const SELF = ''
 /** Time beyond the deadline of an attempt within which its caller may still resume the stream, in ms. */
 const RESUME_SLACK_MS = 10_000
 /** Interval at which the software versions of unchanged upstreams are noted, in ms; a fraction of how long they are kept. */
@@ -51,5 +49,5 @@
 export function pinStream (state: ServingState, request: Request, softwareVersion: string): ServingState {
   const attempt = request.resumedAttempt ?? request.callerId
   if (!request.stream || !request.retryable || attempt === '') return state
-  return { ...state, origins: addOrigin(state.origins, attempt, { softwareVersion, untilMs: request.deadlineMs + RESUME_SLACK_MS, source: SELF }) }
+  return { ...state, origins: addOrigin(state.origins, attempt, { softwareVersion, untilMs: request.deadlineMs + RESUME_SLACK_MS, source: OWN_ORIGIN }) }
 }
--- a/packages/serving/origin_exchange.ts
+++ b/packages/serving/origin_exchange.ts
@@ -61,6 +61,25 @@
   return _changingServices(state, nowMs).length > 0
 }
 
+/**
+ * Reports whether the origin of a request's stream has to be stored before its first event is forwarded.
+ *
+ * @param state The state of the requests.
+ * @param id Id of the request.
+ * @param nowMs The local time in ms.
+ * @returns Whether it begins a resumable stream while its service runs, or ran lately, several software versions.
+ *
+ * @example
+ * ```ts
+ * if (needsStoredOrigin(state, id, performance.now())) hold(id)
+ * ```
+ */
+export function needsStoredOrigin (state: ServingState, id: string, nowMs: number): boolean {
+  const request = Option.getOrUndefined(HashMap.get(state.requests, id))
+  if (request === undefined || !request.stream || !request.retryable || request.resumedAttempt !== undefined) return false
+  return possibleVersions(state.softwareVersions, request.service, nowMs).length > 1
+}
+
 function _changingServices (state: ServingState, nowMs: number): readonly string[] {
   return [...state.softwareVersions.keys()].filter((service) => possibleVersions(state.softwareVersions, service, nowMs).length > 1)
 }
--- a/packages/serving/origin_segment.ts
+++ b/packages/serving/origin_segment.ts
@@ -1,48 +1,36 @@
 import { HashMap, Option } from 'effect'
 import type { ServingState } from './serving_state.ts'
-import { addOrigin, possibleVersions, STORED_ORIGIN, type StreamOrigins } from './stream_origins.ts'
+import { addOrigin, OWN_ORIGIN, possibleVersions, STORED_ORIGIN, type StreamOrigins } from './stream_origins.ts'
 
-/** Maximum number of streams in one segment; keeps an object of the store below a tenth of its maximum size. */
-const MAX_STREAMS_PER_SEGMENT = 4000
 /** Time for which origins that were read from the store are kept, in ms: the longest timeout of a route and the slack of resumptions. */
 const STORED_ORIGIN_TTL_MS = 40_000
 
 /** Origins of streams as stored: ids of callers' attempts, by the software version that began their streams. */
 export type OriginSegment = Readonly<Record<string, readonly string[]>>
 
-/** A segment and the number of the newest origin that it holds. */
-export interface CutSegment {
-  readonly segment: OriginSegment
-  readonly upTo: number
-  readonly streams: number
-}
-
 /**
- * Collects the origins that follow a number, to be stored.
+ * Collects the origins of streams that began at this instance, to be stored.
  *
  * @param origins The known origins.
  * @param after Number of the last origin that an earlier segment holds.
- * @returns The segment, without origins that came from the store.
+ * @returns The segment.
  *
  * @example
  * ```ts
- * const { segment, upTo } = cutSegment(state.origins, 0)
+ * const segment = cutSegment(state.origins, 0)
  * ```
  */
-export function cutSegment (origins: StreamOrigins, after: number): CutSegment {
+export function cutSegment (origins: StreamOrigins, after: number): OriginSegment {
   const segment: Record<string, string[]> = {}
-  let streams = 0
-  let upTo = Math.max(after, origins.oldest - 1)
-  for (; upTo < origins.newest && streams < MAX_STREAMS_PER_SEGMENT; upTo += 1) {
-    const attempt = Option.getOrElse(HashMap.get(origins.attempts, upTo + 1), () => '')
+  for (let number = Math.max(after + 1, origins.oldest); number <= origins.newest; number += 1) {
+    const attempt = Option.getOrElse(HashMap.get(origins.attempts, number), () => '')
     const origin = Option.getOrUndefined(HashMap.get(origins.byAttempt, attempt))
-    if (origin === undefined || origin.source === STORED_ORIGIN) continue
+    if (origin?.source !== OWN_ORIGIN) continue
     const attempts = segment[origin.softwareVersion] ?? []
     attempts.push(attempt)
     segment[origin.softwareVersion] = attempts
-    streams += 1
   }
-  return { segment, upTo, streams }
+  return segment
 }
 
 /**
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -56,6 +56,7 @@
   const request = Option.getOrUndefined(HashMap.get(state.requests, event.id))
   if (request === undefined) return step(state)
   switch (event.kind) {
+    case 'stream_began': return _beginStream(state, request, event.attempt)
     case 'response_started': return _startResponse(state, request, event)
     case 'response_ended': return _endResponse(state, request, event)
     case 'attempt_failed': return _thenDispatch(failAttempt(state, request, event), request.service, event.nowMs)
@@ -86,6 +87,15 @@
   return { ...state, requestRates: HashMap.set(state.requestRates, key, incrementRate(rate, nowMs)) }
 }
 
+// A retry has to begin at the same version, as the origin may be stored already.
+function _beginStream (state: ServingState, request: Request, number: number): _Step {
+  const attempt = currentAttempt(request)
+  if (attempt === undefined || attempt.number !== number) return step(state)
+  const { softwareVersion } = attempt
+  const pinned = pinStream(putRequest(state, { ...request, softwareVersion }), request, softwareVersion)
+  return step(pinned, [{ kind: 'store_origin', id: request.id, origin: pinned.origins.newest }])
+}
+
 type _ResponseStarted = Extract<ServingEvent, { kind: 'response_started' }>
 
 function _startResponse (state: ServingState, request: Request, event: _ResponseStarted): _Step {
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -54,6 +54,10 @@
   | { readonly kind: 'probe', readonly upstream: string }
   /** Cancels an attempt whose response is no longer needed. */
   | { readonly kind: 'cancel', readonly id: string, readonly attempt: number }
+  /** Stores the origin of a stream, and then begins the response. */
+  | { readonly kind: 'store_origin', readonly id: string, readonly origin: number }
+  /** Forwards the first event of a stream. */
+  | { readonly kind: 'begin_response', readonly id: string }
   /** Completes the response to the caller, all of which has been forwarded or collected. */
   | { readonly kind: 'finish', readonly id: string }
   /** Responds to the caller with a refusal by this instance. */
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -33,6 +33,8 @@
 /** Event that affects the requests of an instance. */
 export type ServingEvent = { readonly nowMs: number } & (
   | { readonly kind: 'received', readonly request: ReceivedRequest }
+  /** The first event of a stream has arrived; it is forwarded once the origin of the stream is stored. */
+  | { readonly kind: 'stream_began', readonly id: string, readonly attempt: number }
   /** A relay tells the software version of its upstream. */
   | { readonly kind: 'response_started', readonly id: string, readonly attempt: number, readonly softwareVersion?: string }
   | { readonly kind: 'response_ended', readonly id: string, readonly attempt: number, readonly status: number }
--- a/packages/serving/stream_origins.ts
+++ b/packages/serving/stream_origins.ts
@@ -8,6 +8,8 @@
 /** Maximum number of records in one update; the rest follows with the next one. */
 const MAX_RECORDS_PER_UPDATE = 400
 
+/** Source of the origins of streams that began at this instance. */
+export const OWN_ORIGIN = ''
 /** Source of the origins that were read from the store. */
 export const STORED_ORIGIN = 'store'
 
