--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -131,3 +131,40 @@
   t.is(heartbeat?.request.evidence, undefined)
   t.deepEqual(heartbeat?.request.receivedEvidence, { origin: 'holder', version: 3 })
 })
+
+// The record's lookup: no prompt, three plain upstreams whose processes are others after each crash, and callers that repeat at once.
+test('a lookup without a prompt that crashes plain upstreams reaches one more of them after the third at most, even if all instances restart', (t) => {
+  const lookup = (id: string, nowMs: number): ReceivedRequest => ({ ...draft(id, nowMs, 'lookup'), promptParts: [], model: undefined, service: 'orders', stream: false, retryable: true, maxRuns: 2, objectiveMs: 120, deadlineMs: nowMs + 600 })
+  const knows = (state: EdgeState, process: number): EdgeState => {
+    const upstreams = new Map([1, 2, 3].map((i) => [`u${process}-${i}`, { ...upstream, id: `u${process}-${i}`, service: 'orders' }]))
+    const list: UpstreamList = { revision: 10 + process, upstreams, changedAt: new Map([...upstreams.keys()].map((id) => [id, 10 + process])), completeSince: 0, removed: new Map() }
+    return apply(state, { subject: 'configured', configuration: { ...configuration, version: 5, services: new Map([['orders', { name: 'orders', engine: undefined }]]) }, from: 'store', at: at(0) }, { subject: 'listed', list, at: at(0) })
+  }
+  const follower = (name: string, process: number): EdgeState => apply(knows(start(name), process), { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 1, lease, ...at(0) } })
+  // Sends the lookup; each attempt crashes its upstream 20 ms later.
+  const crash = (state: EdgeState, id: string, nowMs: number): CrashedInstance & { readonly crashes: number } => {
+    let result = reduceEdge(state, { subject: 'serving', event: { kind: 'received', request: lookup(id, nowMs), nowMs } })
+    let crashes = 0
+    let heartbeat: HeartbeatRequest | undefined
+    while (sends(result.effects)) {
+      crashes += 1
+      result = reduceEdge(result.state, { subject: 'serving', event: { kind: 'attempt_failed', id, attempt: crashes, failure: 'broken', detail: '', nowMs: nowMs + 20 * crashes } })
+      heartbeat = result.effects.flatMap((effect) => effect.subject === 'heartbeat' ? [effect.request] : [])[0] ?? heartbeat
+    }
+    return { state: result.state, crashed: crashes > 0, heartbeat, crashes }
+  }
+  let holder = knows(startHolder(), 0)
+  const crashes = Array.from({ length: 8 }, (_, i) => {
+    const nowMs = 2000 + i * 1000
+    const informed = exchange({ state: follower(`f${i}`, i), crashed: false, heartbeat: EMPTY_HEARTBEAT }, holder, nowMs)
+    const result = crash(informed.follower, `r${i}`, nowMs + 10)
+    holder = exchange(result, informed.holder, nowMs + 200).holder
+    return result.crashes
+  })
+  // The report of the second crash is under way with the next heartbeat, so one request more arrives before the third is known.
+  t.deepEqual(crashes, [2, 1, 1, 0, 0, 0, 0, 0])
+  const { effects } = reduceEdge(holder, { subject: 'tick', at: at(11_000) })
+  const written = effects.flatMap((effect) => effect.subject === 'scheduler' && effect.effect.kind === 'write_lease' ? [effect.effect.lease] : [])
+  const restarted = apply(knows(start('next'), 9), { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 2, lease: written[0], ...at(11_100) } })
+  t.is(crash(restarted, 'last', 11_200).crashes, 0)
+})
