Deliver a stream that ends while its origin is being stored

Cause: a short stream ends although it was paused at its first event, as Node has read it whole by then; the response was finished while the event was still held. Test: a stream of one event during a release; it failed before (empty body), with the end kept until the event is written it passes. The exchange now ends when the held event has been forwarded.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -163,11 +163,11 @@
   function relayEvents (entry: _OpenExchange, source: _AttemptResponse, events: _RelayedEvents): boolean {
     const { response, id } = entry.exchange
     if (entry.held !== undefined) {
-      entry.held = { source, events: { chunk: Buffer.concat([entry.held.events.chunk, events.chunk]), lastEventId: events.lastEventId ?? entry.held.events.lastEventId } }
+      entry.held = { ...entry.held, events: { chunk: Buffer.concat([entry.held.events.chunk, events.chunk]), lastEventId: events.lastEventId ?? entry.held.events.lastEventId } }
       return false
     }
     if (response.headersSent || entry.isRelayed || !options.needsStoredOrigin(id)) return writeEvents(entry, source, events)
-    entry.held = { source, events }
+    entry.held = { source, events, hasEnded: false }
     options.dispatch({ kind: 'stream_began', id, attempt: source.attempt, nowMs: options.nowMs() })
     return false
   }
@@ -175,9 +175,11 @@
   function beginResponse (id: string): void {
     const entry = openExchanges.get(id)
     if (entry?.held === undefined || entry.exchange.response.destroyed) return
-    const { source, events } = entry.held
+    const { source, events, hasEnded } = entry.held
     entry.held = undefined
-    if (writeEvents(entry, source, events)) entry.running?.resume()
+    const mayResume = writeEvents(entry, source, events)
+    if (hasEnded) completeAttempt(entry, source, undefined)
+    else if (mayResume) entry.running?.resume()
   }
 
   function writeEvents (entry: _OpenExchange, source: _AttemptResponse, events: _RelayedEvents): boolean {
@@ -203,6 +205,10 @@
 
   function completeAttempt (entry: _OpenExchange, source: _AttemptResponse, body: Buffer | undefined): void {
     const { id } = entry.exchange
+    if (entry.held !== undefined) {
+      entry.held = { ...entry.held, hasEnded: true }
+      return
+    }
     entry.running = undefined
     if (body !== undefined) entry.buffered = { head: source.head, body }
     options.dispatch({ kind: 'response_ended', id, attempt: source.attempt, status: source.head.status, nowMs: options.nowMs() })
@@ -261,6 +267,8 @@
 interface _HeldEvents {
   readonly source: _AttemptResponse
   readonly events: _RelayedEvents
+  /** Whether the stream has ended meanwhile. */
+  readonly hasEnded: boolean
 }
 
 interface _RelayedEvents {
--- a/packages/edge/resumed_after_power_loss_test.ts
+++ b/packages/edge/resumed_after_power_loss_test.ts
@@ -4,7 +4,7 @@
 import { PlatformStore } from '@berylshed/platform'
 import test, { type ExecutionContext } from 'ava'
 import { startTestStore, type TestStore } from './_test_store.ts'
-import { FixedRegistry, pause, startInstance, type TestInstance } from './_test_system.ts'
+import { ask, FixedRegistry, pause, startInstance, type TestInstance } from './_test_system.ts'
 
 const STREAMS = 12
 const configuration: Configuration = {
@@ -22,13 +22,19 @@
 // An upstream whose streams name its software version in each event and do not end.
 async function startVersion (id: string, softwareVersion: string): Promise<Version> {
   const server = createServer((request, response) => {
-    response.writeHead(200, { 'attempt-id': request.headers['attempt-id'], 'server-signature': 's', 'content-type': 'text/event-stream' }).write(`id: 1\ndata: ${softwareVersion}\n\n`)
+    response.writeHead(200, { 'attempt-id': request.headers['attempt-id'], 'server-signature': 's', 'content-type': 'text/event-stream' })
+    const event = `id: 1\ndata: ${softwareVersion}\n\n`
+    if (request.url === SHORT) response.end(event)
+    else response.write(event)
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   return { server, upstream: { id, service: 'drafts', address, availabilityZone: 'a', incarnation: 1, softwareVersion, slots: 64, leaving: false, residents: [], copies: { inMemory: [], onDisk: [] } } }
 }
 
+/** Path at which the upstreams of the test send a stream with one event only. */
+const SHORT = '/drafts/short'
+
 // Returns the status of a stream and the software version in its first event; the stream goes on until its server ends.
 function beginStream (instance: TestInstance, attempt: string, resumes?: string): Promise<string> {
   return new Promise((resolve) => {
@@ -118,3 +124,11 @@
   const next = await system.start('entry-1', [system.old])
   t.is(await beginStream(next, 'again', 'a'), 'v1')
 })
+
+test('a stream that ends before its origin is stored is delivered whole', async (t) => {
+  const system = await startSystem(t)
+  const instance = await system.start('entry-1', [system.old, system.newer])
+  while (!instance.edge.state().archive.historyKnown) await pause(20)
+  const answers = await Promise.all(Array.from({ length: 8 }, (_, i) => ask(instance.callers, SHORT, { headers: { 'attempt-id': `short-${i}`, 'deadline-ms': '4000' } })))
+  t.true(answers.every(({ status, text }) => status === 200 && /^id: 1\ndata: v1(.1)?\n\n$/.test(text)), JSON.stringify(answers))
+})
