Keep a stream at an upstream that falls silent for a little over a second

An instance gave up a stream after 1.1 s without an event, resumed it elsewhere or broke it off. The timeout is 1.6 s, or twice the latency objective, as callers wait for four times the objective; a connection that is silent for good still leaves 400 ms to begin elsewhere.

That a TCP_USER_TIMEOUT also decides when keep-alive probes give up needs no change: Node.js sets none, and no probes are used towards upstreams; timeouts of the application decide.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -10,10 +10,12 @@
 const FIRST_BYTE_TIMEOUT_FACTOR = 2
 const MIN_FIRST_BYTE_TIMEOUT_MS = 400
 /**
- * Timeout between two events of a stream, in ms. Callers abandon a stream after 2 s without an event, and another upstream
- * has to start within that time.
+ * Minimum timeout between two events of a stream, in ms. A sound upstream may pause for more than a second; callers abandon a stream
+ * after 2 s without an event or four times its latency objective, and another upstream has to start within that time.
  */
-const EVENT_TIMEOUT_MS = 1100
+const MIN_EVENT_TIMEOUT_MS = 1600
+/** Timeout between two events of a stream, as a multiple of its latency objective. */
+const EVENT_TIMEOUT_FACTOR = 2
 /** Share of the time left after which a retryable request is taken back from a relay that has not begun to respond. */
 const RELAY_TIMEOUT_SHARE = 0.6
 const METHODS_WITHOUT_BODY = ['GET', 'HEAD', 'OPTIONS', 'DELETE']
@@ -281,7 +283,7 @@
 function _timeouts (request: Request): { readonly firstByteTimeoutMs: number, readonly eventTimeoutMs: number } {
   if (!request.retryable) return { firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity }
   const firstByteTimeoutMs = Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, request.objectiveMs * FIRST_BYTE_TIMEOUT_FACTOR)
-  return request.stream ? { firstByteTimeoutMs, eventTimeoutMs: EVENT_TIMEOUT_MS } : { firstByteTimeoutMs, eventTimeoutMs: Infinity }
+  return request.stream ? { firstByteTimeoutMs, eventTimeoutMs: Math.max(MIN_EVENT_TIMEOUT_MS, request.objectiveMs * EVENT_TIMEOUT_FACTOR) } : { firstByteTimeoutMs, eventTimeoutMs: Infinity }
 }
 
 // A relay waits for an upstream and times out its attempts itself; only one that has stopped responding is given up.
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -143,6 +143,7 @@
       let text = ''
       response.on('data', (chunk: Buffer) => { text += chunk.toString() })
       response.on('end', () => resolve({ status: response.statusCode ?? 0, text }))
+      response.on('error', reject)
     })
     request.on('error', reject)
     request.end(options.body)
