Obey what upstreams say of leaving, pauses and brittleness in their responses

One event carries what a response says beside the answer.

- 503 with Retry-After (BUDGET): the upstream gets nothing from this instance for that time; if it is the only one and the request cannot wait so long, it is refused at once with that time.
Before, the stand-in was asked again with every lookup.
- Server-Brittle (LIMIT): the instances together have no more requests without a response at an upstream than it bears rejections in a second, count no queue of it, and each pauses after a rejection for its turn.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -2,7 +2,7 @@
 import type { Upstream } from '@berylshed/fleet'
 import { attemptHeaders, forwardedResponseHeaders, handoverAnswerHeaders, handoverHeaders, localResponseHeaders, readSoftwareVersion } from '@berylshed/platform'
 import type { Refusal, Relay, Request, AttemptFailure, ServingEffect, ServingEvent } from '@berylshed/serving'
-import { forwardAttempt, type ForwardedAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
+import { forwardAttempt, type Announcement, type ForwardedAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
 
 /** Timeout for a connection to an upstream, in ms: many round trips within a region. */
 const CONNECT_TIMEOUT_MS = 250
@@ -140,7 +140,7 @@
     entry.running = forwardAttempt({
       id: exchange.callerId, method: exchange.method, path: exchange.path, body: exchange.body, connectTimeoutMs: CONNECT_TIMEOUT_MS, ...target
     }, {
-      limit: (perS) => { if (relay === undefined) options.dispatch({ kind: 'limit_stated', upstream: effect.upstream, perS, nowMs: options.nowMs() }) },
+      announced: (announcement) => { if (relay === undefined) announce(effect.upstream, announcement) },
       events: (head, chunk, lastEventId) => relayEvents(entry, { head, attempt }, { chunk, lastEventId }),
       ended: (head, body) => completeAttempt(entry, { head, attempt }, body),
       failed: (failure, detail, errorResponse) => {
@@ -153,6 +153,13 @@
     })
   }
 
+  function announce (upstream: string, announcement: Announcement): void {
+    const { requestLimitPerS, leaving, retryAfterMs, maxRejectionsPerS } = announcement
+    const nowMs = options.nowMs()
+    options.dispatch({ kind: 'limit_stated', upstream, perS: requestLimitPerS, nowMs })
+    if (leaving || retryAfterMs !== undefined || maxRejectionsPerS !== undefined) options.dispatch({ kind: 'upstream_announced', upstream, leaving, retryAfterMs, maxRejectionsPerS, nowMs })
+  }
+
   // No outcome is delivered to a disconnected caller, so no other code path removes its exchange.
   function removeIfAbandoned (entry: _OpenExchange): void {
     if (entry.exchange.response.destroyed && entry.running === undefined) openExchanges.delete(entry.exchange.id)
--- a/packages/edge/_test_upstream.ts
+++ b/packages/edge/_test_upstream.ts
@@ -60,7 +60,7 @@
       eventTimeoutMs: 2000,
       ...changes
     }, {
-      limit: () => {},
+      announced: () => {},
       events: (_head, chunk, id) => {
         passed += chunk.toString()
         lastEventId = id ?? lastEventId
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -1,6 +1,6 @@
 import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
-import { readResponseHeaders } from '@berylshed/platform'
+import { readResponseHeaders, type ResponseMetadata } from '@berylshed/platform'
 import type { AttemptFailure } from '@berylshed/serving'
 import { createEventSplitter } from './_split_events.ts'
 
@@ -54,10 +54,13 @@
   readonly headers: readonly string[]
 }
 
+/** What an upstream says of itself in a response. */
+export type Announcement = Pick<ResponseMetadata, 'requestLimitPerS' | 'leaving' | 'retryAfterMs' | 'maxRejectionsPerS'>
+
 /** Callbacks of an attempt. Exactly one of `ended` and `failed` is called unless the attempt is cancelled. */
 export interface AttemptHooks {
-  /** Called for each response to the attempt with the limit on requests per second that the upstream names, if any. */
-  limit (perS: number | undefined): void
+  /** Called for each response to the attempt with what the upstream says of itself. */
+  announced (announcement: Announcement): void
   /** Passes on complete events of a stream. Returns false to pause the stream until `resume` is called. */
   events (head: ResponseHead, chunk: Buffer, lastEventId: string | undefined): boolean
   /** Called when the response is complete; `body` is undefined for a stream, whose events were relayed. */
@@ -173,7 +176,7 @@
     const status = incoming.statusCode ?? 0
     const facts = readResponseHeaders(status, incoming.headers)
     if (facts.id !== undefined && facts.id !== attempt.id) return fail('crossed', `response carries attempt id ${facts.id}`)
-    if (facts.id === attempt.id) hooks.limit(facts.requestLimitPerS)
+    if (facts.id === attempt.id) hooks.announced(facts)
     if (facts.notRun) return fail(facts.misdirected ? 'misdirected' : 'refused', `status ${status}`)
     if (facts.id === undefined) return fail('malformed', `status ${status} without an attempt id`)
     const succeeded = status >= FIRST_SUCCESS && status < FIRST_REDIRECT
--- a/packages/platform/http_headers.ts
+++ b/packages/platform/http_headers.ts
@@ -59,6 +59,12 @@
   readonly unencoded: boolean
   /** Requests per second that the upstream takes from all instances together, if it names a limit. */
   readonly requestLimitPerS: number | undefined
+  /** Whether the upstream says that it is leaving. */
+  readonly leaving: boolean
+  /** Time for which the upstream wants no requests from this instance, in ms, if it turned the request away and names one. */
+  readonly retryAfterMs: number | undefined
+  /** Rejections in a second beyond which the upstream falls over, if it is brittle. */
+  readonly maxRejectionsPerS: number | undefined
 }
 
 type _Headers = Readonly<Record<string, string | readonly string[] | undefined>>
@@ -78,6 +84,7 @@
 const STRIPPED_REQUEST_HEADERS = new Set([...HOP_HEADERS, ...UPSTREAM_CONTROL_HEADERS, ...INTERNAL_HEADERS])
 const STRIPPED_RESPONSE_HEADERS = new Set([...HOP_HEADERS, ...INTERNAL_HEADERS])
 const MISDIRECTED_REQUEST = 421
+const SERVICE_UNAVAILABLE = 503
 
 /**
  * Reads the metadata of a caller's request.
@@ -227,7 +234,10 @@
     misdirected,
     signed: _firstValue(headers, 'server-signature') !== undefined,
     unencoded: (_firstValue(headers, 'content-encoding') ?? 'identity') === 'identity',
-    requestLimitPerS: _positive(_firstValue(headers, 'server-limit'))
+    requestLimitPerS: _positive(_firstValue(headers, 'server-limit')),
+    leaving: _firstValue(headers, 'server-leaving') === '1',
+    retryAfterMs: status === SERVICE_UNAVAILABLE ? _milliseconds(_firstValue(headers, 'retry-after')) : undefined,
+    maxRejectionsPerS: _positive(_firstValue(headers, 'server-brittle'))
   }
 }
 
@@ -296,6 +306,11 @@
   return text.split(',').map((part) => part.split(':')[0]?.trim() ?? '').filter((id) => id !== '')
 }
 
+function _milliseconds (seconds: string | undefined): number | undefined {
+  const value = _positive(seconds)
+  return value === undefined ? undefined : value * MS_PER_SECOND
+}
+
 function _positive (text: string | undefined): number | undefined {
   const value = Number(text)
   return Number.isFinite(value) && value > 0 ? value : undefined
--- /dev/null
+++ b/packages/serving/_apply_announcement.ts
@@ -0,0 +1,36 @@
+import { step, type Step } from '@berylshed/reducer'
+import { dispatchService } from './_dispatch_requests.ts'
+import type { ServingEffect } from './serving_effect.ts'
+import type { ServingEvent } from './serving_event.ts'
+import { targetLoad, updateTargetLoad, type ServingState } from './serving_state.ts'
+
+type _Step = Step<ServingState, ServingEffect>
+
+/** Time after the last response that says so for which the upstreams of a service count as brittle, in ms. */
+const BRITTLE_MS = 3000
+
+/** Applies what a response says about its upstream beside the answer. */
+export function applyAnnouncement (state: ServingState, event: Extract<ServingEvent, { kind: 'upstream_announced' }>): _Step {
+  const { upstream, leaving, retryAfterMs, maxRejectionsPerS, nowMs } = event
+  const service = state.targets.get(upstream)?.service
+  if (service === undefined) return step(state)
+  const records: ServingEffect[] = []
+  let next = state
+  if (leaving && !targetLoad(state, upstream).leaving) {
+    next = updateTargetLoad(next, upstream, (load) => ({ ...load, leaving: true }))
+    records.push({ kind: 'record', record: { what: 'upstream_leaving', upstream, detail: 'response' } })
+  }
+  if (retryAfterMs !== undefined) {
+    next = updateTargetLoad(next, upstream, (load) => ({ ...load, pausedUntilMs: Math.max(load.pausedUntilMs, nowMs + retryAfterMs) }))
+    records.push({ kind: 'record', record: { what: 'upstream_paused', upstream, leftMs: retryAfterMs } })
+  }
+  if (maxRejectionsPerS !== undefined) {
+    const known = state.brittle.get(service)
+    if (known === undefined || known.untilMs <= nowMs) records.push({ kind: 'record', record: { what: 'service_brittle', upstream, perS: maxRejectionsPerS, detail: service } })
+    next = { ...next, brittle: new Map(next.brittle).set(service, { maxRejectionsPerS, untilMs: nowMs + BRITTLE_MS }) }
+  }
+  if (!leaving) return step(next, records)
+  // Requests that wait for the upstream may have to be refused.
+  const dispatched = dispatchService(next, service, nowMs)
+  return step(dispatched.state, [...records, ...dispatched.effects])
+}
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -143,7 +143,9 @@
   const next = _sentRequest(request, attempt)
   const before = targetLoad(state, upstream)
   const window = countAttempt(state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW, { isRetry: attempt.number > 1, nowMs })
-  const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
+  const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({
+    ...load, ownRequests: load.ownRequests + 1, unanswered: next.phase === 'sent' ? load.unanswered + 1 : load.unanswered
+  }))
   const marked = recordAdapterUse({ ...counted, retryWindows: new Map(counted.retryWindows).set(request.service, window) }, request, { upstream, nowMs })
   return step(countAgainstLimit(marked, upstream, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream, relay: undefined },
@@ -163,7 +165,9 @@
   if (request.deadlineMs - nowMs <= MIN_REMAINING_MS) return refuseRequest(state, request, { reason: 'deadline_waiting', nowMs })
   if (state.shuttingDown) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS })
   const waitUntilMs = _waitUntilMs(state, request, options)
-  if (nowMs < waitUntilMs) return step(state)
+  const resumesAtMs = options.search.kind === 'full' ? options.search.resumesAtMs : undefined
+  if (nowMs < waitUntilMs && (resumesAtMs === undefined || resumesAtMs < waitUntilMs)) return step(state)
+  if (resumesAtMs !== undefined && resumesAtMs > nowMs) return refuseRequest(state, request, { reason: 'upstreams_paused', nowMs, retryAfterMs: resumesAtMs - nowMs })
   return refuseRequest(state, request, { reason: _refusalReason(state, request, options.search), nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
 }
 
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -21,6 +21,8 @@
 const MAX_AVOID_MS = 3200
 /** Time for which a model or adapter is treated as absent after an upstream reported so, in ms: two heartbeat intervals. */
 const ABSENT_MS = 400
+/** Time over which brittle upstreams count rejections, in ms. */
+const REJECTION_WINDOW_MS = 1000
 /** Maximum number of attempts per request, regardless of their outcome. */
 const MAX_ATTEMPTS = 6
 
@@ -108,6 +110,7 @@
   const { upstream, relay } = observation.attempt
   const contacted = relay === undefined && RESPONDED_FAILURES.includes(failure) ? noteContact(state, nowMs) : state
   if (failure === 'misdirected') return step(updateTargetLoad(contacted, upstream, (load) => _markAbsent(load, request, nowMs)))
+  if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { request, nowMs })))
   if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
   const avoided = updateTargetLoad(contacted, upstream, (load) => _avoidUpstream(observeOutcome(load, { failed: true, nowMs }), nowMs))
   const marked = markUnreachable(avoided, upstream, nowMs)
@@ -115,6 +118,14 @@
   return step(marked, [{ kind: 'record', record: { what, upstream, reason: failure, request: request.callerId } }])
 }
 
+// All instances together may be rejected so often in a second, so each of them waits for its turn.
+function _pauseBrittle (state: ServingState, load: TargetLoad, rejected: { readonly request: Request, readonly nowMs: number }): TargetLoad {
+  const brittle = state.brittle.get(rejected.request.service)
+  if (brittle === undefined || brittle.untilMs <= rejected.nowMs) return load
+  const pauseMs = REJECTION_WINDOW_MS * Math.max(1, state.instances / brittle.maxRejectionsPerS)
+  return { ...load, pausedUntilMs: Math.max(load.pausedUntilMs, rejected.nowMs + pauseMs) }
+}
+
 // Failures of concurrent attempts count once: while the upstream is avoided, further ones are not added.
 function _avoidUpstream (load: TargetLoad, nowMs: number): TargetLoad {
   if (load.avoidedUntilMs > nowMs) return load
--- a/packages/serving/_pin_streams.ts
+++ b/packages/serving/_pin_streams.ts
@@ -1,4 +1,5 @@
 import { HashMap, Option } from 'effect'
+import { isLeaving } from './choose_upstream.ts'
 import type { Request } from './request.ts'
 import type { RoutingTarget } from './routing_target.ts'
 import type { ServingState } from './serving_state.ts'
@@ -39,7 +40,7 @@
 /** Reports whether no upstream of the software version that a request is pinned to can continue its stream soon. */
 export function isVersionUnavailable (state: ServingState, request: Request): boolean {
   if (request.softwareVersion === undefined) return false
-  const offered = [...state.targets.values()].filter((target) => target.service === request.service && !target.leaving)
+  const offered = [...state.targets.values()].filter((target) => target.service === request.service && !isLeaving(state, target))
   const holds = (target: RoutingTarget): boolean => request.model === undefined || target.models === undefined || target.models.has(request.model)
   const sameVersion = offered.filter((target) => target.softwareVersion === request.softwareVersion)
   return sameVersion.length === 0 || (offered.some(holds) && !sameVersion.some(holds))
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -32,7 +32,9 @@
 export function releaseSlot (state: ServingState, request: Request, nowMs: number): ServingState {
   const attempt = currentAttempt(request)
   if (attempt === undefined) return state
-  const freed = updateTargetLoad(state, attempt.upstream, (load) => ({ ...load, ownRequests: Math.max(0, load.ownRequests - 1) }))
+  const freed = updateTargetLoad(state, attempt.upstream, (load) => ({
+    ...load, ownRequests: Math.max(0, load.ownRequests - 1), unanswered: request.phase === 'sent' ? Math.max(0, load.unanswered - 1) : load.unanswered
+  }))
   return attempt.relay === undefined ? recordAdapterUse(freed, request, { upstream: attempt.upstream, nowMs }) : freed
 }
 
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -1,4 +1,4 @@
-import { demandKey, type RoutingTarget, type TargetLoad } from './routing_target.ts'
+import { demandKey, type RoutingTarget } from './routing_target.ts'
 import type { Request } from './request.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
 import { isWithinLimit } from './upstream_limit.ts'
@@ -25,7 +25,11 @@
 export type UpstreamSearch =
   | { readonly kind: 'chosen', readonly choice: UpstreamChoice }
   /** Eligible upstreams exist, but those considered are at capacity. */
-  | { readonly kind: 'full' }
+  | {
+    readonly kind: 'full'
+    /** Local time at which the first of them takes requests again, in ms, if all of them want none for a time. */
+    readonly resumesAtMs?: number
+  }
   /** The request resumes a stream, and the software version that began it is not known. */
   | { readonly kind: 'unknown_origin' }
   /** The request may have crashed an upstream, so that no other one is risked for now. */
@@ -56,8 +60,8 @@
   if (eligible.length === 0) return { kind: 'absent' }
   const untried = eligible.filter((target) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
   const candidates = untried.length > 0 ? untried : eligible
-  const available = candidates.filter((target) => _hasCapacity(target, targetLoad(state, target.upstream)) && _mayReceive(state, target, nowMs))
-  if (available.length === 0) return { kind: 'full' }
+  const available = candidates.filter((target) => _hasCapacity(state, target, nowMs) && _mayReceive(state, target, nowMs))
+  if (available.length === 0) return _full(state, eligible, nowMs)
   const medianMs = _medianFirstByteMs(state, available)
   const scored = available
     .map((target) => ({ target, score: _expectedDelayMs(state, target, { request, nowMs, medianMs }) }))
@@ -105,7 +109,7 @@
  */
 export function offersModel (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
   const { request, nowMs } = query
-  if (target.service !== request.service || target.leaving) return false
+  if (target.service !== request.service || isLeaving(state, target)) return false
   if (request.softwareVersion !== undefined && request.softwareVersion !== target.softwareVersion) return false
   if (request.model === undefined || target.models === undefined) return true
   const targetModel = target.models.get(request.model)
@@ -115,12 +119,39 @@
   return absentUntilMs <= nowMs
 }
 
-function _hasCapacity (target: RoutingTarget, load: TargetLoad): boolean {
-  const capacity = target.models === undefined ? target.slots * PLAIN_CAPACITY_FACTOR : target.slots
+/**
+ * Reports whether an upstream is leaving, as its registration or one of its responses says.
+ *
+ * @param state The state of the requests.
+ * @param target The upstream.
+ * @returns Whether it receives no new requests.
+ *
+ * @example
+ * ```ts
+ * const staying = targets.filter((target) => !isLeaving(state, target))
+ * ```
+ */
+export function isLeaving (state: ServingState, target: RoutingTarget): boolean {
+  return target.leaving || targetLoad(state, target.upstream).leaving
+}
+
+function _full (state: ServingState, eligible: readonly RoutingTarget[], nowMs: number): UpstreamSearch {
+  const resumesAtMs = Math.min(...eligible.map((target) => targetLoad(state, target.upstream).pausedUntilMs))
+  return resumesAtMs > nowMs ? { kind: 'full', resumesAtMs } : { kind: 'full' }
+}
+
+function _hasCapacity (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
+  const load = targetLoad(state, target.upstream)
+  const brittle = state.brittle.get(target.service)
+  const isBrittle = brittle !== undefined && brittle.untilMs > nowMs
+  // Each request without a response may be rejected, so the instances together have no more of them than the upstream bears.
+  if (isBrittle && load.unanswered >= Math.max(1, Math.floor(brittle.maxRejectionsPerS / state.instances))) return false
+  const capacity = target.models === undefined && !isBrittle ? target.slots * PLAIN_CAPACITY_FACTOR : target.slots
   return load.ownRequests + load.peerRequests < capacity
 }
 
 function _mayReceive (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
+  if (targetLoad(state, target.upstream).pausedUntilMs > nowMs) return false
   const limit = state.limits.get(target.upstream)
   return limit === undefined || isWithinLimit(limit, nowMs)
 }
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -1,6 +1,7 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
+import { applyAnnouncement } from './_apply_announcement.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { applyOrigins } from './origin_exchange.ts'
 import { maintainOrigins, noteVersions, pinStream } from './_pin_streams.ts'
@@ -42,6 +43,7 @@
     case 'limit_stated': return stateLimit(state, event)
     case 'limits_received': return applyLimits(state, event.limits, event.nowMs)
     case 'upstream_probed': return _applyProbe(state, event)
+    case 'upstream_announced': return applyAnnouncement(state, event)
     case 'relays_received': return dispatchAll({ ...state, relays: event.relays }, event.nowMs)
     case 'models_changed': return step({ ...state, models: event.models })
     case 'shutdown_started': return dispatchAll({ ...state, shuttingDown: true }, event.nowMs)
@@ -113,7 +115,7 @@
   const firstByteMs = nowMs - attempt.sentAtMs
   const contacted = attempt.relay === undefined ? noteContact(state, nowMs) : state
   return updateTargetLoad(contacted, attempt.upstream, (load) => ({
-    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), consecutiveFailures: 0, avoidedUntilMs: -Infinity
+    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), unanswered: Math.max(0, load.unanswered - 1), consecutiveFailures: 0, avoidedUntilMs: -Infinity
   }))
 }
 
@@ -154,7 +156,7 @@
   const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
-    ...load, avoidedUntilMs: -Infinity, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, absentUntilMs: new Map()
+    ...load, avoidedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, absentUntilMs: new Map()
   })), changed)
   return dispatchAll(noteVersions(pruneLimits(reset), targets, nowMs), nowMs)
 }
--- a/packages/serving/refusal.ts
+++ b/packages/serving/refusal.ts
@@ -10,6 +10,8 @@
   | 'shutting_down'
   /** All eligible upstreams stayed at capacity for too long. */
   | 'no_capacity'
+  /** All eligible upstreams want no requests from this instance for longer than the request can wait. */
+  | 'upstreams_paused'
   | 'deadline_waiting'
   | 'deadline_running'
   | 'retry_budget'
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -26,6 +26,8 @@
 export interface TargetLoad {
   /** Requests that this instance has running there. */
   readonly ownRequests: number
+  /** Requests that this instance has sent there and that have no response yet. */
+  readonly unanswered: number
   /** Requests that other instances had running there when they last reported. */
   readonly peerRequests: number
   /** Average time from the start of an attempt to the first byte of its response, in ms; 0 if none was observed. */
@@ -36,6 +38,10 @@
   readonly observedAtMs: number
   /** Local time until which the upstream receives no requests, in ms. */
   readonly avoidedUntilMs: number
+  /** Local time until which the upstream wants no requests from this instance, in ms. */
+  readonly pausedUntilMs: number
+  /** Whether the upstream said in a response that it is leaving. */
+  readonly leaving: boolean
   /** Consecutive failures that concern the upstream as a whole. */
   readonly consecutiveFailures: number
   /** Local time until which a listed model or adapter is treated as absent, in ms, by `demandKey`. */
@@ -44,7 +50,17 @@
 
 /** Load of an upstream without observations. */
 export const INITIAL_TARGET_LOAD: TargetLoad = {
-  ownRequests: 0, peerRequests: 0, firstByteMs: 0, failureShare: 0, observedAtMs: -Infinity, avoidedUntilMs: -Infinity, consecutiveFailures: 0, absentUntilMs: new Map()
+  ownRequests: 0,
+  unanswered: 0,
+  peerRequests: 0,
+  firstByteMs: 0,
+  failureShare: 0,
+  observedAtMs: -Infinity,
+  avoidedUntilMs: -Infinity,
+  pausedUntilMs: -Infinity,
+  leaving: false,
+  consecutiveFailures: 0,
+  absentUntilMs: new Map()
 }
 
 /**
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -4,7 +4,7 @@
 
 /** Record of a decision about a request, for logs and counters. */
 export interface ServingRecord {
-  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
+  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'upstream_leaving' | 'upstream_paused' | 'service_brittle' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
   readonly request?: string
   readonly route?: string
   readonly upstream?: string
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -45,6 +45,8 @@
   | { readonly kind: 'upstream_probed', readonly upstream: string, readonly reached: boolean }
   /** The lease holder names instances that reach the upstreams. */
   | { readonly kind: 'relays_received', readonly relays: readonly Relay[] }
+  /** A response says that its upstream is leaving, wants no requests from this instance for a time, or bears few rejections. */
+  | { readonly kind: 'upstream_announced', readonly upstream: string, readonly leaving: boolean, readonly retryAfterMs: number | undefined, readonly maxRejectionsPerS: number | undefined }
   | { readonly kind: 'caller_left', readonly id: string }
   | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -15,6 +15,14 @@
   readonly atMs: number
 }
 
+/** A service whose upstreams fall over if they have to reject too many requests. */
+export interface BrittleService {
+  /** Rejections in a second that each upstream bears. */
+  readonly maxRejectionsPerS: number
+  /** Local time until which the service counts as brittle, in ms. */
+  readonly untilMs: number
+}
+
 /** State of an instance's requests and of the upstreams that serve them. */
 export interface ServingState {
   readonly availabilityZone: string
@@ -43,6 +51,8 @@
   readonly relays: readonly Relay[]
   /** Limits that upstreams name, and those that they have lifted. */
   readonly limits: ReadonlyMap<string, UpstreamLimit>
+  /** Services that are brittle or were lately, by name. */
+  readonly brittle: ReadonlyMap<string, BrittleService>
   readonly retryWindows: ReadonlyMap<string, RetryWindow>
   readonly evidence: CrashEvidence
   /** Origins of streams that callers may resume. */
@@ -99,6 +109,7 @@
     contactAtMs: -Infinity,
     relays: [],
     limits: new Map(),
+    brittle: new Map(),
     retryWindows: new Map(),
     evidence: NO_CRASH_EVIDENCE,
     origins: NO_STREAM_ORIGINS,
