Let streams begin while the store does not take their origins, and count handed-over retries

Found by reading. While the store fails during a release, each stream would have waited the full 400 ms for its origin; now none waits for two seconds after a failed write, and those that wait begin when a write fails.

A request that may have run and is handed over was counted as a first attempt by the relay only; it is now counted as a retry where it came from, so that the budget of all instances holds.

--- a/packages/edge/_archive_origins.ts
+++ b/packages/edge/_archive_origins.ts
@@ -15,6 +15,8 @@
 const WRITE_SHARE = 0.15
 /** Time for which the first event of a stream waits at most, in ms; a store that is slow must not stop streams. */
 const MAX_HOLD_MS = 400
+/** Time after a failed write for which streams do not wait for the store, in ms; longer than a call that times out. */
+const FAILURE_MEMORY_MS = 2000
 /** Time after which another segment is begun, in ms. */
 const SEGMENT_MS = 2000
 /** Segments in the ring of an instance; with `SEGMENT_MS`, longer than the timeout of a route and the slack of resumptions. */
@@ -78,6 +80,8 @@
 
 /** Holds a stream until its origin is stored. */
 export function holdStream (state: EdgeState, effect: _OriginAdded, at: Instant): EdgeStep {
+  // Streams do not wait for a store that has just failed.
+  if (at.nowMs - state.archive.failedAtMs < FAILURE_MEMORY_MS) return step(state, [_begin(effect.id)])
   const held = [...state.archive.held, { id: effect.id, origin: effect.origin, sinceMs: at.nowMs }]
   return writeArchive(_withArchive(state, { held }), at)
 }
@@ -85,7 +89,11 @@
 function _release (state: EdgeState, isDue: (held: OriginArchive['held'][number]) => boolean): EdgeStep {
   const due = state.archive.held.filter(isDue)
   if (due.length === 0) return step(state)
-  return step(_withArchive(state, { held: state.archive.held.filter((held) => !due.includes(held)) }), due.map(({ id }): EdgeEffect => ({ subject: 'serving', effect: { kind: 'begin_response', id } })))
+  return step(_withArchive(state, { held: state.archive.held.filter((held) => !due.includes(held)) }), due.map(({ id }) => _begin(id)))
+}
+
+function _begin (id: string): EdgeEffect {
+  return { subject: 'serving', effect: { kind: 'begin_response', id } }
 }
 
 /** Applies the outcome of an action on the archive. */
@@ -96,7 +104,7 @@
     case 'read_failed': return step(_withArchive(state, { isReading: false }))
     case 'written': return chain(_finishWrite(state, event.name, event.version), (s) => writeArchive(s, at))
     case 'conflicted': return _resolveConflict(state, event, at)
-    case 'write_failed': return step(_withArchive(state, { pending: undefined }))
+    case 'write_failed': return _release(_withArchive(state, { pending: undefined, failedAtMs: at.nowMs }), () => true)
   }
 }
 
@@ -122,7 +130,7 @@
   const { pending } = archive
   if (pending?.name !== name) return step(state)
   const { upTo } = pending
-  const written = _withArchive(state, { pending: undefined, versions: _withVersion(archive, name, version) })
+  const written = _withArchive(state, { pending: undefined, failedAtMs: -Infinity, versions: _withVersion(archive, name, version) })
   if (upTo === undefined) return step(_withArchive(written, { storedHistory: pending.value }))
   return _release(_withArchive(written, { storedUpTo: upTo }), ({ origin }) => origin <= upTo)
 }
--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -178,7 +178,8 @@
     if (response.headersSent || entry.isRelayed || !options.needsStoredOrigin(id)) return writeEvents(entry, source, events)
     entry.held = { source, events, hasEnded: false }
     options.dispatch({ kind: 'stream_began', id, attempt: source.attempt, nowMs: options.nowMs() })
-    return false
+    // A store that has just failed is not waited for.
+    return entry.held === undefined
   }
 
   function beginResponse (id: string): void {
--- a/packages/edge/origin_archive.ts
+++ b/packages/edge/origin_archive.ts
@@ -51,6 +51,8 @@
   readonly readAtMs: number
   /** Local time of the last write, in ms. */
   readonly writtenAtMs: number
+  /** Local time at which a write failed, in ms, if none has succeeded since. */
+  readonly failedAtMs: number
 }
 
 /** The archive as an instance that has just started knows it. */
@@ -64,7 +66,8 @@
   pending: undefined,
   isReading: false,
   readAtMs: -Infinity,
-  writtenAtMs: -Infinity
+  writtenAtMs: -Infinity,
+  failedAtMs: -Infinity
 }
 
 /** Action on the archive for the caller of the reducer to carry out. */
--- a/packages/edge/resumed_after_power_loss_test.ts
+++ b/packages/edge/resumed_after_power_loss_test.ts
@@ -25,6 +25,7 @@
     response.writeHead(200, { 'attempt-id': request.headers['attempt-id'], 'server-signature': 's', 'content-type': 'text/event-stream' })
     const event = `id: 1\ndata: ${softwareVersion}\n\n`
     if (request.url === SHORT) response.end(event)
+    else if (request.url === PAIRS) setTimeout(() => response.end(event.replace('1', '2')), response.write(event) ? 60 : 0)
     else response.write(event)
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
@@ -34,6 +35,8 @@
 
 /** Path at which the upstreams of the test send a stream with one event only. */
 const SHORT = '/drafts/short'
+/** Path at which they send two events, one after the other. */
+const PAIRS = '/drafts/pairs'
 
 // Returns the status of a stream and the software version in its first event; the stream goes on until its server ends.
 function beginStream (instance: TestInstance, attempt: string, resumes?: string): Promise<string> {
@@ -132,3 +135,14 @@
   const answers = await Promise.all(Array.from({ length: 8 }, (_, i) => ask(instance.callers, SHORT, { headers: { 'attempt-id': `short-${i}`, 'deadline-ms': '4000' } })))
   t.true(answers.every(({ status, text }) => status === 200 && /^id: 1\ndata: v1(.1)?\n\n$/.test(text)), JSON.stringify(answers))
 })
+
+test('streams are delivered whole while the store does not take their origins', async (t) => {
+  const system = await startSystem(t)
+  const instance = await system.start('entry-1', [system.old, system.newer])
+  while (!instance.edge.state().archive.historyKnown) await pause(20)
+  system.store.close()
+  for (let i = 0; i < 6; i += 1) {
+    const { status, text } = await ask(instance.callers, PAIRS, { headers: { 'attempt-id': `pair-${i}`, 'deadline-ms': '4000' } })
+    t.deepEqual([status, text.split('data: ').length], [200, 3])
+  }
+})
--- a/packages/edge/shared_origins_test.ts
+++ b/packages/edge/shared_origins_test.ts
@@ -103,3 +103,18 @@
   const { holder: told } = exchange(begin(know(start('y'), 'holder'), 'r', 7000).state, crowd, 7300)
   t.is(exchange(know(start('z'), 'holder'), told, 7400).instance.serving.origins.newest, 1)
 })
+
+test('streams wait for their origins to be stored, but not for a store that has just failed', (t) => {
+  const begins = (step: { readonly effects: readonly EdgeEffect[] }): number => step.effects.filter((effect) => effect.subject === 'serving' && effect.effect.kind === 'begin_response').length
+  const beginAt = (state: EdgeState, id: string, nowMs: number) => reduceEdge(serve(state, stream(id, nowMs)).state, { subject: 'serving', event: { kind: 'stream_began', id, attempt: 1, nowMs: nowMs + 10 } })
+  const known = apply(know(start('a'), 'holder'), { subject: 'archive', event: { kind: 'history_read', version: 0, value: '' }, at: at(1000) })
+  const first = beginAt(known, 'r', 2000)
+  const write = first.effects.flatMap((effect) => effect.subject === 'archive' && effect.effect.kind === 'write' ? [effect.effect] : [])[0]
+  const stored = reduceEdge(first.state, { subject: 'archive', event: { kind: 'written', name: write?.name ?? '', version: 1 }, at: at(2020) })
+  t.deepEqual([begins(first), begins(stored)], [0, 1])
+  const second = beginAt(stored.state, 's', 3000)
+  const overdue = reduceEdge(second.state, { subject: 'tick', at: at(3420) })
+  t.deepEqual([begins(second), begins(overdue)], [0, 1])
+  const failed = reduceEdge(second.state, { subject: 'archive', event: { kind: 'write_failed', name: write?.name ?? '' }, at: at(3300) })
+  t.deepEqual([begins(failed), begins(beginAt(failed.state, 'u', 3400))], [1, 1])
+})
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -121,12 +121,19 @@
   const attempt: Attempt = { number: request.attempts.length + 1, upstream, relay, softwareVersion: '', sentAtMs: nowMs }
   const next = _sentRequest(request, attempt)
   const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
-  return step(counted, [
+  return step(_countHandover(counted, request, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream, relay },
     requestRecord('sent', next, { nowMs, upstream, relay: relay.instance, sending: attempt.number, detail: `${state.unreachable.size} of ${state.targets.size} upstreams cannot be reached` })
   ])
 }
 
+// The relay takes its attempt for the first one, so a retry is counted here.
+function _countHandover (state: ServingState, request: Request, nowMs: number): ServingState {
+  if (request.runs === 0) return state
+  const window = countAttempt(state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW, { isRetry: true, nowMs })
+  return { ...state, retryWindows: new Map(state.retryWindows).set(request.service, window) }
+}
+
 function _sentRequest (request: Request, attempt: Attempt): Request {
   return { ...request, phase: request.phase === 'interrupted' ? 'responding' : 'sent', attempts: [...request.attempts, attempt], runs: request.runs + 1 }
 }
