--- a/packages/edge/_archive_origins.ts
+++ b/packages/edge/_archive_origins.ts
@@ -52,8 +52,8 @@
 export function writeArchive (state: EdgeState, at: Instant): EdgeStep {
   const { archive, serving } = state
   if (!archive.historyKnown || archive.pending !== undefined || at.nowMs - archive.writtenAtMs < _writeIntervalMs(state)) return step(state)
-  const history = JSON.stringify(versionHistory(serving, at.nowMs))
-  if (state.scheduler.held !== undefined && history !== archive.storedHistory) return _startWrite(state, { name: HISTORY_NAME, value: history, upTo: undefined }, at)
+  const history = state.scheduler.held === undefined ? undefined : JSON.stringify(versionHistory(serving, at.nowMs))
+  if (history !== undefined && history !== archive.storedHistory) return _startWrite(state, { name: HISTORY_NAME, value: history, upTo: undefined }, at)
   if (serving.origins.newest <= archive.storedUpTo || !hasSeveralVersions(serving, at.nowMs)) return step(state)
   const segment = _currentSegment(state, at)
   const streams = _merge(segment.kept, cutSegment(serving.origins, segment.after))
