--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -2,12 +2,13 @@
 import type { EvidenceUpdate, OriginSegment, OriginUpdate } from '@berylshed/serving'
 import { Schema } from 'effect'
 import superjson from 'superjson'
-import type { HeartbeatAnswer, HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
+import type { HeartbeatAnswer, HeartbeatRequest, MembersUpdate, RegistryUpdate } from './heartbeat.ts'
 
 const ReportWire = Schema.Struct({
   instance: Schema.String,
   incarnation: Schema.String,
   relayAddress: Schema.optional(Schema.String),
+  ownsUpstreams: Schema.optional(Schema.Boolean),
   isolated: Schema.optional(Schema.Boolean),
   needs: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.String, Schema.Number, Schema.Array(Schema.Number)])),
   uses: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number])),
@@ -46,11 +47,17 @@
   historyKnown: Schema.optional(Schema.Boolean),
   wantedOrigins: Schema.optional(Schema.Array(Schema.String)),
   limits: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.NullOr(Schema.Number), Schema.Number]))),
+  brittle: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.Number]))),
+  members: Schema.optional(Schema.String),
   news: Schema.NullOr(Schema.String)
 })
 
 /** Wire format of an answer. The view needs no encoding, as it consists of strings and numbers. */
-export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays' | 'versionHistory'> & {
+export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays' | 'versionHistory' | 'brittle' | 'members'> & {
+  /** Absent if an earlier release answers. */
+  readonly brittle?: HeartbeatAnswer['brittle']
+  /** Absent if an earlier release answers. */
+  readonly members?: MembersUpdate
   /** Absent if the receiver knows it or an earlier release answers. */
   readonly versionHistory?: OriginSegment
   /** Absent if an earlier release answers. */
@@ -84,6 +91,7 @@
       incarnation: report.incarnation,
       ...report.relayAddress === undefined ? {} : { relayAddress: report.relayAddress },
       ...report.isolated === true ? { isolated: true } : {},
+      ...report.ownsUpstreams === true ? { ownsUpstreams: true } : {},
       needs: report.unmetDemand.map((demand) => [demand.service, demand.model, demand.adapter ?? '', demand.waiting, demand.dueInMs.map(Math.round)] as const),
       uses: report.requestRates.map((use) => [use.service, use.model, _roundRate(use.ratePerS)] as const),
       loads: report.loads.map((load) => [load.upstream, load.model, load.running] as const),
@@ -107,6 +115,8 @@
     wantedOrigins: wire.wantedOrigins ?? [],
     historyKnown: wire.historyKnown ?? true,
     limits: wire.limits ?? [],
+    brittle: wire.brittle ?? [],
+    members: wire.members ?? '',
     report: _decodeReport(report),
     update: news === null ? undefined : _decodeUpdate(news)
   }
@@ -118,6 +128,7 @@
     incarnation: wire.incarnation,
     ...wire.relayAddress === undefined ? {} : { relayAddress: wire.relayAddress },
     ...wire.isolated === true ? { isolated: true } : {},
+    ...wire.ownsUpstreams === true ? { ownsUpstreams: true } : {},
     unmetDemand: wire.needs.map(([service, model, adapter, waiting, dueInMs]): UnmetDemand => ({ service, model, adapter: adapter === '' ? undefined : adapter, waiting, dueInMs })),
     requestRates: wire.uses.map(([service, model, ratePerS]): RequestRate => ({ service, model, ratePerS })),
     loads: wire.loads.map(([upstream, model, running]): ReplicaLoad => ({ upstream, model, running })),
@@ -127,14 +138,14 @@
 
 /** Encodes the answer to a heartbeat. */
 export function encodeHeartbeatAnswer (answer: HeartbeatAnswer): AnswerWire {
-  const { update, registryAgeMs, evidence, origins, versionHistory, ...rest } = answer
-  return { ...rest, ...versionHistory === undefined ? {} : { versionHistory }, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
+  const { update, registryAgeMs, evidence, origins, versionHistory, members, ...rest } = answer
+  return { ...rest, ...members === undefined ? {} : { members }, ...versionHistory === undefined ? {} : { versionHistory }, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
 }
 
 /** Decodes the answer to a heartbeat. */
 export function decodeHeartbeatAnswer (wire: AnswerWire): HeartbeatAnswer {
-  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], versionHistory, ...rest } = wire
-  return { ...rest, versionHistory, relays, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], brittle = [], members, versionHistory, ...rest } = wire
+  return { ...rest, versionHistory, relays, brittle, members, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
 }
 
 function _roundRate (ratePerS: number): number {
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -1,12 +1,12 @@
 import { upstreamUpdateSince } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
 import { fleetView, type InstanceReport, type Instant, type PlacedEngine } from '@berylshed/scheduler'
-import { evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, originUpdate, versionHistory, wantedOrigins, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate, type Relay } from '@berylshed/serving'
+import { brittleRecords, evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, membersDigest, originUpdate, versionHistory, wantedOrigins, type BrittleRecord, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate, type Relay } from '@berylshed/serving'
 import { learnHistory } from './_archive_origins.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { HolderExchange, ReceivedView, EdgeState } from './edge_state.ts'
-import type { HeartbeatAnswer, HeartbeatRequest, RegistryUpdate } from './heartbeat.ts'
+import type { HeartbeatAnswer, HeartbeatRequest, MembersUpdate, RegistryUpdate } from './heartbeat.ts'
 
 /** Interval between heartbeats without unmet demand, in ms: the age of an engine's own report. */
 const HEARTBEAT_MS = 200
@@ -18,6 +18,8 @@
 const ORIGIN_COPIES = 3
 /** Number of instances that the holder names to each other one as relays. */
 const RELAYS_PER_INSTANCE = 3
+/** Time after which an instance that reported nothing owns no upstreams, in ms; longer than its own list of members is valid. */
+const MEMBER_LIFE_MS = 1500
 /** Time after which an instance that reported nothing no longer counts, in ms. */
 const INSTANCE_LIFE_MS = 4000
 /**
@@ -32,12 +34,13 @@
 export function sendHeartbeat (state: EdgeState, at: Instant): EdgeStep {
   if (state.heartbeatInFlight || at.nowMs < state.heartbeatAtMs + _intervalMs(state)) return step(state)
   const report = _report(state, at)
-  const next = { ...state, heartbeatDue: false, heartbeatAtMs: at.nowMs }
+  const next = { ...state, heartbeatDue: false, heartbeatAtMs: at.nowMs, heldSinceMs: state.scheduler.held === undefined ? undefined : state.heldSinceMs ?? at.nowMs }
   if (state.scheduler.held !== undefined) {
     const reported = applySchedulerEvent(next, { kind: 'instance_reported', report, ...at })
     const summed = chain(reported, (s) => step(_sumLimitedRates(s, at)))
     const limited = chain(summed, (s) => _applyLimits(s, _limitShares(s, report, at), at))
-    return chain(limited, (s) => _applyRelays(s, _relaysFor(s, report.instance, at), at))
+    const relayed = chain(limited, (s) => _applyRelays(s, _relaysFor(s, report.instance, at), at))
+    return chain(relayed, (s) => _applyMembers(s, _membersOf(s, at), { nowMs: at.nowMs, confirmedAtMs: at.nowMs }))
   }
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
@@ -57,6 +60,8 @@
     wantedOrigins: wantedOrigins(state.serving),
     historyKnown: state.archive.historyKnown,
     limits: limitRecords(state.serving, at.nowMs),
+    brittle: brittleRecords(state.serving, at.nowMs),
+    members: membersDigest(state.serving.members.relays),
     update: updateWantedSince === undefined ? undefined : _update(state, { configurationVersion: 0, listRevision: updateWantedSince })
   }
   const evidenceExchange = { ...state.evidenceExchange, sentVersion: evidence?.version ?? state.serving.evidence.version }
@@ -66,7 +71,7 @@
 
 function _report (state: EdgeState, at: Instant): InstanceReport {
   const report = instanceReport(state.serving, state.self, at)
-  return state.draining || state.relayAddress === '' ? report : { ...report, relayAddress: state.relayAddress }
+  return state.draining || state.relayAddress === '' ? report : { ...report, relayAddress: state.relayAddress, ownsUpstreams: true }
 }
 
 // Consecutive instances get different relays, so that those of a zone that is cut off spread over the others.
@@ -80,6 +85,31 @@
   return Array.from({ length: RELAYS_PER_INSTANCE }, (_, i) => candidates[(first + i) % candidates.length]).filter((relay) => relay !== undefined)
 }
 
+// A new holder keeps to the list of its predecessor until all instances have had time to report to it.
+function _membersOf (state: EdgeState, at: Instant): readonly Relay[] {
+  if (state.heldSinceMs === undefined || at.nowMs - state.heldSinceMs < MEMBER_LIFE_MS) return state.serving.members.relays
+  return [...state.scheduler.reports.values()].flatMap(({ report, receivedAtMs }) => {
+    const { instance, relayAddress, ownsUpstreams, isolated } = report
+    const isMember = ownsUpstreams === true && isolated !== true && at.nowMs - receivedAtMs < MEMBER_LIFE_MS
+    return isMember && relayAddress !== undefined ? [{ instance, address: relayAddress }] : []
+  }).sort((a, b) => a.instance < b.instance ? -1 : 1)
+}
+
+function _applyMembers (state: EdgeState, members: readonly Relay[], times: { readonly nowMs: number, readonly confirmedAtMs: number }): EdgeStep {
+  return applyServingEvent(state, { kind: 'members_received', members, ...times })
+}
+
+function _membersUpdate (state: EdgeState, digest: string): MembersUpdate {
+  const { relays } = state.serving.members
+  const known = membersDigest(relays)
+  return known === digest ? { digest } : { digest: known, relays }
+}
+
+function _applyBrittle (state: EdgeState, services: readonly BrittleRecord[], at: Instant): EdgeStep {
+  if (services.length === 0) return step(state)
+  return applyServingEvent(state, { kind: 'brittle_received', services, nowMs: at.nowMs })
+}
+
 function _applyRelays (state: EdgeState, relays: readonly Relay[], at: Instant): EdgeStep {
   const known = state.serving.relays
   if (relays.length === known.length && relays.every(({ instance, address }, i) => known[i]?.instance === instance && known[i]?.address === address)) return step(state)
@@ -127,8 +157,8 @@
   return { ...state, limitedRates: limitedRates(state.serving, live.flatMap(({ report }) => report.requestRates)) }
 }
 
-function _limitShares (state: EdgeState, report: InstanceReport, at: Instant): readonly LimitShare[] {
-  return limitShares(state.serving, report.requestRates, { totals: state.limitedRates, instances: instancesOf(state, at), nowMs: at.nowMs })
+function _limitShares (state: EdgeState, report: InstanceReport, at: Instant): ReadonlyArray<LimitRecord | LimitShare> {
+  return limitShares(state.serving, report.requestRates, { totals: state.limitedRates, instance: report.instance, instances: instancesOf(state, at), nowMs: at.nowMs })
 }
 
 function _applyEvidence (state: EdgeState, evidence: EvidenceUpdate | undefined, at: Instant): EdgeStep {
@@ -146,7 +176,8 @@
   const reported = applySchedulerEvent(state, { kind: 'instance_reported', report: request.report, ...at })
   const informed = chain(reported, (s) => _applyEvidence(s, request.evidence, at))
   const located = chain(informed, (s) => _applyOrigins(s, request.origins, at))
-  return chain(located, (s) => _applyLimits(s, request.limits, at))
+  const limited = chain(located, (s) => _applyLimits(s, request.limits, at))
+  return chain(limited, (s) => _applyBrittle(s, request.brittle, at))
 }
 
 /**
@@ -170,6 +201,8 @@
     view: fleetView(state.scheduler, at, { requester: request.report.instance, since }),
     instances: instancesOf(state, at),
     limits: _limitShares(state, request.report, at),
+    brittle: brittleRecords(state.serving, at.nowMs),
+    members: _membersUpdate(state, request.members),
     relays: _relaysFor(state, request.report.instance, at),
     versionHistory: !request.historyKnown && state.archive.historyKnown ? versionHistory(state.serving, at.nowMs) : undefined,
     evidence: _evidenceUpdate(state, { since: request.receivedEvidence.origin === state.self.incarnation ? request.receivedEvidence.version : 0, relay: true, nowMs: at.nowMs }),
@@ -234,7 +267,10 @@
   const dated = chain(located, (s) => answer.versionHistory === undefined || s.archive.historyKnown ? step(s) : learnHistory(s, answer.versionHistory, at))
   const limited = chain(dated, (s) => _applyLimits(s, answer.limits, at))
   const relayed = chain(limited, (s) => _applyRelays(s, answer.relays, at))
-  return chain(relayed, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
+  const fragile = chain(relayed, (s) => _applyBrittle(s, answer.brittle, at))
+  const { members } = answer
+  const divided = chain(fragile, (s) => members === undefined || view.validMs <= 0 ? step(s) : _applyMembers(s, members.relays ?? s.serving.members.relays, { nowMs: at.nowMs, confirmedAtMs: state.heartbeatAtMs }))
+  return chain(divided, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
 }
 
 interface _Exchanged {
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -72,6 +72,8 @@
   /** Writes per second that the store takes from all instances together. */
   readonly storeWritesPerS: number
   /** Host and port at which other instances hand over requests. */
+  /** Local time since which this instance has held the lease without a break, in ms; undefined if it does not hold it. */
+  readonly heldSinceMs: number | undefined
   readonly relayAddress: string
 }
 
@@ -111,7 +113,7 @@
     routes: buildRouteTable({ version: 0, routes: [], services: new Map(), limits: { maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 } }),
     list: undefined,
     scheduler: newSchedulerState(self, { times: leaseTimes(options.leaseBounds), ...options.policy === undefined ? {} : { policy: options.policy } }),
-    serving: { ...newServingState(options), historyKnown: false },
+    serving: { ...newServingState({ ...options, instance: self.instance }), historyKnown: false },
     received: undefined,
     heartbeatInFlight: false,
     heartbeatAtMs: -Infinity,
@@ -126,6 +128,7 @@
     tickedAt: { nowMs: 0, clockMs: 0 },
     draining: false,
     storeWritesPerS: options.storeWritesPerS ?? DEFAULT_STORE_WRITES_PER_S,
+    heldSinceMs: undefined,
     relayAddress: options.relayAddress ?? ''
   }
 }
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,6 +1,6 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
 import type { FleetView, InstanceReport } from '@berylshed/scheduler'
-import type { EvidenceUpdate, LimitRecord, LimitShare, OriginSegment, OriginUpdate, Relay } from '@berylshed/serving'
+import type { BrittleRecord, EvidenceUpdate, LimitRecord, LimitShare, OriginSegment, OriginUpdate, Relay } from '@berylshed/serving'
 
 /** Changes of the registry that one instance relays to another. */
 export interface RegistryUpdate {
@@ -8,6 +8,13 @@
   readonly upstreams: UpstreamUpdate | undefined
 }
 
+/** The holder's list of the instances among which upstreams are divided. */
+export interface MembersUpdate {
+  readonly digest: string
+  /** Absent if the receiver has the list. */
+  readonly relays?: readonly Relay[]
+}
+
 /** Heartbeat of an instance to the lease holder. */
 export interface HeartbeatRequest {
   readonly report: InstanceReport
@@ -31,6 +38,10 @@
   readonly historyKnown: boolean
   /** Limits that upstreams have named to the sender. */
   readonly limits: readonly LimitRecord[]
+  /** Services that are brittle. */
+  readonly brittle: readonly BrittleRecord[]
+  /** Digest of the sender's list of members. */
+  readonly members: string
   /** Registry update, if the holder requested one. */
   readonly update: RegistryUpdate | undefined
 }
@@ -43,7 +54,11 @@
   /** Instances to which the sender may hand over requests whose upstreams it cannot reach. */
   readonly relays: readonly Relay[]
   /** Limits of upstreams with the sender's shares. */
-  readonly limits: readonly LimitShare[]
+  readonly limits: ReadonlyArray<LimitRecord | LimitShare>
+  /** Services that are brittle. */
+  readonly brittle: readonly BrittleRecord[]
+  /** The instances among which upstreams are divided, if the sender has another list; undefined if the holder runs an earlier release. */
+  readonly members: MembersUpdate | undefined
   /** Changes of the holder's crash evidence that the sender lacks. */
   readonly evidence: EvidenceUpdate | undefined
   /** Origins of streams that the sender lacks or asks for. */
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -39,6 +39,8 @@
   historyKnown: true,
   evidence: undefined,
   limits: [],
+  brittle: [],
+  members: '',
   update: undefined
 }
 
--- a/packages/scheduler/demand.ts
+++ b/packages/scheduler/demand.ts
@@ -39,6 +39,8 @@
 export interface InstanceReport {
   /** Host and port at which the instance takes over requests of others; absent if it is draining or runs an earlier release. */
   readonly relayAddress?: string
+  /** Whether the instance can be the only one that sends to an upstream; absent if an earlier release reports. */
+  readonly ownsUpstreams?: boolean
   /** Whether the instance reaches none of several upstreams; absent if an earlier release reports. */
   readonly isolated?: boolean
   readonly instance: string
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -4,7 +4,7 @@
 import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
 import { isVersionUnavailable, pinRequest } from './_pin_streams.ts'
 import { countAgainstLimit } from './_limit_upstreams.ts'
-import { chooseUpstream, offersModel, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
+import { chooseUpstream, offersModel, ownedWaitMs, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
 import { chooseRelay, relayKey, type Relay } from './relay.ts'
 import { wantedOrigins } from './origin_exchange.ts'
 import { unmetDemand } from './instance_report.ts'
@@ -52,8 +52,9 @@
 export function dispatchService (state: ServingState, service: string, nowMs: number): _Step {
   let next = state
   const effects: ServingEffect[] = []
+  const futile: _FutileSearches = new Map()
   for (const request of _byUrgency(state, service)) {
-    const dispatched = _dispatchRequest(next, request, nowMs)
+    const dispatched = _dispatchRequest(next, request, { futile, nowMs })
     next = dispatched.state
     effects.push(...dispatched.effects)
   }
@@ -61,16 +62,25 @@
   return step(reported.state, [...effects, ...reported.effects])
 }
 
-function _dispatchRequest (before: ServingState, queued: Request, nowMs: number): _Step {
+/** Searches without a result in one round, by what the requests need; upstreams only fill up within a round. */
+type _FutileSearches = Map<string, UpstreamSearch>
+
+interface _Round {
+  readonly futile: _FutileSearches
+  readonly nowMs: number
+}
+
+function _dispatchRequest (before: ServingState, queued: Request, { futile, nowMs }: _Round): _Step {
   const request = pinRequest(before, queued, nowMs)
   const state = request === queued ? before : putRequest(before, request)
   const quarantined = request.phase === 'interrupted' ? undefined : quarantinedKey(state.evidence, request, nowMs)
   if (quarantined !== undefined) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
   if (isVersionUnavailable(state, request)) return refuseRequest(state, request, { reason: 'no_software_version', nowMs, retryAfterMs: DEFAULT_RETRY_AFTER_MS })
-  const search = _search(state, request, nowMs)
+  const search = _search(state, request, { futile, nowMs })
+  if (search.kind === 'chosen' && search.choice.owner !== undefined) return _handOver(state, request, { relay: search.choice.owner, reason: `owner of ${search.choice.target.upstream}`, nowMs })
   if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, nowMs })
   const relay = search.kind === 'absent' && _isOnlyOutOfReach(state, request, nowMs) ? chooseRelay(state, request, nowMs) : undefined
-  if (relay !== undefined) return _handOver(state, request, { relay, nowMs })
+  if (relay !== undefined) return _handOver(state, request, { relay, reason: `${state.unreachable.size} of ${state.targets.size} upstreams cannot be reached`, nowMs })
   return _waitOrRefuse(state, request, { search, nowMs })
 }
 
@@ -80,10 +90,17 @@
   return refuseRequest(state, request, { reason: 'suspected_crash', nowMs, detail: key, retryAfterMs })
 }
 
-function _search (state: ServingState, request: Request, nowMs: number): UpstreamSearch {
+function _search (state: ServingState, request: Request, { futile, nowMs }: _Round): UpstreamSearch {
   if (_isHeldBack(state, request)) return { kind: 'suspected' }
   if (request.resumedAttempt !== undefined && request.softwareVersion === undefined) return { kind: 'unknown_origin' }
-  return chooseUpstream(state, request, nowMs)
+  // Earlier attempts narrow the choice of a request, so its search tells nothing of others.
+  if (request.attempts.length > 0) return chooseUpstream(state, request, nowMs)
+  const need = [request.model, request.adapter, request.softwareVersion, request.handover !== undefined].join(' ')
+  const known = futile.get(need)
+  if (known !== undefined) return known
+  const search = chooseUpstream(state, request, nowMs)
+  if (search.kind !== 'chosen') futile.set(need, search)
+  return search
 }
 
 // A request that may have crashed an upstream waits until the responses to others or further crashes tell whether it did.
@@ -111,19 +128,20 @@
 
 interface _HandOverOptions {
   readonly relay: Relay
+  readonly reason: string
   readonly nowMs: number
 }
 
 // The relay counts the request against limits and budgets, as it reaches upstreams from there.
 function _handOver (state: ServingState, request: Request, options: _HandOverOptions): _Step {
-  const { relay, nowMs } = options
+  const { relay, reason, nowMs } = options
   const upstream = relayKey(relay)
   const attempt: Attempt = { number: request.attempts.length + 1, upstream, relay, softwareVersion: '', sentAtMs: nowMs }
   const next = _sentRequest(request, attempt)
   const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
   return step(_countHandover(counted, request, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream, relay },
-    requestRecord('sent', next, { nowMs, upstream, relay: relay.instance, sending: attempt.number, detail: `${state.unreachable.size} of ${state.targets.size} upstreams cannot be reached` })
+    requestRecord('sent', next, { nowMs, upstream, relay: relay.instance, sending: attempt.number, detail: reason })
   ])
 }
 
@@ -151,7 +169,7 @@
   const before = targetLoad(state, upstream)
   const window = countAttempt(state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW, { isRetry: attempt.number > 1, nowMs })
   const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({
-    ...load, ownRequests: load.ownRequests + 1, unanswered: next.phase === 'sent' ? load.unanswered + 1 : load.unanswered
+    ...load, ownRequests: load.ownRequests + 1, sentAtMs: nowMs, unanswered: next.phase === 'sent' ? load.unanswered + 1 : load.unanswered
   }))
   const marked = recordAdapterUse({ ...counted, retryWindows: new Map(counted.retryWindows).set(request.service, window) }, request, { upstream, nowMs })
   return step(countAgainstLimit(marked, upstream, nowMs), [
@@ -173,15 +191,26 @@
   if (state.shuttingDown) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS })
   const waitUntilMs = _waitUntilMs(state, request, options)
   const resumesAtMs = options.search.kind === 'full' ? options.search.resumesAtMs : undefined
+  if (_isHopeless(state, request, { search: options.search, nowMs, waitUntilMs })) return refuseRequest(state, request, { reason: 'no_capacity', nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
   if (nowMs < waitUntilMs && (resumesAtMs === undefined || resumesAtMs < waitUntilMs)) return step(state)
   if (resumesAtMs !== undefined && resumesAtMs > nowMs) return refuseRequest(state, request, { reason: 'upstreams_paused', nowMs, retryAfterMs: resumesAtMs - nowMs })
   return refuseRequest(state, request, { reason: _refusalReason(state, request, options.search), nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
 }
 
+// A request that has just arrived at the only instance which sends to its upstreams is refused if those ahead of it take too long.
+function _isHopeless (state: ServingState, request: Request, options: _WaitOptions & { readonly waitUntilMs: number }): boolean {
+  const { search, nowMs, waitUntilMs } = options
+  if (search.kind !== 'full' || request.attempts.length > 0 || request.waitingSinceMs !== nowMs) return false
+  const queue = state.waiting.get(request.service) ?? []
+  const ahead = queue.flatMap((id) => Option.toArray(HashMap.get(state.requests, id))).filter(({ id, model, rank }) => id !== request.id && model === request.model && rank <= request.rank).length
+  return nowMs + (ownedWaitMs(state, request, { ahead, nowMs }) ?? 0) > waitUntilMs
+}
+
 // A late response is worth more to the caller than a refusal, but a refusal must leave the caller time to retry.
 function _waitUntilMs (state: ServingState, request: Request, { search, nowMs }: _WaitOptions): number {
   if (request.phase === 'interrupted') return request.waitingSinceMs + MAX_INTERRUPTION_MS
   if (search.kind === 'unknown_origin') return request.arrivedAtMs + MAX_INTERRUPTION_MS
+  if (search.kind === 'full' && search.maxWaitMs !== undefined) return request.arrivedAtMs + search.maxWaitMs
   const shareMs = (request.deadlineMs - request.arrivedAtMs) * WAIT_TIMEOUT_SHARE
   const waitUntilMs = request.arrivedAtMs + Math.min(Math.max(MIN_WAIT_MS, request.objectiveMs * WAIT_OBJECTIVE_FACTOR), Math.max(shareMs, request.objectiveMs))
   const readyInMs = request.model === undefined ? undefined : state.loadEstimatesMs.get(request.model)
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -2,13 +2,14 @@
 import { enqueueRequest } from './_dispatch_requests.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { isSuspectedRequest, recordCrash } from './_weigh_evidence.ts'
-import { releaseSlot, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
+import { noteCancelled, releaseSlot, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { demandKey, type TargetLoad } from './routing_target.ts'
 import type { RefusalReason } from './refusal.ts'
 import { currentAttempt, type Request, type Attempt } from './request.ts'
 import { markUnreachable, noteContact } from './reach.ts'
 import type { Relay } from './relay.ts'
 import { EMPTY_RETRY_WINDOW, isRetryAllowed } from './retry_window.ts'
+import { brittleService, ownershipOf } from './upstream_owner.ts'
 import type { ServingEffect, ServingRecord } from './serving_effect.ts'
 import type { AttemptFailure } from './serving_event.ts'
 import { updateTargetLoad, type ServingState } from './serving_state.ts'
@@ -66,7 +67,7 @@
     waitingSinceMs: nowMs,
     hasErrorResponse: request.hasErrorResponse || failure === 'upstream_error'
   }
-  const observed = _observeFailure(putRequest(releaseSlot(state, request, nowMs), next), request, { attempt, failed })
+  const observed = _observeFailure(putRequest(releaseSlot(failure === 'silent' ? noteCancelled(state, request, nowMs) : state, request, nowMs), next), request, { attempt, failed })
   const blamed = failure === 'broken' && !responding && attempt.relay === undefined ? _blame(observed.state, request, { attempt, nowMs }) : step<ServingState, ServingEffect>(observed.state)
   const record = requestRecord('failed', next, { nowMs, upstream: attempt.upstream, reason: failure, detail, sending: attempt.number, runs: next.runs, ..._traceFields(request, failed) })
   const followUp = _retryOrRefuse(blamed.state, next, { ...failed, relay: attempt.relay })
@@ -110,7 +111,7 @@
   const { upstream, relay } = observation.attempt
   const contacted = relay === undefined && RESPONDED_FAILURES.includes(failure) ? noteContact(state, nowMs) : state
   if (failure === 'misdirected') return step(updateTargetLoad(contacted, upstream, (load) => _markAbsent(load, request, nowMs)))
-  if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { request, nowMs })))
+  if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { upstream, nowMs })))
   if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
   const avoided = updateTargetLoad(contacted, upstream, (load) => _avoidUpstream(observeOutcome(load, { failed: true, nowMs }), nowMs))
   const marked = markUnreachable(avoided, upstream, nowMs)
@@ -118,12 +119,15 @@
   return step(marked, [{ kind: 'record', record: { what, upstream, reason: failure, request: request.callerId } }])
 }
 
-// All instances together may be rejected so often in a second, so each of them waits for its turn.
-function _pauseBrittle (state: ServingState, load: TargetLoad, rejected: { readonly request: Request, readonly nowMs: number }): TargetLoad {
-  const brittle = state.brittle.get(rejected.request.service)
-  if (brittle === undefined || brittle.untilMs <= rejected.nowMs) return load
-  const pauseMs = REJECTION_WINDOW_MS * Math.max(1, state.instances / brittle.maxRejectionsPerS)
-  return { ...load, pausedUntilMs: Math.max(load.pausedUntilMs, rejected.nowMs + pauseMs) }
+// All instances together may be rejected so often in a second, so each that sends to the upstream waits for its turn.
+function _pauseBrittle (state: ServingState, load: TargetLoad, rejected: { readonly upstream: string, readonly nowMs: number }): TargetLoad {
+  const { upstream, nowMs } = rejected
+  const target = state.targets.get(upstream)
+  const brittle = target === undefined ? undefined : brittleService(state, target, nowMs)
+  if (target === undefined || brittle === undefined) return load
+  const senders = ownershipOf(state, target, nowMs).kind === 'own' ? 1 : state.instances
+  const pauseMs = REJECTION_WINDOW_MS * senders / Math.max(1, brittle.maxRejectionsPerS)
+  return { ...load, pausedUntilMs: Math.max(load.pausedUntilMs, nowMs + pauseMs) }
 }
 
 // Failures of concurrent attempts count once: while the upstream is avoided, further ones are not added.
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -38,6 +38,21 @@
   return attempt.relay === undefined ? recordAdapterUse(freed, request, { upstream: attempt.upstream, nowMs }) : freed
 }
 
+/** Time for which a cancelled request may go on at an upstream whose response times are not known, in ms: a round trip and a short job. */
+const MIN_CANCELLED_MS = 100
+/** Time for which a cancelled request may go on, as a multiple of the average time to the first byte. */
+const CANCELLED_FACTOR = 2
+
+/** Notes that the current attempt is cancelled, while its upstream may not have learnt of it yet or run it to the end. */
+export function noteCancelled (state: ServingState, request: Request, nowMs: number): ServingState {
+  const attempt = currentAttempt(request)
+  if (attempt === undefined || attempt.relay !== undefined) return state
+  return updateTargetLoad(state, attempt.upstream, (load) => {
+    const untilMs = nowMs + Math.max(MIN_CANCELLED_MS, CANCELLED_FACTOR * load.firstByteMs)
+    return { ...load, cancelledUntilMs: [...load.cancelledUntilMs.filter((otherMs) => otherMs > nowMs), untilMs] }
+  })
+}
+
 /** Records the time of the last use of an adapter. */
 export function recordAdapterUse (state: ServingState, request: Request, use: { readonly upstream: string, readonly nowMs: number }): ServingState {
   if (request.model === undefined || request.adapter === undefined) return state
@@ -91,7 +106,7 @@
   const { nowMs, reason } = details
   const attempt = currentAttempt(request)
   const cancelled: readonly ServingEffect[] = attempt === undefined ? [] : [{ kind: 'cancel', id: request.id, attempt: attempt.number }]
-  const removed = removeRequest(state, request, nowMs)
+  const removed = removeRequest(noteCancelled(state, request, nowMs), request, nowMs)
   if (request.abandoned) return step(removed, cancelled)
   const detail = details.detail === undefined ? {} : { detail: details.detail }
   const fields = { nowMs, reason, runs: request.runs, ...detail }
--- a/packages/serving/_test_serving.ts
+++ b/packages/serving/_test_serving.ts
@@ -53,9 +53,9 @@
 const UNREPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['record', 'evidence_changed', 'limits_changed']
 
 /** Creates a harness for an instance to which the given upstreams are available. */
-export function newServingHarness (targets: readonly RoutingTarget[], retryBudget = { ratio: 0.2, minRetries: 40, windowMs: 10_000 }, phase = 1): ServingHarness {
+export function newServingHarness (targets: readonly RoutingTarget[], retryBudget = { ratio: 0.2, minRetries: 40, windowMs: 10_000 }, phase = 1, instance = ''): ServingHarness {
   const records: string[] = []
-  let state = newServingState({ availabilityZone: 'a', retryBudget, phase })
+  let state = newServingState({ availabilityZone: 'a', retryBudget, phase, instance })
   function apply (event: ServingEvent): readonly string[] {
     const reduced = reduceServing(state, event)
     state = reduced.state
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -1,6 +1,8 @@
 import { demandKey, type RoutingTarget } from './routing_target.ts'
 import type { Request } from './request.ts'
+import { mayHandOver, relayKey, type Relay } from './relay.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
+import { brittleService, isRiskAllowed, ownershipOf } from './upstream_owner.ts'
 import { isWithinLimit } from './upstream_limit.ts'
 
 /** Maximum number of running and queued requests on a plain upstream, as a multiple of its slots; its own queue holds four. */
@@ -13,12 +15,17 @@
 const UTILIZATION_WEIGHT = 4
 /** Delay added for an upstream in another availability zone, in ms: twice the longest current round trip between zones. */
 const CROSS_ZONE_PENALTY_MS = 6
+const MS_PER_SECOND = 1000
+/** Maximum wait of a request for news of the owner of its upstreams, in ms: two heartbeats. */
+const MAX_OWNER_WAIT_MS = 400
 
 /** Upstream chosen for a request. */
 export interface UpstreamChoice {
   readonly target: RoutingTarget
   /** Number of eligible upstreams. */
   readonly candidates: number
+  /** The instance that alone sends to the upstream; absent if this one may. */
+  readonly owner?: Relay
 }
 
 /** Result of the search for an upstream. */
@@ -29,6 +36,8 @@
     readonly kind: 'full'
     /** Local time at which the first of them takes requests again, in ms, if all of them want none for a time. */
     readonly resumesAtMs?: number
+    /** Time after the request's arrival at which it no longer waits, in ms, if other instances own all of them. */
+    readonly maxWaitMs?: number
   }
   /** The request resumes a stream, and the software version that began it is not known. */
   | { readonly kind: 'unknown_origin' }
@@ -60,14 +69,19 @@
   if (eligible.length === 0) return { kind: 'absent' }
   const untried = eligible.filter((target) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
   const candidates = untried.length > 0 ? untried : eligible
-  const available = candidates.filter((target) => _hasCapacity(state, target, nowMs) && _mayReceive(state, target, nowMs))
-  if (available.length === 0) return _full(state, eligible, nowMs)
-  const medianMs = _medianFirstByteMs(state, available)
-  const scored = available
+  const available = candidates.filter((target) => _isAvailable(state, target, { request, nowMs }))
+  if (available.length === 0) return _full(state, eligible, { request, nowMs })
+  // A request waits at an owner for its turn, so upstreams that this instance may send to come first.
+  const direct = available.filter((target) => ownershipOf(state, target, nowMs).kind !== 'elsewhere')
+  const preferred = direct.length > 0 ? direct : available
+  const medianMs = _medianFirstByteMs(state, preferred)
+  const scored = preferred
     .map((target) => ({ target, score: _expectedDelayMs(state, target, { request, nowMs, medianMs }) }))
-    .sort((a, b) => a.score - b.score || (a.target.upstream < b.target.upstream ? -1 : 1))
+    .sort((x, y) => x.score - y.score || (x.target.upstream < y.target.upstream ? -1 : 1))
   const [best] = scored
-  return best === undefined ? { kind: 'full' } : { kind: 'chosen', choice: { target: best.target, candidates: eligible.length } }
+  if (best === undefined) return { kind: 'full' }
+  const ownership = ownershipOf(state, best.target, nowMs)
+  return { kind: 'chosen', choice: { target: best.target, candidates: eligible.length, ...ownership.kind === 'elsewhere' ? { owner: ownership.relay } : {} } }
 }
 
 /** A request and the local time in ms at which upstreams are evaluated for it. */
@@ -90,6 +104,8 @@
  * ```
  */
 export function isEligible (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
+  // An owner has a path of its own.
+  if (query.request.handover === undefined && ownershipOf(state, target, query.nowMs).kind === 'elsewhere') return offersModel(state, target, query)
   if (state.unreachable.has(target.upstream) || targetLoad(state, target.upstream).avoidedUntilMs > query.nowMs) return false
   return offersModel(state, target, query)
 }
@@ -135,19 +151,54 @@
   return target.leaving || targetLoad(state, target.upstream).leaving
 }
 
-function _full (state: ServingState, eligible: readonly RoutingTarget[], nowMs: number): UpstreamSearch {
+/**
+ * Estimates how long the requests that wait for the upstreams which this instance owns will take.
+ *
+ * @param state The state of the requests.
+ * @param request A waiting request.
+ * @param options The number of requests ahead of it and the local time in ms.
+ * @returns The time in ms; undefined if other instances send to some of the upstreams as well.
+ *
+ * @example
+ * ```ts
+ * const isHopeless = (ownedWaitMs(state, request, { ahead: 40, nowMs }) ?? 0) > leftMs
+ * ```
+ */
+export function ownedWaitMs (state: ServingState, request: Request, options: { readonly ahead: number, readonly nowMs: number }): number | undefined {
+  const { ahead, nowMs } = options
+  const eligible = [...state.targets.values()].filter((target) => offersModel(state, target, { request, nowMs }))
+  if (eligible.length === 0 || eligible.some((target) => ownershipOf(state, target, nowMs).kind !== 'own')) return undefined
+  const perMs = eligible.reduce((sum, target) => {
+    const limitPerMs = (state.limits.get(target.upstream)?.perS ?? Infinity) / MS_PER_SECOND
+    return sum + Math.min(limitPerMs, target.slots / Math.max(1, targetLoad(state, target.upstream).firstByteMs))
+  }, 0)
+  return ahead / perMs
+}
+
+function _isAvailable (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
+  const { request, nowMs } = query
+  const ownership = ownershipOf(state, target, nowMs)
+  switch (ownership.kind) {
+    case 'pending': return false
+    case 'elsewhere': return request.handover === undefined && mayHandOver(state, request, { relay: ownership.relay, nowMs })
+    case 'unowned': return isRiskAllowed(state, target, nowMs) && _hasCapacity(state, target, nowMs) && _mayReceive(state, target, nowMs)
+    default: return _hasCapacity(state, target, nowMs) && _mayReceive(state, target, nowMs)
+  }
+}
+
+function _full (state: ServingState, eligible: readonly RoutingTarget[], { request, nowMs }: RoutingQuery): UpstreamSearch {
+  // A request that was handed over waits only for this instance to learn that it owns an upstream, and one that all owners refused not at all.
+  if (eligible.every((target) => ownershipOf(state, target, nowMs).kind === 'elsewhere')) return { kind: 'full', maxWaitMs: request.handover === undefined && request.attempts.length > 0 ? 0 : MAX_OWNER_WAIT_MS }
   const resumesAtMs = Math.min(...eligible.map((target) => targetLoad(state, target.upstream).pausedUntilMs))
   return resumesAtMs > nowMs ? { kind: 'full', resumesAtMs } : { kind: 'full' }
 }
 
 function _hasCapacity (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
   const load = targetLoad(state, target.upstream)
-  const brittle = state.brittle.get(target.service)
-  const isBrittle = brittle !== undefined && brittle.untilMs > nowMs
-  // Each request without a response may be rejected, so the instances together have no more of them than the upstream bears.
-  if (isBrittle && load.unanswered >= Math.max(1, Math.floor(brittle.maxRejectionsPerS / state.instances))) return false
+  const isBrittle = brittleService(state, target, nowMs) !== undefined && ownershipOf(state, target, nowMs).kind !== 'shared'
   const capacity = target.models === undefined && !isBrittle ? target.slots * PLAIN_CAPACITY_FACTOR : target.slots
-  return load.ownRequests + load.peerRequests < capacity
+  const cancelled = isBrittle ? load.cancelledUntilMs.filter((untilMs) => untilMs > nowMs).length : 0
+  return load.ownRequests + load.peerRequests + cancelled < capacity
 }
 
 function _mayReceive (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
@@ -174,5 +225,13 @@
   const utilization = (load.ownRequests + load.peerRequests) / Math.max(1, target.slots)
   const failureMs = weight * load.failureShare * query.request.objectiveMs
   const zoneMs = target.availabilityZone === state.availabilityZone ? 0 : CROSS_ZONE_PENALTY_MS
-  return firstByteMs * (1 + UTILIZATION_WEIGHT * utilization) + failureMs + zoneMs
+  return firstByteMs * (1 + UTILIZATION_WEIGHT * utilization) + failureMs + zoneMs + _ownerDelayMs(state, target, query.nowMs)
+}
+
+// Requests that this instance has handed to the owner of a limited upstream are served one after another.
+function _ownerDelayMs (state: ServingState, target: RoutingTarget, nowMs: number): number {
+  const ownership = ownershipOf(state, target, nowMs)
+  const limit = state.limits.get(target.upstream)
+  if (ownership.kind !== 'elsewhere' || limit === undefined || limit.perS === Infinity) return 0
+  return (1 + targetLoad(state, relayKey(ownership.relay)).ownRequests) * MS_PER_SECOND / limit.perS
 }
--- a/packages/serving/limit_shares.ts
+++ b/packages/serving/limit_shares.ts
@@ -1,5 +1,6 @@
 import type { RequestRate } from '@berylshed/scheduler'
 import type { ServingState } from './serving_state.ts'
+import { limitOwner } from './upstream_owner.ts'
 import type { LimitRecord, LimitShare } from './upstream_limit.ts'
 
 /** Part of each limit that all instances get alike, so that one without recent requests may send its first ones. */
@@ -49,13 +50,15 @@
   readonly totals: ReadonlyMap<string, number>
   /** Number of instances that share the limits. */
   readonly instances: number
+  /** Name of the instance. */
+  readonly instance: string
   readonly nowMs: number
 }
 
 /**
  * Returns an instance's shares of the limits of upstreams.
  *
- * Callers reach instances unevenly, so most of a limit is divided in proportion to the rates of requests for what the upstream
+ * A limit below the number of instances belongs to one of them. Callers reach instances unevenly, so most of a limit is divided in proportion to the rates of requests for what the upstream
  * offers.
  *
  * @param state The lease holder's state of the requests.
@@ -68,9 +71,12 @@
  * const shares = limitShares(state, report.requestRates, { totals, instances: 4, nowMs: performance.now() })
  * ```
  */
-export function limitShares (state: ServingState, rates: readonly RequestRate[], options: ShareOptions): readonly LimitShare[] {
+export function limitShares (state: ServingState, rates: readonly RequestRate[], options: ShareOptions): ReadonlyArray<LimitRecord | LimitShare> {
   const equal = 1 / Math.max(1, options.instances)
   return limitRecords(state, options.nowMs).map((record) => {
+    const owner = limitOwner(state, record[0])
+    // Instances of earlier releases are no members and keep to equal shares.
+    if (owner !== undefined) return owner.instance === options.instance ? [...record, Math.min(1, state.members.relays.length * equal)] as const : record
     const total = options.totals.get(record[0]) ?? 0
     if (total === 0) return [...record, equal] as const
     const own = Math.min(total, _rateFor(state, record[0], rates))
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -1,14 +1,14 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
-import { applyAnnouncement } from './_apply_announcement.ts'
+import { applyAnnouncement, applyBrittleServices } from './_apply_announcement.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { applyOrigins } from './origin_exchange.ts'
 import { maintainOrigins, noteVersions, pinStream } from './_pin_streams.ts'
 import { failAttempt } from './_fail_attempt.ts'
 import { applyLimits, pruneLimits, stateLimit } from './_limit_upstreams.ts'
 import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
-import { observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
+import { noteCancelled, observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeUnreachable } from './reach.ts'
@@ -16,6 +16,7 @@
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
+import { confirmMembers, membersDigest } from './upstream_owner.ts'
 
 type _Step = Step<ServingState, ServingEffect>
 
@@ -42,6 +43,8 @@
     case 'origins_received': return dispatchAll(applyOrigins(state, event.update, event.nowMs), event.nowMs)
     case 'limit_stated': return stateLimit(state, event)
     case 'limits_received': return applyLimits(state, event.limits, event.nowMs)
+    case 'brittle_received': return applyBrittleServices(state, event.services, event.nowMs)
+    case 'members_received': return _applyMembers(state, event)
     case 'upstream_probed': return _applyProbe(state, event)
     case 'upstream_announced': return applyAnnouncement(state, event)
     case 'relays_received': return dispatchAll({ ...state, relays: event.relays }, event.nowMs)
@@ -103,7 +106,7 @@
 function _startResponse (state: ServingState, request: Request, event: _ResponseStarted): _Step {
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
-  const observed = _observeSuccess(state, request, event.nowMs)
+  const observed = updateTargetLoad(_observeSuccess(state, request, event.nowMs), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
   const softwareVersion = event.softwareVersion ?? attempt.softwareVersion
   const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion, respondingSinceMs: event.nowMs }), request, softwareVersion)
   return changeEvidence(responding, recordResponse(responding.evidence, request, event.nowMs), event.nowMs)
@@ -115,7 +118,7 @@
   const firstByteMs = nowMs - attempt.sentAtMs
   const contacted = attempt.relay === undefined ? noteContact(state, nowMs) : state
   return updateTargetLoad(contacted, attempt.upstream, (load) => ({
-    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), unanswered: Math.max(0, load.unanswered - 1), consecutiveFailures: 0, avoidedUntilMs: -Infinity
+    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), consecutiveFailures: 0, avoidedUntilMs: -Infinity
   }))
 }
 
@@ -141,7 +144,7 @@
   const record = requestRecord('left', request, { nowMs, runs: request.runs })
   if (attempt !== undefined && !request.retryable && !request.stream) return step(putRequest(state, { ...request, abandoned: true }), [record])
   const cancelled: readonly ServingEffect[] = attempt === undefined ? [] : [{ kind: 'cancel', id: request.id, attempt: attempt.number }]
-  return _thenDispatch(step(removeRequest(state, request, nowMs), [...cancelled, record]), request.service, nowMs)
+  return _thenDispatch(step(removeRequest(noteCancelled(state, request, nowMs), request, nowMs), [...cancelled, record]), request.service, nowMs)
 }
 
 type _TargetsChanged = Extract<ServingEvent, { kind: 'targets_changed' }>
@@ -183,6 +186,22 @@
   }, updated)
 }
 
+type _MembersReceived = Extract<ServingEvent, { kind: 'members_received' }>
+
+function _applyMembers (state: ServingState, event: _MembersReceived): _Step {
+  const { nowMs, confirmedAtMs } = event
+  const members = confirmMembers(state.members, event.members, { nowMs, confirmedAtMs })
+  const next = { ...state, members }
+  if (members.relays === state.members.relays) return step(next)
+  const record: ServingEffect = { kind: 'record', record: { what: 'members_changed', members: members.relays.length, detail: membersDigest(members.relays) } }
+  return _thenDispatchAll(step(next, [record]), nowMs)
+}
+
+function _thenDispatchAll (first: _Step, nowMs: number): _Step {
+  const next = dispatchAll(first.state, nowMs)
+  return step(next.state, [...first.effects, ...next.effects])
+}
+
 type _EvidenceReceived = Extract<ServingEvent, { kind: 'evidence_received' }>
 
 // The instance that sent the evidence already has it, so that it need not be reported at once.
--- a/packages/serving/relay.ts
+++ b/packages/serving/relay.ts
@@ -27,6 +27,25 @@
   return KEY_PREFIX + relay.instance
 }
 
+/**
+ * Reports whether a request may be handed to another instance.
+ *
+ * @param state The state of the requests.
+ * @param request The request.
+ * @param to The other instance and the local time in ms.
+ * @returns Whether it was not itself handed over, nor too often, nor to that instance before, and the instance can be reached.
+ *
+ * @example
+ * ```ts
+ * const candidates = state.relays.filter((relay) => mayHandOver(state, request, { relay, nowMs }))
+ * ```
+ */
+export function mayHandOver (state: ServingState, request: Request, { relay, nowMs }: { readonly relay: Relay, readonly nowMs: number }): boolean {
+  const tried = request.attempts.flatMap((attempt) => attempt.relay === undefined ? [] : [attempt.relay.instance])
+  if (request.handover !== undefined || tried.length >= MAX_RELAYS_PER_REQUEST || tried.includes(relay.instance)) return false
+  return targetLoad(state, relayKey(relay)).avoidedUntilMs <= nowMs
+}
+
 /**
  * Chooses the instance that a request is handed to.
  *
@@ -42,10 +61,8 @@
  * ```
  */
 export function chooseRelay (state: ServingState, request: Request, nowMs: number): Relay | undefined {
-  const tried = request.attempts.flatMap(({ relay }) => relay === undefined ? [] : [relay.instance])
-  if (request.handover !== undefined || tried.length >= MAX_RELAYS_PER_REQUEST) return undefined
   const [best] = state.relays
-    .filter((relay) => !tried.includes(relay.instance) && targetLoad(state, relayKey(relay)).avoidedUntilMs <= nowMs)
+    .filter((relay) => mayHandOver(state, request, { relay, nowMs }))
     .sort((a, b) => targetLoad(state, relayKey(a)).ownRequests - targetLoad(state, relayKey(b)).ownRequests)
   return best
 }
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -28,6 +28,10 @@
   readonly ownRequests: number
   /** Requests that this instance has sent there and that have no response yet. */
   readonly unanswered: number
+  /** Local times until which requests that were cancelled may still run there, in ms. */
+  readonly cancelledUntilMs: readonly number[]
+  /** Local time at which this instance last sent a request there, in ms. */
+  readonly sentAtMs: number
   /** Requests that other instances had running there when they last reported. */
   readonly peerRequests: number
   /** Average time from the start of an attempt to the first byte of its response, in ms; 0 if none was observed. */
@@ -52,6 +56,8 @@
 export const INITIAL_TARGET_LOAD: TargetLoad = {
   ownRequests: 0,
   unanswered: 0,
+  cancelledUntilMs: [],
+  sentAtMs: -Infinity,
   peerRequests: 0,
   firstByteMs: 0,
   failureShare: 0,
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -4,7 +4,7 @@
 
 /** Record of a decision about a request, for logs and counters. */
 export interface ServingRecord {
-  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'upstream_leaving' | 'upstream_paused' | 'service_brittle' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
+  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'upstream_leaving' | 'upstream_paused' | 'service_brittle' | 'members_changed' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
   readonly request?: string
   readonly route?: string
   readonly upstream?: string
@@ -31,6 +31,8 @@
   readonly load?: number
   /** Version of the placement on which the decision was based. */
   readonly placement?: number
+  /** Number of instances among which upstreams are divided. */
+  readonly members?: number
   /** Requests per second that an upstream takes from all instances together. */
   readonly perS?: number
   /** How often the same requests were quarantined. */
@@ -70,6 +72,6 @@
   | { readonly kind: 'evidence_changed' }
   /** A waiting request resumes a stream whose origin is not known here. */
   | { readonly kind: 'origin_wanted' }
-  /** An upstream named, changed or lifted its limit. */
+  /** An upstream named, changed or lifted its limit, or a service became brittle. */
   | { readonly kind: 'limits_changed' }
   | { readonly kind: 'record', readonly record: ServingRecord }
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -2,6 +2,7 @@
 import type { Relay } from './relay.ts'
 import type { OriginUpdate } from './stream_origins.ts'
 import type { RoutingTarget } from './routing_target.ts'
+import type { BrittleRecord } from './brittle_record.ts'
 import type { LimitRecord, LimitShare } from './upstream_limit.ts'
 import type { ReceivedRequest } from './request.ts'
 
@@ -56,6 +57,10 @@
   | { readonly kind: 'origins_received', readonly update: OriginUpdate }
   /** Another instance sent the limits of upstreams; the lease holder adds the shares of this instance. */
   | { readonly kind: 'limits_received', readonly limits: ReadonlyArray<LimitRecord | LimitShare> }
+  /** Another instance names brittle services. */
+  | { readonly kind: 'brittle_received', readonly services: readonly BrittleRecord[] }
+  /** The lease holder stands by a list of the instances among which upstreams are divided. */
+  | { readonly kind: 'members_received', readonly members: readonly Relay[], readonly confirmedAtMs: number }
   | { readonly kind: 'models_changed', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
   /** The instance is shutting down; callers of waiting requests can retry at another one. */
   | { readonly kind: 'shutdown_started' }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -4,6 +4,7 @@
 import type { Request } from './request.ts'
 import type { Relay } from './relay.ts'
 import { NO_STREAM_ORIGINS, type SoftwareVersions, type StreamOrigins } from './stream_origins.ts'
+import { NO_MEMBERS, type Members } from './upstream_owner.ts'
 import type { UpstreamLimit } from './upstream_limit.ts'
 import type { RetryBudget, RetryWindow } from './retry_window.ts'
 
@@ -19,12 +20,16 @@
 export interface BrittleService {
   /** Rejections in a second that each upstream bears. */
   readonly maxRejectionsPerS: number
+  /** Local time at which this instance learnt of it, in ms. */
+  readonly sinceMs: number
   /** Local time until which the service counts as brittle, in ms. */
   readonly untilMs: number
 }
 
 /** State of an instance's requests and of the upstreams that serve them. */
 export interface ServingState {
+  /** Name of this instance. */
+  readonly instance: string
   readonly availabilityZone: string
   readonly retryBudget: RetryBudget
   /** Number between 0 and 1 that differs between instances. */
@@ -49,6 +54,8 @@
   readonly contactAtMs: number
   /** Instances that take over requests whose upstreams cannot be reached. */
   readonly relays: readonly Relay[]
+  /** Instances among which upstreams are divided that not all of them may send to. */
+  readonly members: Members
   /** Limits that upstreams name, and those that they have lifted. */
   readonly limits: ReadonlyMap<string, UpstreamLimit>
   /** Services that are brittle or were lately, by name. */
@@ -75,6 +82,8 @@
 
 /** Options of {@linkcode newServingState}. */
 export interface ServingOptions {
+  /** Name of the instance; empty by default, so that it owns no upstreams. */
+  readonly instance?: string
   readonly availabilityZone: string
   readonly retryBudget: RetryBudget
   /** Number between 0 and 1 that differs between instances; 1 by default. */
@@ -94,6 +103,7 @@
  */
 export function newServingState (options: ServingOptions): ServingState {
   return {
+    instance: '',
     phase: 1,
     ...options,
     instances: 1,
@@ -108,6 +118,7 @@
     unreachable: new Map(),
     contactAtMs: -Infinity,
     relays: [],
+    members: NO_MEMBERS,
     limits: new Map(),
     brittle: new Map(),
     retryWindows: new Map(),
