Count crashes of one request together, whoever sends it

Cause: the same prompt or lookup from several callers was counted anew for each of them. The last part of a prompt was left out of the evidence, as it was held to belong to one request, and the fingerprint included the caller's address.

Two figures in tests change, as a request has one key more and an update carries 200 suspicions: the counts are as strict as before.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -86,7 +86,7 @@
     return {
       id: identified.id,
       callerId: facts.id,
-      fingerprint: _fingerprint(call, identified.body),
+      fingerprint: _fingerprint(call.request, identified.body),
       promptParts: facts.promptParts,
       resumedAttempt: facts.lastEventId === undefined ? undefined : facts.resumedAttempt ?? '',
       route: route.name,
@@ -138,8 +138,8 @@
   await new Promise((resolve) => request.once('end', resolve).once('close', resolve))
 }
 
-// The load balancer preserves the caller's address, so it identifies the caller.
-function _fingerprint ({ request, callerAddress }: _Call, body: Buffer): string {
-  const name = `${request.headers.host ?? ''}\n${request.url ?? ''}\n${callerAddress}\n`
+// Several callers may send the same request, and each of them would crash as many upstreams if it were counted by itself.
+function _fingerprint (request: IncomingMessage, body: Buffer): string {
+  const name = `${request.method ?? ''}\n${request.headers.host ?? ''}\n${request.url ?? ''}\n`
   return createHash('sha256').update(name).update(body).digest('base64url').slice(0, 22)
 }
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -133,13 +133,15 @@
   readonly method?: string
   readonly headers?: Readonly<Record<string, string>>
   readonly body?: string
+  /** Loopback address of the caller. */
+  readonly from?: string
 }
 
 /** Sends a request and returns the whole response. */
 export function ask (port: number, path: string, options: RequestOptions = {}): Promise<{ readonly status: number, readonly text: string }> {
   return new Promise((resolve, reject) => {
     const headers = { host: 'api.example', 'attempt-id': 'a1', 'deadline-ms': '8000', ...options.headers }
-    const request = httpRequest({ port, host: '127.0.0.1', path, method: options.method ?? 'GET', headers, agent: false }, (response) => {
+    const request = httpRequest({ port, host: '127.0.0.1', path, method: options.method ?? 'GET', headers, agent: false, ...options.from === undefined ? {} : { localAddress: options.from } }, (response) => {
       let text = ''
       response.on('data', (chunk: Buffer) => { text += chunk.toString() })
       response.on('end', () => resolve({ status: response.statusCode ?? 0, text }))
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -127,11 +127,11 @@
 
 test('evidence is exchanged once in each direction', (t) => {
   const first = exchange(crashOnce(startFollower('f'), 'r', 2000), listed(startHolder()), 2100)
-  t.is(first.holder.serving.evidence.suspicions.size, 3)
+  t.is(first.holder.serving.evidence.suspicions.size, 4)
   const { effects } = reduceEdge(first.follower, { subject: 'tick', at: at(3000) })
   const heartbeat = effects.find((effect) => effect.subject === 'heartbeat')
   t.is(heartbeat?.request.evidence, undefined)
-  t.deepEqual(heartbeat?.request.receivedEvidence, { origin: 'holder', version: 3 })
+  t.deepEqual(heartbeat?.request.receivedEvidence, { origin: 'holder', version: 4 })
 })
 
 // The record's lookup: no prompt, three plain upstreams whose processes are others after each crash, and callers that repeat at once.
--- a/packages/serving/crash_evidence.ts
+++ b/packages/serving/crash_evidence.ts
@@ -39,8 +39,8 @@
 /**
  * What is known about requests that crash upstreams.
  *
- * Requests are identified by keys: the fingerprint of the whole request, each part of its prompt except the last, which no
- * other request has, and combinations of such parts that cannot be told apart.
+ * Requests are identified by keys: the fingerprint of the whole request, each part of its prompt, and combinations of such parts
+ * that cannot be told apart. The last part counts too, as several callers may send the same prompt.
  */
 export interface CrashEvidence {
   /** Number of changes so far. */
@@ -67,12 +67,12 @@
  *
  * @example
  * ```ts
- * console.log(crashKeys({ fingerprint: 'f', promptParts: ['5c1e', '91bd', 'e440'] })) // ['request f', 'part 5c1e', 'part 91bd']
+ * console.log(crashKeys({ fingerprint: 'f', promptParts: ['5c1e', '91bd', 'e440'] })) // ['request f', 'part 5c1e', 'part 91bd', 'part e440']
  * ```
  */
 export function crashKeys (request: Pick<ReceivedRequest, 'fingerprint' | 'promptParts'>): readonly string[] {
-  const shared = request.promptParts.slice(0, -1).map((id) => PART_PREFIX + id.slice(0, MAX_PART_LENGTH))
-  return [REQUEST_PREFIX + request.fingerprint, ...new Set(shared)]
+  const parts = request.promptParts.map((id) => PART_PREFIX + id.slice(0, MAX_PART_LENGTH))
+  return [REQUEST_PREFIX + request.fingerprint, ...new Set(parts)]
 }
 
 /**
--- a/packages/serving/crash_evidence_test.ts
+++ b/packages/serving/crash_evidence_test.ts
@@ -70,11 +70,11 @@
 })
 
 test('an update carries what changed since the version that its receiver has, oldest first', (t) => {
-  const many = Object.fromEntries(Array.from({ length: 100 }, (_, i) => [`part ${i}`, [1]]))
+  const many = Object.fromEntries(Array.from({ length: 250 }, (_, i) => [`part ${i}`, [1]]))
   const evidence = withCrashes(many)
   const first = evidenceUpdateSince(evidence, { origin: 'x', since: 0, nowMs: 1000 }, { relay: true })
   const second = evidenceUpdateSince(evidence, { origin: 'x', since: first.version, nowMs: 1000 }, { relay: true })
-  t.deepEqual([first.suspicions.length, second.suspicions.length, second.version], [80, 20, 100])
+  t.deepEqual([first.suspicions.length, second.suspicions.length, second.version], [200, 50, 250])
   const received = [first, second].reduce((known, update) => applyEvidenceUpdate(known, update, 1000), NO_CRASH_EVIDENCE)
   t.deepEqual([...received.suspicions.keys()], Object.keys(many))
   t.deepEqual(evidenceUpdateSince(received, { origin: 'y', since: 1, nowMs: 1000 }, { relay: false }).suspicions, [])
--- a/packages/serving/evidence_update.ts
+++ b/packages/serving/evidence_update.ts
@@ -3,7 +3,7 @@
 import type { CrashEvidence } from './crash_evidence.ts'
 
 /** Maximum number of suspicions in one update; the rest follows with the next one. */
-const MAX_SUSPICIONS_PER_UPDATE = 80
+const MAX_SUSPICIONS_PER_UPDATE = 200
 /** Difference between the ends of two quarantines below which they are the same, in ms; covers the time of transmission. */
 const SAME_QUARANTINE_MS = 2000
 
--- a/packages/serving/prompt_part_crash_test.ts
+++ b/packages/serving/prompt_part_crash_test.ts
@@ -47,6 +47,25 @@
   t.is(soundSent, sound)
 })
 
+test('a prompt that crashes engines is refused though each caller sends it once and sound requests share its first parts', (t) => {
+  const harness = newFleet()
+  let crashes = 0
+  for (let i = 0; i < 12; i += 1) {
+    const nowMs = i * 1000
+    const id = `r${i}`
+    const request = { ...draft(id, [], nowMs), promptParts: ['first', 'subject', CRASHING] }
+    if (!harness.apply({ kind: 'received', request, nowMs }).some((effect) => effect.startsWith('send'))) continue
+    crashes += 1
+    harness.apply({ kind: 'attempt_failed', id, attempt: 1, failure: 'broken', detail: 'aborted', nowMs: nowMs + 90 })
+    harness.apply({ kind: 'caller_left', id, nowMs: nowMs + 100 })
+    const sound = `sound${i}`
+    t.true(harness.apply({ kind: 'received', request: draft(sound, ['first', 'subject'], nowMs + 500), nowMs: nowMs + 500 }).some((effect) => effect.startsWith('send')))
+    harness.apply({ kind: 'response_started', id: sound, attempt: 1, nowMs: nowMs + 540 })
+    harness.apply({ kind: 'response_ended', id: sound, attempt: 1, status: 200, nowMs: nowMs + 600 })
+  }
+  t.is(crashes, 3)
+})
+
 test('a request with a quarantined part is refused as not run while it waits', (t) => {
   const harness = newFleet()
   play(harness, { requests: 60, everyMs: 50, crashingEvery: 10 })
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -6,7 +6,7 @@
   readonly id: string
   /** Id supplied by the caller, for logs. */
   readonly callerId: string
-  /** Digest of path, body and caller; the same whenever the caller repeats the request. */
+  /** Digest of method, path and body; the same whoever repeats the request. */
   readonly fingerprint: string
   /** Ids of the parts of the prompt, in order; the last one belongs to the request or its session alone. */
   readonly promptParts: readonly string[]
