Keep the evidence of earlier crashes, and tell parts of different requests apart

Cause: two faults in weighing. Eight attempts were kept per part, so that the attempts which one crash breaks displaced those of earlier crashes. And parts that were at the same crashes were quarantined in combination even if no request has all of them, which matches nothing and keeps them from being blamed alone.

Change: up to eight processes with three attempts each are kept; parts of one request are blamed together, parts of different requests each by itself for 5 s. Presence is compared by processes on both sides, not with the count of independent crashes.

--- a/packages/serving/_weigh_evidence.ts
+++ b/packages/serving/_weigh_evidence.ts
@@ -12,14 +12,18 @@
 /** Duration of the first quarantine, in ms. */
 const QUARANTINE_MS = 120_000
 const MAX_QUARANTINE_MS = 3_600_000
+/** Duration of the first quarantine of parts that were at the same crashes in different requests, in ms; one of them is to blame. */
+const AMBIGUOUS_QUARANTINE_MS = 5000
 /** Time for which a crash is remembered, in ms. */
 const CRASH_RETENTION_MS = 120_000
 /** Time for which a cleared suspicion is kept, in ms; longer than a report of the same crash is under way. */
 const CLEARED_RETENTION_MS = 10_000
 const MAX_SUSPICIONS = 1000
 const MAX_QUARANTINES = 250
-/** Maximum number of crashes kept per suspicion; more do not change any decision. */
-const MAX_CRASHES_PER_SUSPICION = 8
+/** Maximum number of crashed processes kept per suspicion; more do not change any decision. */
+const MAX_PROCESSES_PER_SUSPICION = 8
+/** Maximum number of attempts kept per crashed process; one crash breaks many. */
+const MAX_ATTEMPTS_PER_PROCESS = 3
 
 /** Records that an upstream broke the connection of an attempt before the response began. */
 export function recordCrash (evidence: CrashEvidence, request: ReceivedRequest, options: { readonly attempt: Attempt, readonly incarnation: number, readonly nowMs: number }): CrashEvidence {
@@ -77,7 +81,7 @@
   const clearedAtMs = Math.max(before?.clearedAtMs ?? -Infinity, found.clearedAtMs)
   const known = before?.crashes ?? []
   const added = found.crashes.filter((crash) => !known.some((other) => _isSame(crash, other)))
-  const crashes = [...known, ...added].filter((crash) => crash.atMs > clearedAtMs).slice(-MAX_CRASHES_PER_SUSPICION)
+  const crashes = _representative([...known, ...added].filter((crash) => crash.atMs > clearedAtMs))
   const unchanged = before !== undefined && crashes.length === known.length && crashes.every((crash, i) => crash === known[i])
   if (unchanged && clearedAtMs === before.clearedAtMs) return evidence
   const version = unchanged ? evidence.version : evidence.version + 1
@@ -85,6 +89,20 @@
   return { ...evidence, version, suspicions: new Map(evidence.suspicions).set(key, next) }
 }
 
+// Keeps the attempts that were sent last, as they are the most likely to be independent of earlier crashes.
+function _representative (crashes: readonly Crash[]): readonly Crash[] {
+  const byProcess = new Map<string, Crash[]>()
+  for (const crash of crashes) byProcess.set(crash.process, [...byProcess.get(crash.process) ?? [], crash])
+  if (byProcess.size <= MAX_PROCESSES_PER_SUSPICION && [...byProcess.values()].every((attempts) => attempts.length <= MAX_ATTEMPTS_PER_PROCESS)) return crashes
+  const newest = [...byProcess.values()].sort((a, b) => _endedAtMs(b) - _endedAtMs(a)).slice(0, MAX_PROCESSES_PER_SUSPICION)
+  const kept = new Set(newest.flatMap((attempts) => attempts.sort((a, b) => b.sentAtMs - a.sentAtMs || (a.source < b.source ? -1 : 1)).slice(0, MAX_ATTEMPTS_PER_PROCESS)))
+  return crashes.filter((crash) => kept.has(crash))
+}
+
+function _endedAtMs (crashes: readonly Crash[]): number {
+  return Math.min(...crashes.map(({ atMs }) => atMs))
+}
+
 function _isSame (a: Crash, b: Crash): boolean {
   return a.source === b.source && a.process === b.process
 }
@@ -97,10 +115,11 @@
   const quarantined = culprits.map((culprit): [string, KnownQuarantine] => {
     const { key } = culprit
     const offences = (evidence.quarantines.get(key)?.offences ?? 0) + 1
-    return [key, { offences, untilMs: nowMs + Math.min(MAX_QUARANTINE_MS, QUARANTINE_MS * 2 ** (offences - 1)), version, own: true, crashes: culprit.crashes }]
+    const firstMs = culprit.isAmbiguous ? AMBIGUOUS_QUARANTINE_MS : QUARANTINE_MS
+    return [key, { offences, untilMs: nowMs + Math.min(MAX_QUARANTINE_MS, firstMs * 2 ** (offences - 1)), version, own: true, crashes: culprit.crashes }]
   })
   const imposed: CrashEvidence = { ...evidence, version, quarantines: _limit([...evidence.quarantines, ...quarantined]) }
-  return culprits.filter(({ key }) => isPartKey(key)).reduce((known, { key }) => _clearNeighbours(known, key, nowMs), imposed)
+  return culprits.filter(({ key, isAmbiguous }) => isPartKey(key) && !isAmbiguous).reduce((known, { key }) => _clearNeighbours(known, key, nowMs), imposed)
 }
 
 function _limit (quarantines: ReadonlyArray<[string, KnownQuarantine]>): CrashEvidence['quarantines'] {
@@ -112,14 +131,16 @@
 interface _Culprit {
   readonly key: string
   readonly crashes: number
+  /** Whether parts of other requests were at the same crashes. */
+  readonly isAmbiguous: boolean
 }
 
 function _culprits (evidence: CrashEvidence, nowMs: number): readonly _Culprit[] {
   const isFree = (key: string): boolean => (evidence.quarantines.get(key)?.untilMs ?? -Infinity) <= nowMs
-  const offenders = [...evidence.quarantines.keys()].filter((key) => _isRepeatedOffender(evidence, key, nowMs)).map((key) => ({ key, crashes: _crashCount(evidence, key) }))
+  const offenders = [...evidence.quarantines.keys()].filter((key) => _isRepeatedOffender(evidence, key, nowMs)).map((key) => ({ key, crashes: _crashCount(evidence, key), isAmbiguous: false }))
   const requests = [...evidence.suspicions]
     .filter(([key, { crashes }]) => crashes.length >= MAX_REQUEST_CRASHES && isRequestKey(key))
-    .map(([key, { crashes }]) => ({ key, crashes: countCrashes(crashes) }))
+    .map(([key, { crashes }]) => ({ key, crashes: countCrashes(crashes), isAmbiguous: false }))
     .filter(({ crashes }) => crashes >= MAX_REQUEST_CRASHES)
   const culprits = [...offenders, ...requests, ..._blamedParts(evidence, nowMs)].filter(({ key }) => isFree(key))
   return [...new Map(culprits.map((culprit) => [culprit.key, culprit])).values()]
@@ -130,30 +151,48 @@
   return endedAtMs <= nowMs && evidence.suspicions.get(key)?.crashes.some(({ atMs }) => atMs > endedAtMs) === true
 }
 
-// Parts that were present at the same crashes cannot be told apart, so that only requests with all of them are blamed. Evidence
-// of the newest crash may still be under way from other instances, so one crash of difference does not tell parts apart, and a
-// part is blamed alone only for crashes that have settled.
+// Parts that were present at the same crashes cannot be told apart. Those of one request are blamed together, so that others with
+// one of them are served; those of different requests are blamed for a short time, after which responses clear all but the culprit.
+// Evidence of the newest crash may still be under way from other instances, so one crash of difference does not tell parts apart,
+// and a part is blamed alone only for crashes that have settled.
 function _blamedParts (evidence: CrashEvidence, nowMs: number): readonly _Culprit[] {
-  const suspects = [...evidence.suspicions].filter(([key, { crashes }]) => crashes.length >= MAX_PART_CRASHES && isPartKey(key)).map(([key]) => key)
-  const groups = suspects.map((part) => _inseparableParts(evidence, part)).filter(({ crashes }) => crashes >= MAX_PART_CRASHES)
-  const alone = groups.filter(({ members }) => members.length === 1).flatMap(({ members }) => members)
-  const combined = groups.filter(({ members }) => members.length > 1 && !members.some((part) => alone.includes(part)))
-  const settled = groups.filter(({ members }) => members.length === 1 && members.every((part) => _settledCount(evidence, part, nowMs) >= MAX_PART_CRASHES))
-  return [...settled, ...combined].map(({ members, crashes }) => ({ key: combinedKey(members), crashes }))
+  const suspects = [...evidence.suspicions].filter(([key, { crashes }]) => isPartKey(key) && crashes.length >= MAX_PART_CRASHES && countCrashes(crashes) >= MAX_PART_CRASHES).map(([key]) => key)
+  const groups = suspects.map((part) => _inseparableParts(evidence, part))
+  const alone = groups.filter(({ members, rivals }) => members.length === 1 && rivals.length === 0).flatMap(({ members }) => members)
+  const isExplained = (part: string): boolean => alone.includes(part)
+  const combined = groups.filter(({ members }) => members.length > 1 && !members.some(isExplained))
+  const single = groups.filter(({ members, rivals }) => members.length === 1 && !rivals.some(isExplained))
+  const settled = single.filter(({ members }) => members.every((part) => _settledCount(evidence, part, nowMs) >= MAX_PART_CRASHES))
+  return [...settled, ...combined].map(({ members, rivals, crashes }) => ({ key: combinedKey(members), crashes, isAmbiguous: members.length === 1 && rivals.length > 0 }))
 }
 
 interface _PartGroup {
+  /** The part, and the parts that were with it in a request of each of its crashes. */
   readonly members: readonly string[]
+  /** Parts that were at the same crashes, but in other requests. */
+  readonly rivals: readonly string[]
   readonly crashes: number
 }
 
 function _inseparableParts (evidence: CrashEvidence, part: string): _PartGroup {
-  const crashes = _crashCount(evidence, part)
   const processes = _processes(evidence, part)
-  const members = [...evidence.suspicions.keys()].filter((other) => {
-    return isPartKey(other) && [..._processes(evidence, other)].filter((process) => processes.has(process)).length >= crashes - 1
+  const present = [...evidence.suspicions.keys()].filter((other) => {
+    return other !== part && isPartKey(other) && [..._processes(evidence, other)].filter((process) => processes.has(process)).length >= processes.size - 1
   })
-  return { members, crashes }
+  const sources = _sources(evidence, part)
+  const companions = present.filter((other) => [..._sources(evidence, other)].some((source) => sources.has(source)))
+  // Companions in different requests are alternatives, so that a combination of all of them would match no request.
+  const members = companions.filter((other) => companions.every((another) => other === another || _haveMet(evidence, other, another)))
+  return { members: [part, ...members].sort(), rivals: present.filter((other) => !members.includes(other)), crashes: _crashCount(evidence, part) }
+}
+
+function _haveMet (evidence: CrashEvidence, part: string, other: string): boolean {
+  const sources = _sources(evidence, part)
+  return [..._sources(evidence, other)].some((source) => sources.has(source))
+}
+
+function _sources (evidence: CrashEvidence, key: string): ReadonlySet<string> {
+  return new Set(evidence.suspicions.get(key)?.crashes.map(({ source }) => source))
 }
 
 function _processes (evidence: CrashEvidence, key: string): ReadonlySet<string> {
--- a/packages/serving/crash_evidence_test.ts
+++ b/packages/serving/crash_evidence_test.ts
@@ -33,6 +33,21 @@
   t.deepEqual([...quarantineCulprits(unsettled, 360).quarantines.keys()], [])
 })
 
+test('parts of different requests are quarantined by themselves, as no request has all of them', (t) => {
+  const at = (number: number, source: string): Crash => ({ ...crash(number), source: `${source}-${number}` })
+  const seen = { 'part crashing': [1, 2, 3], 'part other': [1, 2, 3], 'part third': [2, 3, 4] }
+  const evidence = Object.entries(seen).reduce((known, [key, numbers]) => addCrashes(known, key, { crashes: numbers.map((number) => at(number, key)), clearedAtMs: -Infinity, own: true }), NO_CRASH_EVIDENCE)
+  const after = quarantineCulprits(evidence, 1000)
+  t.deepEqual([...after.quarantines.keys()].sort(), ['part crashing', 'part other', 'part third'])
+  t.true([...after.quarantines.values()].every(({ untilMs }) => untilMs <= 1000 + 10_000), 'for a short time')
+})
+
+test('the attempts that one crash breaks do not displace those of earlier crashes', (t) => {
+  const attempts = (number: number) => Array.from({ length: 12 }, (_, i): Crash => ({ ...crash(number), source: `request-${number}-${i}` }))
+  const evidence = addCrashes(NO_CRASH_EVIDENCE, 'part a', { crashes: [1, 2, 3].flatMap(attempts), clearedAtMs: -Infinity, own: true })
+  t.deepEqual([...quarantineCulprits(evidence, 1000).quarantines.keys()], ['part a'])
+})
+
 test('a response that clears a part of a combination leaves the rest of it quarantined', (t) => {
   const combined = quarantineCulprits(withCrashes({ 'part a': [1, 2, 3], 'part b': [1, 2, 3] }), 1000)
   const sound = testRequest('sound', { promptParts: ['b', 'own'] })
--- a/packages/serving/prompt_part_crash_test.ts
+++ b/packages/serving/prompt_part_crash_test.ts
@@ -66,6 +66,32 @@
   t.is(crashes, 3)
 })
 
+test('a part that crashes engines full of other requests is told from the parts that happen to be on them', (t) => {
+  const engine = (round: number) => ({ ...testEngineTarget(`engine${round}`, { m: [] }), slots: 40 })
+  const harness = newServingHarness([engine(0)])
+  let crashes = 0
+  let refused = 0
+  for (let round = 0; round < 12; round += 1) {
+    const nowMs = round * 3000
+    // Six requests with the part and twenty others, each with one of eight parts, are on the engine that crashes.
+    const requests = Array.from({ length: 26 }, (_, i) => ({ ...draft(`r${round}-${i}`, [round % 3 === 2 ? 'second' : 'first', i < 6 ? CRASHING : `other${(i * 7 + round * 3) % 8}`], nowMs), retryable: false }))
+    const sent = requests.filter((request) => harness.apply({ kind: 'received', request, nowMs }).some((effect) => effect.startsWith('send')))
+    const crashing = sent.filter(({ promptParts }) => promptParts.includes(CRASHING))
+    refused += sent.length - crashing.length < 20 ? 1 : 0
+    if (crashing.length === 0) break
+    crashes += 1
+    harness.apply({ kind: 'targets_changed', targets: new Map([[`engine${round + 1}`, engine(round + 1)]]), loadEstimatesMs: new Map(), version: round + 2, nowMs })
+    for (const { id } of sent) harness.apply({ kind: 'attempt_failed', id, attempt: 1, failure: 'broken', detail: 'aborted', nowMs: nowMs + 90 })
+    harness.apply({ kind: 'ticked', nowMs: nowMs + 400 })
+    const sound = draft(`sound${round}`, [round % 3 === 2 ? 'second' : 'first', `cleared${round}`], nowMs + 500)
+    harness.apply({ kind: 'received', request: sound, nowMs: nowMs + 500 })
+    harness.apply({ kind: 'response_ended', id: sound.id, attempt: 1, status: 200, nowMs: nowMs + 600 })
+  }
+  // Three crashes are needed to tell, and one more may be needed to tell the part from one that was on all three engines.
+  t.true(crashes <= 4, `${crashes} crashes`)
+  t.true(refused <= 1, `sound requests were refused in ${refused} rounds`)
+})
+
 test('a request with a quarantined part is refused as not run while it waits', (t) => {
   const harness = newFleet()
   play(harness, { requests: 60, everyMs: 50, crashingEvery: 10 })
