Confirm the only software version before a stream of unknown origin resumes at it

Change: the only version counts if it was confirmed since the request arrived, by the holder's answer to a heartbeat sent after that, or by a read of the store sent after that; the holder counts a heartbeat of an instance that knows no newer list, less the time within which buffered ones are read after a suspension. Until then the request waits for its origin as before, 1.5 s at most, and is refused as not run. Known origins decide at once as before, and a heartbeat is due at once, so a resumption at an instance in step waits for one round trip.

The test double of the registry held a watch for 60 s whatever was asked; it now keeps to the time asked for, as the store does.

--- a/packages/edge/_follow_registry.ts
+++ b/packages/edge/_follow_registry.ts
@@ -26,8 +26,8 @@
   newestList (): UpstreamList | undefined
   /** Reports whether another instance reads the store and passes on its changes. */
   isRelayed (): boolean
-  /** Called after a successful read of the store, with or without changes. */
-  read (what: 'configuration' | 'upstreams'): void
+  /** Called after a successful read of the store that was sent at a local time in ms, with or without changes. */
+  read (what: 'configuration' | 'upstreams', sentAtMs: number): void
   lost (what: string, reason: string): void
   regained (what: string): void
   /** Time after which the store removes the registration of an upstream that has ended, in ms. */
@@ -94,6 +94,7 @@
         continue
       }
       const afterRevision = revision
+      const sentAtMs = hooks.nowMs()
       const result = yield * toEffect(() => afterRevision === undefined
         ? registry.readConfiguration()
         : registry.watchConfiguration({ afterRevision, waitMs: WATCH_MS }))
@@ -104,7 +105,7 @@
         continue
       }
       outages.succeeded()
-      hooks.read('configuration')
+      hooks.read('configuration', sentAtMs)
       const { configuration } = result.value
       revision = result.value.revision
       if (configuration !== undefined) hooks.configured(configuration)
@@ -130,6 +131,7 @@
       }
       const base = _newer(known, hooks.newestList())
       const waiting = deferred.lapsed.size > 0 || returning.size > 0
+      const sentAtMs = hooks.nowMs()
       const result = yield * toEffect<_RegistryUpdate>(async () => base === undefined || !synchronized
         ? (await registry.listUpstreams()).map((listing) => ({ revision: listing.revision, changes: diffUpstreams(base, listing.upstreams), listed: listing.upstreams }))
         : await registry.watchUpstreams({ afterRevision: base.revision, waitMs: waiting ? BATCH_MS : WATCH_MS }))
@@ -142,7 +144,6 @@
       const { revision, listed } = result.value
       outages.succeeded()
       outages.observed(revision)
-      hooks.read('upstreams')
       synchronized = true
       const nowMs = hooks.nowMs()
       // Other instances take over only lists of a higher position, so what falls due waits for one.
@@ -153,8 +154,9 @@
       const returned = [...returning].filter(([, { dueMs }]) => advanced && nowMs >= dueMs).map(([id, { upstream }]) => ({ id, upstream }))
       const changed = known === undefined || deferred.changes.length > 0 || returned.length > 0
       known = applyRegistrationChanges(applied, returned, { revision })
+      if (changed) hooks.listed(known)
+      hooks.read('upstreams', sentAtMs)
       if (!changed) continue
-      hooks.listed(known)
       yield * Effect.sleep(BATCH_MS)
     }
   })
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -12,6 +12,8 @@
 const HEARTBEAT_MS = 200
 /** Minimum interval between heartbeats while requests wait for a model, in ms: a tenth of a load from an engine's disk. */
 const URGENT_HEARTBEAT_MS = 40
+/** Time within which what arrived during a suspension has been read, in ms. */
+const MAX_BUFFERED_MS = 100
 /** Interval added per instance while requests wait, in ms, which limits the holder to 250 heartbeats per second. */
 const URGENT_MS_PER_INSTANCE = 4
 /** Number of instances to which the holder sends all origins of streams, so that they outlast it; the others get those that they ask for. */
@@ -171,9 +173,20 @@
   return applyServingEvent(state, { kind: 'origins_received', update, nowMs: at.nowMs })
 }
 
+/** Notes that no other instance knows of a software version which this one lacks. */
+export function confirmVersions (state: EdgeState, confirmedAtMs: number): EdgeState {
+  if (confirmedAtMs <= state.serving.versionsConfirmedAtMs) return state
+  return { ...state, serving: { ...state.serving, versionsConfirmedAtMs: confirmedAtMs } }
+}
+
+// Heartbeats that arrived during a suspension are read at its end, so one counts only for what came some time before.
+function _confirmByReport (state: EdgeState, request: HeartbeatRequest, at: Instant): EdgeState {
+  return request.listRevision <= (state.list?.revision ?? 0) ? confirmVersions(state, at.nowMs - MAX_BUFFERED_MS) : state
+}
+
 /** Applies the report in the heartbeat of another instance. */
 export function applyReport (state: EdgeState, request: HeartbeatRequest, at: Instant): EdgeStep {
-  const reported = applySchedulerEvent(state, { kind: 'instance_reported', report: request.report, ...at })
+  const reported = applySchedulerEvent(_confirmByReport(state, request, at), { kind: 'instance_reported', report: request.report, ...at })
   const informed = chain(reported, (s) => _applyEvidence(s, request.evidence, at))
   const located = chain(informed, (s) => _applyOrigins(s, request.origins, at))
   const limited = chain(located, (s) => _applyLimits(s, request.limits, at))
@@ -260,7 +273,8 @@
     evidenceExchange: _exchangeWith(state, state.evidenceExchange, { answer, update: answer.evidence }),
     originExchange: _exchangeWith(state, state.originExchange, { answer, update: answer.origins })
   }
-  const extended = chain(step(next, found), (s) => applySchedulerEvent(s, { kind: 'holder_reached', fence: view.fence, validMs: view.validMs, ...at }))
+  const confirmed = view.validMs > 0 && !answer.wantsNews && answer.listRevision <= (next.list?.revision ?? 0) ? confirmVersions(next, state.heartbeatAtMs) : next
+  const extended = chain(step(confirmed, found), (s) => applySchedulerEvent(s, { kind: 'holder_reached', fence: view.fence, validMs: view.validMs, ...at }))
   const targeted = chain(extended, (s) => updateTargets(s, at))
   const informed = chain(targeted, (s) => _applyEvidence(s, answer.evidence, at))
   const located = chain(informed, (s) => _applyOrigins(s, answer.origins, at))
--- a/packages/edge/_test_instances.ts
+++ b/packages/edge/_test_instances.ts
@@ -44,6 +44,6 @@
   const writeId = known.scheduler.pending?.lease.writeId ?? ''
   return apply(known,
     { subject: 'scheduler', event: { kind: 'lease_written', writeId, version: 2, ...at(5) } },
-    { subject: 'registry_read', what: 'configuration', at: at(1000) },
-    { subject: 'registry_read', what: 'upstreams', at: at(1000) })
+    { subject: 'registry_read', what: 'configuration', sentAtMs: 900, at: at(1000) },
+    { subject: 'registry_read', what: 'upstreams', sentAtMs: 900, at: at(1000) })
 }
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -1,7 +1,7 @@
 import { request as httpRequest } from 'node:http'
 import { createServer as createTcpServer, type AddressInfo } from 'node:net'
 import type { Configuration, Upstream } from '@berylshed/fleet'
-import { EngineControl, Registry, Store, type HostSettings, type StoredObject, type UpstreamListing } from '@berylshed/platform'
+import { EngineControl, Registry, Store, type HostSettings, type RegistryWatch, type StoredObject, type UpstreamListing } from '@berylshed/platform'
 import { err, ok } from 'neverthrow'
 import { runEdge, type RunningEdge } from './run_edge.ts'
 
@@ -31,8 +31,8 @@
     return ok(this.#list)
   }
 
-  override async watchUpstreams () {
-    await pause(HOLD_MS)
+  override async watchUpstreams ({ waitMs }: RegistryWatch) {
+    await pause(waitMs)
     return ok({ revision: 1, changes: [] })
   }
 }
--- a/packages/edge/edge_event.ts
+++ b/packages/edge/edge_event.ts
@@ -12,8 +12,8 @@
   | { readonly subject: 'listed', readonly list: UpstreamList, readonly at: Instant }
   /** Another instance passed on changed registrations. */
   | { readonly subject: 'upstreams_updated', readonly update: UpstreamUpdate, readonly at: Instant }
-  /** A read of the store succeeded, with or without changes. */
-  | { readonly subject: 'registry_read', readonly what: 'configuration' | 'upstreams', readonly at: Instant }
+  /** A read of the store that was sent at a local time in ms succeeded, with or without changes. */
+  | { readonly subject: 'registry_read', readonly what: 'configuration' | 'upstreams', readonly sentAtMs: number, readonly at: Instant }
   | { readonly subject: 'heartbeat_received', readonly request: HeartbeatRequest, readonly at: Instant }
   | { readonly subject: 'heartbeat_answered', readonly answer: HeartbeatAnswer, readonly at: Instant }
   | { readonly subject: 'heartbeat_failed', readonly refused: boolean, readonly at: Instant }
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -113,7 +113,7 @@
     routes: buildRouteTable({ version: 0, routes: [], services: new Map(), limits: { maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 } }),
     list: undefined,
     scheduler: newSchedulerState(self, { times: leaseTimes(options.leaseBounds), ...options.policy === undefined ? {} : { policy: options.policy } }),
-    serving: { ...newServingState({ ...options, instance: self.instance }), historyKnown: false },
+    serving: { ...newServingState({ ...options, instance: self.instance }), historyKnown: false, versionsConfirmedAtMs: -Infinity },
     received: undefined,
     heartbeatInFlight: false,
     heartbeatAtMs: -Infinity,
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -3,7 +3,7 @@
 import { noteContact } from '@berylshed/serving'
 import { fleetView, type Instant, type SchedulerEvent } from '@berylshed/scheduler'
 import { applyArchiveEvent, holdStream, maintainArchive } from './_archive_origins.ts'
-import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, instancesOf } from './_peer_heartbeat.ts'
+import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, confirmVersions, instancesOf } from './_peer_heartbeat.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect, EdgeRecord } from './edge_effect.ts'
 import type { EdgeEvent } from './edge_event.ts'
@@ -45,7 +45,7 @@
     case 'configured': return _applyConfiguration(state, event)
     case 'listed': return _applyList(state, event.list, { from: 'store', at: event.at })
     case 'upstreams_updated': return _applyList(state, applyUpstreamUpdate(state.list ?? NO_UPSTREAMS, event.update), { from: 'peer', at: event.at })
-    case 'registry_read': return step({ ...state, registryReads: { ...state.registryReads, [event.what]: event.at.nowMs } })
+    case 'registry_read': return step(_applyRead(state, event))
     case 'heartbeat_received': return applyReport(state, event.request, event.at)
     case 'heartbeat_answered': return applyHolderAnswer(state, event.answer, event.at)
     case 'heartbeat_failed': return _handleHeartbeatFailure(state, event)
@@ -55,6 +55,11 @@
   }
 }
 
+function _applyRead (state: EdgeState, { what, sentAtMs, at }: Extract<EdgeEvent, { subject: 'registry_read' }>): EdgeState {
+  const read = { ...state, registryReads: { ...state.registryReads, [what]: at.nowMs } }
+  return what === 'upstreams' ? confirmVersions(read, sentAtMs) : read
+}
+
 function _applyLeasedQuarantines (state: EdgeState, event: SchedulerEvent): EdgeStep {
   const quarantines = event.kind === 'lease_read' || event.kind === 'lease_conflicted' ? event.lease?.quarantines ?? [] : []
   if (quarantines.length === 0) return step(state)
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -274,7 +274,7 @@
     listed: (list) => loop.dispatch({ subject: 'listed', list, at: at() }),
     newestList: () => loop.state().list,
     isRelayed: () => isRegistryRelayed(loop.state(), nowMs()),
-    read: (what) => loop.dispatch({ subject: 'registry_read', what, at: at() }),
+    read: (what, sentAtMs) => loop.dispatch({ subject: 'registry_read', what, sentAtMs, at: at() }),
     lost: (name, reason) => {
       metrics.countDependency(name, 'lost')
       logger.write('dependencies', { what: 'lost', name, reason })
--- a/packages/edge/shared_origins_test.ts
+++ b/packages/edge/shared_origins_test.ts
@@ -74,6 +74,37 @@
   t.is(exchange(resumed.state, told.holder, 2401, resumed.heartbeat).upstream, begun.upstream)
 })
 
+test('an instance that missed a new software version does not resume its streams at the old one', (t) => {
+  const old = applyRegistrationChanges(NO_UPSTREAMS, [{ id: OLD.id, upstream: OLD }], { revision: 5 })
+  const missing = apply(start('late'),
+    { subject: 'configured', configuration: { ...configuration, version: 5, services: new Map([['drafts', { name: 'drafts', engine }]]) }, from: 'store', at: at(0) },
+    { subject: 'listed', list: old, at: at(0) },
+    { subject: 'archive', event: { kind: 'history_read', version: 0, value: '' }, at: at(0) },
+    { subject: 'registry_read', what: 'upstreams', sentAtMs: 10, at: at(20) },
+    { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 1, lease: { fence: 1, holder: { instance: 'holder', incarnation: 'holder', address: 'holder' }, writeId: 'w' }, ...at(0) } })
+  const told = exchange(begin(know(start('a'), 'holder'), 'r', 1000).state, know(startHolder(), 'holder'), 1300)
+  const resumed = serve(missing, stream('s', 1400, 'unknown'))
+  t.is(resumed.upstream, undefined, 'not sent before the versions are confirmed')
+  const answered = exchange(resumed.state, told.holder, 1401, resumed.heartbeat)
+  t.is(answered.upstream, undefined, 'the holder knows of another version, so the origin decides')
+  const refused = reduceEdge(answered.instance, { subject: 'tick', at: at(3000) }).effects.flatMap((effect) => effect.subject === 'serving' && effect.effect.kind === 'refuse' ? [effect.effect.refusal] : [])
+  t.deepEqual(refused.map(({ reason, status }) => [reason, status]), [['unknown_origin', 503]])
+})
+
+test('an instance that is in step resumes a stream of unknown origin at the only software version', (t) => {
+  const only = (state: EdgeState): EdgeState => {
+    const list = applyRegistrationChanges(NO_UPSTREAMS, [{ id: OLD.id, upstream: OLD }], { revision: 10 })
+    const lease: Lease = { fence: 1, holder: { instance: 'holder', incarnation: 'holder', address: 'holder' }, writeId: 'w' }
+    const known = apply(state,
+      { subject: 'configured', configuration: { ...configuration, version: 5, services: new Map([['drafts', { name: 'drafts', engine }]]) }, from: 'store', at: at(0) },
+      { subject: 'listed', list, at: at(0) },
+      { subject: 'archive', event: { kind: 'history_read', version: 0, value: '' }, at: at(0) })
+    return state.scheduler.held === undefined ? apply(known, { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 1, lease, ...at(0) } }) : known
+  }
+  const resumed = serve(only(start('b')), stream('s', 1400, 'r'))
+  t.is(exchange(resumed.state, only(startHolder()), 1401, resumed.heartbeat).upstream, 'old')
+})
+
 test('origins outlast both the instance that began the stream and the holder', (t) => {
   const begun = begin(know(start('a'), 'holder'), 'r', 2000)
   const told = exchange(begun.state, know(startHolder(), 'holder'), 2300)
--- a/packages/serving/_pin_streams.ts
+++ b/packages/serving/_pin_streams.ts
@@ -27,13 +27,15 @@
  * Pins a request that resumes a stream to the software version that began it.
  *
  * The version is the one that the stream's origin names, or the only one that upstreams of the service run and are known to have run
- * recently.
+ * recently. An instance that was cut off or suspended may not know of a version that others have begun streams at, so the only one
+ * counts if that was confirmed since the request arrived.
  */
 export function pinRequest (state: ServingState, request: Request, nowMs: number): Request {
   if (request.resumedAttempt === undefined || request.softwareVersion !== undefined) return request
   const origin = Option.getOrUndefined(HashMap.get(state.origins.byAttempt, request.resumedAttempt))
   const [version, ...others] = possibleVersions(state.softwareVersions, request.service, nowMs)
-  const softwareVersion = origin?.softwareVersion ?? (others.length === 0 && state.historyKnown ? version : undefined)
+  const isOnly = others.length === 0 && state.historyKnown && state.versionsConfirmedAtMs >= request.arrivedAtMs
+  const softwareVersion = origin?.softwareVersion ?? (isOnly ? version : undefined)
   return softwareVersion === undefined ? request : { ...request, softwareVersion }
 }
 
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -66,6 +66,8 @@
   readonly origins: StreamOrigins
   /** Whether `softwareVersions` includes what earlier processes of all instances have seen, so that one alone began every stream. */
   readonly historyKnown: boolean
+  /** Local time up to which others are known to have seen no version that `softwareVersions` lacks, in ms. */
+  readonly versionsConfirmedAtMs: number
   /** When upstreams last ran each software version, by service. */
   readonly softwareVersions: SoftwareVersions
   /** Local time at which the software versions were last noted, in ms. */
@@ -125,6 +127,7 @@
     evidence: NO_CRASH_EVIDENCE,
     origins: NO_STREAM_ORIGINS,
     historyKnown: true,
+    versionsConfirmedAtMs: Infinity,
     softwareVersions: new Map(),
     versionsNotedAtMs: -Infinity,
     requestRates: HashMap.empty(),
