Skip registrations with an impossible address, and outlast exceptions of effects

Cause: an address was decoded as any string. Node throws at once on a port out of range or a header with control characters; from a caller's event that reset the caller's connection, from a timer it ended the process.

Change: address, slots and name are checked where wire values are decoded, and a refused entry is logged and left out.

--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -130,17 +130,28 @@
     timer = setTimeout(() => { if (!paused) fail(failure, `no progress within ${timeoutMs} ms`) }, timeoutMs)
   }
 
-  const request: ClientRequest = httpRequest({
-    host: attempt.host,
-    port: attempt.port,
-    method: attempt.method,
-    path: attempt.path,
-    agent: attempt.reuseConnection ? keptConnections : freshConnections,
-    setHost: false,
-    headers: attempt.headers
-  })
+  let request: ClientRequest
+  try {
+    request = openRequest()
+  } catch (error) {
+    // Node throws at once if the address or a header is invalid, before the caller has the attempt.
+    setImmediate(() => settle(() => hooks.failed('not_connected', error instanceof Error ? error.message : String(error))))
+    return { cancel: () => settle(() => {}), resume: () => {} }
+  }
   arm(attempt.connectTimeoutMs, 'not_connected')
 
+  function openRequest (): ClientRequest {
+    return httpRequest({
+      host: attempt.host,
+      port: attempt.port,
+      method: attempt.method,
+      path: attempt.path,
+      agent: attempt.reuseConnection ? keptConnections : freshConnections,
+      setHost: false,
+      headers: attempt.headers
+    })
+  }
+
   // Sends nothing before the connection is established, so that a failed connection implies that no byte was sent.
   request.on('socket', (socket) => {
     const send = (): void => {
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -89,7 +89,8 @@
       storeWritesPerS: settings.storeWritesPerS
     }),
     reduce: reduceEdge,
-    perform
+    perform,
+    failed: logFailure
   })
   const metrics = createEdgeMetrics(() => _gaugeValues(loop.state(), { logger, nowMs: nowMs() }))
   const exchanges = createExchanges({
--- a/packages/platform/_decode_upstream.ts
+++ b/packages/platform/_decode_upstream.ts
@@ -1,7 +1,7 @@
 import type { LocalCopies, EngineReport, ResidentModel, Upstream } from '@berylshed/fleet'
 import { checkDocument, type Finding } from '@berylshed/settings'
 import { Schema } from 'effect'
-import type { Result } from 'neverthrow'
+import { err, type Result } from 'neverthrow'
 
 const WireResidents = Schema.Array(Schema.Struct({
   Name: Schema.String,
@@ -14,13 +14,18 @@
   OnDisk: Schema.optionalKey(Schema.Array(Schema.String))
 })
 
+/** Maximum number of requests that an upstream can claim to run at once; far above that of any engine. */
+const MAX_SLOTS = 100_000
+const MAX_PORT = 65_535
+
 const WireUpstream = Schema.Struct({
   Service: Schema.String,
-  Address: Schema.String,
+  // Host and port; connections to anything else fail with an exception.
+  Address: Schema.String.check(Schema.makeFilter((address: string) => _isAddress(address) || 'Expected HOST:PORT with a port from 1 to 65535')),
   Zone: Schema.String,
   // Of the upstream's software, not of the weights of a model.
   Version: Schema.optionalKey(Schema.String),
-  Slots: Schema.Number,
+  Slots: Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: MAX_SLOTS })),
   State: Schema.Literals(['ready', 'draining']),
   // `Sequence` is omitted: in a registration it counts heartbeats, unlike in a report, where it counts orders.
   Models: Schema.optionalKey(WireResidents),
@@ -41,8 +46,15 @@
   born: Schema.optionalKey(Schema.Int)
 })
 
+function _isAddress (address: string): boolean {
+  const port = Number(/^[\w.-]+:(\d{1,5})$/.exec(address)?.[1] ?? 0)
+  return port >= 1 && port <= MAX_PORT
+}
+
 /** Decodes the registration of an upstream; a malformed entry of another writer yields findings. */
 export function decodeUpstream (id: string, value: unknown): Result<Upstream, readonly Finding[]> {
+  // The id is sent in a header.
+  if (!/^[\x21-\x7e]+$/.test(id)) return err([{ source: `upstream ${JSON.stringify(id)}`, line: undefined, path: '', message: 'Expected a name of printable ASCII characters without spaces' }])
   return checkDocument(value, WireUpstream, { source: `upstream ${id}`, unknownKeys: 'ignored' }).map((wire): Upstream => ({
     id,
     service: wire.Service,
--- a/packages/platform/http_call.ts
+++ b/packages/platform/http_call.ts
@@ -1,4 +1,4 @@
-import { Agent, request as httpRequest, type IncomingHttpHeaders, type OutgoingHttpHeaders } from 'node:http'
+import { Agent, request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type OutgoingHttpHeaders } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
 
 /** An HTTP call with a limit on its duration and on the size of the response body. */
@@ -50,7 +50,12 @@
       request.destroy()
     }
     const headers = { ...call.headers, 'content-length': Buffer.byteLength(call.body ?? '') }
-    const request = httpRequest(call.url, { method: call.method, headers, agent: call.agent ?? false })
+    let request: ClientRequest
+    try {
+      request = httpRequest(call.url, { method: call.method, headers, agent: call.agent ?? false })
+    } catch (error) {
+      return resolve(err({ kind: 'not_connected', message: error instanceof Error ? error.message : String(error) }))
+    }
     const timer = setTimeout(() => fail(connected ? 'timeout' : 'not_connected', `No response from ${call.url} within ${call.timeoutMs} ms`), call.timeoutMs)
     request.on('socket', (socket) => {
       connected = !socket.connecting
--- a/packages/reducer/event_loop.ts
+++ b/packages/reducer/event_loop.ts
@@ -8,6 +8,8 @@
   reduce (state: State, event: Event): Step<State, Effect>
   /** Carries out an effect; events that it dispatches are reduced after the current one. */
   perform (effect: Effect): void
+  /** Called with an exception of the reducer, whose event is dropped, or of an effect. */
+  failed (error: unknown): void
 }
 
 /** Event loop around a reducer. */
@@ -29,7 +31,7 @@
  *
  * @example
  * ```ts
- * const loop = createEventLoop({ initial: 0, reduce: (sum, n: number) => step(sum + n), perform: () => {} })
+ * const loop = createEventLoop({ initial: 0, reduce: (sum, n: number) => step(sum + n), perform: () => {}, failed: console.error })
  * loop.dispatch(2)
  * console.log(loop.state()) // 2
  * ```
@@ -39,15 +41,33 @@
   let { initial: state } = options
   let running = false
 
+  function reduce (event: Event): readonly Effect[] {
+    try {
+      const reduced = options.reduce(state, event)
+      state = reduced.state
+      return reduced.effects
+    } catch (error) {
+      options.failed(error)
+      return []
+    }
+  }
+
+  // An exception of one effect must not keep the others from being carried out.
+  function perform (effect: Effect): void {
+    try {
+      options.perform(effect)
+    } catch (error) {
+      options.failed(error)
+    }
+  }
+
   function dispatch (event: Event): void {
     queue.push(event)
     if (running) return
     running = true
     try {
       for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
-        const reduced = options.reduce(state, next)
-        state = reduced.state
-        for (const effect of reduced.effects) options.perform(effect)
+        for (const effect of reduce(next)) perform(effect)
       }
     } finally {
       running = false
