Trust a refusal of a booking only with its id, and once per upstream

Change: for a request that may run once, a refusal without an id leaves the outcome unknown (502) and is not retried; 421 is exempt, as it comes from another upstream than the one meant, on a connection of its own. And an upstream that has refused such a request does not get it again; if all have, the caller is told so. Requests that may run twice go on as before.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -138,7 +138,7 @@
     const { exchange } = entry
     const { request, attempt, relay } = effect
     entry.running = forwardAttempt({
-      id: exchange.callerId, method: exchange.method, path: exchange.path, body: exchange.body, connectTimeoutMs: CONNECT_TIMEOUT_MS, ...target
+      id: exchange.callerId, runsOnce: !request.retryable, method: exchange.method, path: exchange.path, body: exchange.body, connectTimeoutMs: CONNECT_TIMEOUT_MS, ...target
     }, {
       announced: (announcement) => { if (relay === undefined) announce(effect.upstream, announcement) },
       events: (head, chunk, lastEventId) => relayEvents(entry, { head, attempt }, { chunk, lastEventId }),
--- a/packages/edge/_test_upstream.ts
+++ b/packages/edge/_test_upstream.ts
@@ -54,6 +54,7 @@
       path: '/x',
       headers: ['Host', 'api.example', 'Attempt-Id', 'a1', 'Connection', 'close', 'Content-Length', '4'],
       body: Buffer.from('body'),
+      runsOnce: false,
       reuseConnection: false,
       connectTimeoutMs: 2000,
       firstByteTimeoutMs: 2000,
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -38,6 +38,8 @@
   /** Alternating header names and values. */
   readonly headers: readonly string[]
   readonly body: Buffer
+  /** Whether a statement that the request was not executed counts only with its id, as another request must not run twice for it. */
+  readonly runsOnce: boolean
   /** Whether an idle connection may be reused, at the risk that the upstream is closing it. */
   readonly reuseConnection: boolean
   readonly connectTimeoutMs: number
@@ -188,6 +190,7 @@
     const facts = readResponseHeaders(status, incoming.headers)
     if (facts.id !== undefined && facts.id !== attempt.id) return fail('crossed', `response carries attempt id ${facts.id}`)
     if (facts.id === attempt.id) hooks.announced(facts)
+    if (facts.notRun && facts.id === undefined && !facts.misdirected && attempt.runsOnce) return fail('malformed', `status ${status} without an attempt id does not tell which request was not executed`)
     if (facts.notRun) return fail(facts.misdirected ? 'misdirected' : 'refused', `status ${status}`)
     if (facts.id === undefined) return fail('malformed', `status ${status} without an attempt id`)
     const succeeded = status >= FIRST_SUCCESS && status < FIRST_REDIRECT
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -64,6 +64,7 @@
     ...request,
     phase: responding ? 'interrupted' : 'waiting',
     runs: notRun ? request.runs - 1 : request.runs,
+    refusedBy: !request.retryable && (failure === 'refused' || failure === 'misdirected') ? [...request.refusedBy, attempt.upstream] : request.refusedBy,
     waitingSinceMs: nowMs,
     hasErrorResponse: request.hasErrorResponse || failure === 'upstream_error'
   }
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -125,7 +125,7 @@
  */
 export function offersModel (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
   const { request, nowMs } = query
-  if (target.service !== request.service || isLeaving(state, target)) return false
+  if (target.service !== request.service || isLeaving(state, target) || request.refusedBy.includes(target.upstream)) return false
   if (request.softwareVersion !== undefined && request.softwareVersion !== target.softwareVersion) return false
   if (request.model === undefined || target.models === undefined) return true
   const targetModel = target.models.get(request.model)
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -77,7 +77,7 @@
 
 function _admit (state: ServingState, received: ReceivedRequest, nowMs: number): _Step {
   const request: Request = {
-    ...received, phase: 'waiting', softwareVersion: received.handover?.softwareVersion, attempts: [], runs: 0, abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, hasErrorResponse: false
+    ...received, phase: 'waiting', softwareVersion: received.handover?.softwareVersion, attempts: [], runs: 0, refusedBy: [], abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, hasErrorResponse: false
   }
   const { model, service } = request
   // The instance that handed a request over has counted it.
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -72,6 +72,11 @@
   readonly attempts: readonly Attempt[]
   /** Attempts that may have run the request. */
   readonly runs: number
+  /**
+   * Upstreams that said they had not run a request which may run once. They may write that again when it is sent to them again, and
+   * all attempts carry the same id.
+   */
+  readonly refusedBy: readonly string[]
   /** Whether the caller has disconnected; the request is kept only to count its load on the upstream. */
   readonly abandoned: boolean
   /** Local time at which the request was last queued, in ms. */
