Tell new processes how many instances share the limits, and let their slack grow

Cause: a process that has not heard from a lease holder took itself for the only instance, so that each of 30 processes that start together had the whole slack of the retry budget, and whole limits. A new holder counted only those that had reported to it. And a new process began with a fresh slack in a window in which its predecessor had spent one.

Change: the lease names the number of instances. A new process shares by it until a holder answers, and a new holder counts at least as many until all have had time to report. The slack of a new process grows over its first window. Builds before this one ignore the new member of the lease, and a lease without it counts as 1.

--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -25,7 +25,7 @@
   const reduced = reduceServing(state.serving, event)
   const effects = reduced.effects.filter((effect) => !REPORTED_EFFECTS.includes(effect.kind)).map((effect): EdgeEffect => ({ subject: 'serving', effect }))
   const heartbeatDue = state.heartbeatDue || reduced.effects.some((effect) => REPORTED_EFFECTS.includes(effect.kind))
-  const scheduler = { ...state.scheduler, quarantines: reduced.state.evidence.quarantines, isolated: isIsolated(reduced.state, event.nowMs) }
+  const scheduler = { ...state.scheduler, quarantines: reduced.state.evidence.quarantines, instances: reduced.state.instances, isolated: isIsolated(reduced.state, event.nowMs) }
   return step({ ...state, serving: reduced.state, scheduler, heartbeatDue }, effects)
 }
 
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -239,6 +239,8 @@
 /**
  * Counts the instances that share limits.
  *
+ * A new holder counts at least those that the lease names, until all instances have had time to report to it.
+ *
  * @param state The state of an instance.
  * @param at The time by both clocks.
  * @returns The number, this instance included.
@@ -249,7 +251,8 @@
  * ```
  */
 export function instancesOf (state: EdgeState, at: Instant): number {
-  return _otherInstances(state, at).length + 1
+  const isNew = state.heldSinceMs === undefined || at.nowMs - state.heldSinceMs < INSTANCE_LIFE_MS
+  return Math.max(_otherInstances(state, at).length + 1, isNew ? state.leasedInstances : 1)
 }
 
 // Names of the other instances that have reported recently.
@@ -268,6 +271,7 @@
     ...state,
     heartbeatInFlight: false,
     heartbeatAtMs: at.nowMs,
+    leasedInstances: answer.instances,
     updateWantedSince: answer.wantsNews ? answer.listRevision : undefined,
     received: view.validMs > 0 ? _merge(state.received, answer, at) : state.received,
     evidenceExchange: _exchangeWith(state, state.evidenceExchange, { answer, update: answer.evidence }),
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -72,6 +72,8 @@
   /** Writes per second that the store takes from all instances together. */
   readonly storeWritesPerS: number
   /** Host and port at which other instances hand over requests. */
+  /** Number of instances that shared limits when the newest lease was written; 1 if it does not tell. */
+  readonly leasedInstances: number
   /** Local time since which this instance has held the lease without a break, in ms; undefined if it does not hold it. */
   readonly heldSinceMs: number | undefined
   readonly relayAddress: string
@@ -85,6 +87,8 @@
   readonly leaseBounds: LeaseBounds
   /** Number between 0 and 1 that differs between instances; 1 by default. */
   readonly phase?: number
+  /** Local time at which the process started, in ms; long ago by default. */
+  readonly startedAtMs?: number
   /** Writes per second that the store takes from all instances together; those of the smallest deployment by default. */
   readonly storeWritesPerS?: number
   /** Host and port at which other instances hand over requests; none by default. */
@@ -128,6 +132,7 @@
     tickedAt: { nowMs: 0, clockMs: 0 },
     draining: false,
     storeWritesPerS: options.storeWritesPerS ?? DEFAULT_STORE_WRITES_PER_S,
+    leasedInstances: 1,
     heldSinceMs: undefined,
     relayAddress: options.relayAddress ?? ''
   }
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -41,7 +41,7 @@
 function _reduce (state: EdgeState, event: EdgeEvent): EdgeStep {
   switch (event.subject) {
     case 'serving': return applyServingEvent(state, event.event)
-    case 'scheduler': return chain(chain(applySchedulerEvent(state, event.event), (s) => _applyLeasedQuarantines(s, event.event)), (s) => _applyEngineContact(s, event.event))
+    case 'scheduler': return chain(chain(applySchedulerEvent(state, event.event), (s) => _applyLeased(s, event.event)), (s) => _applyEngineContact(s, event.event))
     case 'configured': return _applyConfiguration(state, event)
     case 'listed': return _applyList(state, event.list, { from: 'store', at: event.at })
     case 'upstreams_updated': return _applyList(state, applyUpstreamUpdate(state.list ?? NO_UPSTREAMS, event.update), { from: 'peer', at: event.at })
@@ -55,15 +55,25 @@
   }
 }
 
+// Until a holder tells the number of instances, a new process would take all limits for itself.
+function _applyLeasedInstances (state: EdgeState, leasedInstances: number): EdgeState {
+  if (leasedInstances === state.leasedInstances && leasedInstances <= state.serving.instances) return state
+  const isTold = state.received !== undefined || state.scheduler.held !== undefined
+  const instances = isTold ? state.serving.instances : Math.max(state.serving.instances, leasedInstances)
+  return { ...state, leasedInstances, serving: { ...state.serving, instances }, scheduler: { ...state.scheduler, instances } }
+}
+
 function _applyRead (state: EdgeState, { what, sentAtMs, at }: Extract<EdgeEvent, { subject: 'registry_read' }>): EdgeState {
   const read = { ...state, registryReads: { ...state.registryReads, [what]: at.nowMs } }
   return what === 'upstreams' ? confirmVersions(read, sentAtMs) : read
 }
 
-function _applyLeasedQuarantines (state: EdgeState, event: SchedulerEvent): EdgeStep {
-  const quarantines = event.kind === 'lease_read' || event.kind === 'lease_conflicted' ? event.lease?.quarantines ?? [] : []
-  if (quarantines.length === 0) return step(state)
-  return applyServingEvent(state, { kind: 'evidence_received', update: { suspicions: [], quarantines }, nowMs: event.nowMs })
+function _applyLeased (state: EdgeState, event: SchedulerEvent): EdgeStep {
+  if (event.kind !== 'lease_read' && event.kind !== 'lease_conflicted') return step(state)
+  const counted = _applyLeasedInstances(state, event.lease?.instances ?? 1)
+  const quarantines = event.lease?.quarantines ?? []
+  if (quarantines.length === 0) return step(counted)
+  return applyServingEvent(counted, { kind: 'evidence_received', update: { suspicions: [], quarantines }, nowMs: event.nowMs })
 }
 
 // The holder polls all engines, so it learns of a lost path even without requests.
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -85,6 +85,7 @@
       retryBudget: { ratio: bounds.retryBudgetRatio, minRetries: bounds.freeRetriesPerWindow, windowMs: bounds.retryWindowMs },
       leaseBounds: bounds,
       phase: Math.random(),
+      startedAtMs: nowMs(),
       relayAddress: settings.relayAddress,
       storeWritesPerS: settings.storeWritesPerS
     }),
--- a/packages/scheduler/_hold_lease.ts
+++ b/packages/scheduler/_hold_lease.ts
@@ -90,7 +90,7 @@
 }
 
 function _startWrite (state: SchedulerState, lease: Pick<Lease, 'fence' | 'holder'>, at: Instant): _Step {
-  const newLease: Lease = { ...lease, writeId: `${state.self.incarnation}#${state.nextId}`, quarantines: quarantineRecords(state.quarantines, at.nowMs) }
+  const newLease: Lease = { ...lease, writeId: `${state.self.incarnation}#${state.nextId}`, quarantines: quarantineRecords(state.quarantines, at.nowMs), instances: state.instances }
   const expectedVersion = state.leaseVersion ?? 0
   const pending = { lease: newLease, expectedVersion, startedAt: at, retryAtMs: at.nowMs + state.times.writeTimeoutMs }
   return step({ ...state, pending, nextId: state.nextId + 1 }, [{ kind: 'write_lease', era: state.leaseEra, expectedVersion, lease: newLease }])
--- a/packages/scheduler/lease.ts
+++ b/packages/scheduler/lease.ts
@@ -18,6 +18,8 @@
   readonly writeId: string
   /** Quarantines that the holder knew of, so that they outlast all processes; absent if an earlier release wrote the lease. */
   readonly quarantines?: readonly QuarantineRecord[]
+  /** Number of instances that shared limits when the lease was written; absent if an earlier release wrote the lease. */
+  readonly instances?: number
 }
 
 /** Timing parameters of the lease. */
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -53,6 +53,8 @@
   readonly pending: PendingLeaseWrite | undefined
   /** Quarantines that the next write of the lease includes, by what is banned. */
   readonly quarantines: ReadonlyMap<string, Quarantine>
+  /** Number of instances that share limits, which the next write of the lease includes. */
+  readonly instances: number
   /** Set while this process holds the lease. */
   readonly held: HeldLease | undefined
   readonly lastTick: Instant | undefined
@@ -108,6 +110,7 @@
     holderRefusesConnections: false,
     pending: undefined,
     quarantines: new Map(),
+    instances: 1,
     held: undefined,
     lastTick: undefined,
     engines: new Map(),
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -98,7 +98,7 @@
   if (isSuspectedRequest(state.evidence, request)) return stop('suspected_crash')
   const window = state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW
   const arrived = failure !== 'not_connected' && failed.relay === undefined
-  if (arrived && !isRetryAllowed(window, state.retryBudget, { instances: state.instances, nowMs })) return stop('retry_budget')
+  if (arrived && !isRetryAllowed(window, state.retryBudget, { instances: state.instances, nowMs, startedAtMs: state.startedAtMs })) return stop('retry_budget')
   return enqueueRequest(state, request, nowMs)
 }
 
--- a/packages/serving/retry_window.ts
+++ b/packages/serving/retry_window.ts
@@ -55,22 +55,24 @@
  * Reports whether another retry stays within the budget shared by all instances.
  *
  * Each instance may retry in proportion to its own first attempts and has an equal share of the additional retries, so
- * that the sum stays within the budget without coordination.
+ * that the sum stays within the budget without coordination. A new process does not know what its predecessor spent, so its
+ * share grows over the first window.
  *
  * @param window The instance's own attempts.
  * @param budget The budget of all instances together.
- * @param options The number of instances and the local time in ms.
+ * @param options The number of instances, the local time and the time at which the process started, in ms.
  * @returns Whether a retry is allowed.
  *
  * @example
  * ```ts
- * console.log(isRetryAllowed(EMPTY_RETRY_WINDOW, { ratio: 0.2, minRetries: 40, windowMs: 10_000 }, { instances: 4, nowMs: 0 })) // true
+ * console.log(isRetryAllowed(EMPTY_RETRY_WINDOW, { ratio: 0.2, minRetries: 40, windowMs: 10_000 }, { instances: 4, nowMs: 0, startedAtMs: -10_000 })) // true
  * ```
  */
-export function isRetryAllowed (window: RetryWindow, budget: RetryBudget, options: { readonly instances: number, readonly nowMs: number }): boolean {
+export function isRetryAllowed (window: RetryWindow, budget: RetryBudget, options: { readonly instances: number, readonly nowMs: number, readonly startedAtMs: number }): boolean {
   const firstSecond = Math.floor((options.nowMs - budget.windowMs) / MS_PER_SECOND)
   const recent = window.seconds.filter(({ second }) => second >= firstSecond)
   const firstAttempts = recent.reduce((sum, second) => sum + second.firstAttempts, 0)
   const retries = recent.reduce((sum, second) => sum + second.retries, 0)
-  return retries + 1 <= USABLE_BUDGET_SHARE * (budget.ratio * firstAttempts + budget.minRetries / Math.max(1, options.instances))
+  const known = Math.min(1, Math.max(0, options.nowMs - options.startedAtMs) / budget.windowMs)
+  return retries + 1 <= USABLE_BUDGET_SHARE * (budget.ratio * firstAttempts + known * budget.minRetries / Math.max(1, options.instances))
 }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -34,6 +34,8 @@
   readonly retryBudget: RetryBudget
   /** Number between 0 and 1 that differs between instances. */
   readonly phase: number
+  /** Local time at which this process started, in ms. */
+  readonly startedAtMs: number
   /** Number of instances that share the retry budget, including this one. */
   readonly instances: number
   readonly requests: HashMap.HashMap<string, Request>
@@ -90,6 +92,8 @@
   readonly retryBudget: RetryBudget
   /** Number between 0 and 1 that differs between instances; 1 by default. */
   readonly phase?: number
+  /** Local time at which the process started, in ms; long ago by default. */
+  readonly startedAtMs?: number
 }
 
 /**
@@ -107,6 +111,7 @@
   return {
     instance: '',
     phase: 1,
+    startedAtMs: -Infinity,
     ...options,
     instances: 1,
     requests: HashMap.empty(),
