Follow the holder of earlier builds rather than become a second one

Cause: the object of an era was created as soon as it was missing, whoever held the object of earlier builds.

Change: where the object of the era does not exist, the one of earlier builds is read. While it is renewed, an instance follows its holder, by heartbeats that both builds read; it takes over with a higher token once that object has been quiet for a second longer than instances of earlier builds need to take it over.

--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -28,7 +28,7 @@
 const TICK_MS = 40
 /** Kind of the objects that hold the origins of streams. */
 const ARCHIVE_KIND = 'berylshed-origins'
-/** Key of the lease in the store, which the era of the store completes. */
+/** Key of the lease in the store, which the era of the store completes; alone it is that of earlier builds. */
 const LEASE_KEY = 'berylshed-leases/scheduler'
 /**
  * Time for which a draining instance accepts new callers, in ms. The load balancer removes an instance after two failed
@@ -184,11 +184,14 @@
   async function readLease (): Promise<void> {
     const era = store.era()
     const read = await store.read(`${LEASE_KEY}-${era}`)
+    const legacy = read.isOk() && read.value.version === 0 ? await store.read(LEASE_KEY) : undefined
     if (store.era() !== era) return await readLease()
     loop.dispatch({
       subject: 'scheduler',
-      event: read.match(
-        ({ version, value }) => ({ kind: 'lease_read', era, version, lease: _parseLease(value), ...at() }),
+      event: (legacy ?? read).match(
+        ({ version, value }) => legacy === undefined || version === 0
+          ? { kind: 'lease_read', era, version, lease: _parseLease(value), ...at() }
+          : { kind: 'lease_read', era, version: 0, lease: _parseLease(value), legacy: true, ...at() },
         () => ({ kind: 'lease_read_failed', ...at() }))
     })
   }
--- a/packages/scheduler/_hold_lease.ts
+++ b/packages/scheduler/_hold_lease.ts
@@ -21,6 +21,8 @@
  * lease before it sends further orders.
  */
 const SUSPENSION_GAP_MS = 1000
+/** Additional time for which the lease of earlier builds has to be quiet, in ms; their own instances take it over first. */
+const LEGACY_MARGIN_MS = 1000
 /** Additional time for which an instance that reaches no engine does not take the lease, in ms. */
 const ISOLATED_DELAY_MS = 3000
 
@@ -111,6 +113,8 @@
   if (holder === undefined && state.leaseVersion > 0) return true
   // A missing lease object may be one that a restored store has lost, while its holder is still active.
   const quietMs = at.nowMs - state.quietSinceMs
+  // The holder of an earlier build knows nothing of the object of this era, so two would give orders.
+  if (state.legacyLease && holder !== undefined) return quietMs >= state.times.takeoverMs + LEGACY_MARGIN_MS
   // A holder with the name of this instance is an earlier process of it, which has ended.
   const holderEnded = holder === undefined || state.holderRefusesConnections || holder.instance === state.self.instance
   if (holderEnded && state.times.outageMs > 0 && quietMs >= REFUSED_TAKEOVER_MS) return true
@@ -119,8 +123,9 @@
 
 /** Applies the lease read from the store. */
 export function observeLease (state: SchedulerState, observed: ObservedLease, at: Instant): _Step {
-  const changed = observed.version !== state.leaseVersion
-  const next: SchedulerState = { ...state, lease: observed.lease ?? state.lease, leaseVersion: observed.version, quietSinceMs: changed ? at.nowMs : state.quietSinceMs }
+  const legacyLease = observed.legacy === true
+  const changed = observed.version !== state.leaseVersion || (legacyLease && observed.lease?.writeId !== state.lease?.writeId)
+  const next: SchedulerState = { ...state, legacyLease, lease: observed.lease ?? state.lease, leaseVersion: observed.version, quietSinceMs: changed ? at.nowMs : state.quietSinceMs }
   const fence = observed.lease?.fence ?? 0
   if (state.held === undefined || fence <= state.held.fence) return step(next)
   return loseLease(next, `fence ${fence} was taken`)
@@ -130,6 +135,7 @@
 export interface ObservedLease {
   readonly version: number
   readonly lease: Lease | undefined
+  readonly legacy?: boolean
 }
 
 /**
@@ -168,7 +174,7 @@
   const { pending } = state
   if (pending === undefined || pending.lease.writeId !== written.writeId) return step(state)
   const { lease, startedAt } = pending
-  const observed: SchedulerState = { ...state, pending: undefined, lease, leaseVersion: written.version, quietSinceMs: at.nowMs }
+  const observed: SchedulerState = { ...state, legacyLease: false, pending: undefined, lease, leaseVersion: written.version, quietSinceMs: at.nowMs }
   if (lease.holder === null) {
     return step({ ...observed, held: undefined }, [{ kind: 'record', record: { what: 'lease_given_up', fence: lease.fence } }])
   }
--- a/packages/scheduler/scheduler_event.ts
+++ b/packages/scheduler/scheduler_event.ts
@@ -17,7 +17,14 @@
 export type SchedulerEvent = Instant & (
   | { readonly kind: 'configured', readonly configuration: Configuration }
   | { readonly kind: 'listed', readonly list: UpstreamList }
-  | { readonly kind: 'lease_read', readonly era: number, readonly version: number, readonly lease: Lease | undefined }
+  | {
+    readonly kind: 'lease_read'
+    readonly era: number
+    readonly version: number
+    readonly lease: Lease | undefined
+    /** Whether the object of the era does not exist, and the lease is that of builds which have one object for all eras. */
+    readonly legacy?: boolean
+  }
   | { readonly kind: 'lease_read_failed' }
   | { readonly kind: 'lease_written', readonly writeId: string, readonly version: number }
   | { readonly kind: 'lease_conflicted', readonly writeId: string, readonly version: number, readonly lease: Lease | undefined }
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -34,6 +34,8 @@
   readonly list: UpstreamList
   /** The last known lease, which may be of an era of the store before `leaseEra`. */
   readonly lease: Lease | undefined
+  /** Whether `lease` is that of builds which have one object for all eras, as no other one exists yet. */
+  readonly legacyLease: boolean
   /** Era of the store whose lease object is used; each era has an object of its own. */
   readonly leaseEra: number
   /** Store version of the lease object; 0 if it does not exist, undefined if it has not been read. */
@@ -102,6 +104,7 @@
     configuration: undefined,
     list: NO_UPSTREAMS,
     lease: undefined,
+    legacyLease: false,
     leaseEra: 0,
     leaseVersion: undefined,
     quietSinceMs: -Infinity,
