--- a/packages/serving/_apply_announcement.ts
+++ b/packages/serving/_apply_announcement.ts
@@ -7,8 +7,8 @@
 
 type _Step = Step<ServingState, ServingEffect>
 
-/** Time after the last response that says so for which the upstreams of a service count as brittle, in ms. */
-const BRITTLE_MS = 3000
+/** Time after the last response that says so for which the upstreams of a service count as brittle, in ms; outlasts pauses of its traffic. */
+const BRITTLE_MS = 15_000
 
 /** Applies what responses to this instance or to others say of brittle services. */
 export function applyBrittleServices (state: ServingState, services: readonly BrittleRecord[], nowMs: number): _Step {
--- a/packages/serving/upstream_owner_test.ts
+++ b/packages/serving/upstream_owner_test.ts
@@ -83,6 +83,19 @@
   t.true(next.apply({ kind: 'ticked', nowMs: NOTICED_MS + 620 }).some((effect) => effect.startsWith('send early#1 to u')))
 })
 
+test('a brittle service stays brittle while it has no traffic for some seconds', (t) => {
+  const relays = members(30)
+  const instances = newInstances(30)
+  const effects = instances.map((harness, i) => {
+    harness.apply({ kind: 'peer_loads_received', loads: [], instances: 30, nowMs: 0 })
+    harness.apply({ kind: 'upstream_announced', upstream: 'u1', leaving: false, retryAfterMs: undefined, maxRejectionsPerS: MAX_REJECTIONS_PER_S, nowMs: 0 })
+    confirm(harness, relays, 0)
+    confirm(harness, relays, 8000)
+    return receive(harness, `r${i}`, 8000)
+  })
+  t.is(effects.filter((effect) => effect.includes('relay')).length, 29)
+})
+
 test('an owner that hears from no lease holder stops owning', (t) => {
   const [, harness] = newInstances(2)
   if (harness === undefined) return t.fail()
