Revert the refusal at owners of requests that compete only for their upstreams

An owner refused as soon as its own queue was long, and the request then had too few other owners to try.

--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -166,11 +166,9 @@
  */
 export function ownedWaitMs (state: ServingState, request: Request, options: { readonly ahead: number, readonly nowMs: number }): number | undefined {
   const { ahead, nowMs } = options
-  const offered = [...state.targets.values()].filter((target) => offersModel(state, target, { request, nowMs }))
-  const own = offered.filter((target) => ownershipOf(state, target, nowMs).kind === 'own')
-  // A request that was handed over cannot be handed on.
-  if (own.length === 0 || (request.handover === undefined && own.length < offered.length)) return undefined
-  const perMs = own.reduce((sum, target) => {
+  const eligible = [...state.targets.values()].filter((target) => offersModel(state, target, { request, nowMs }))
+  if (eligible.length === 0 || eligible.some((target) => ownershipOf(state, target, nowMs).kind !== 'own')) return undefined
+  const perMs = eligible.reduce((sum, target) => {
     const limitPerMs = (state.limits.get(target.upstream)?.perS ?? Infinity) / MS_PER_SECOND
     return sum + Math.min(limitPerMs, target.slots / Math.max(1, targetLoad(state, target.upstream).firstByteMs))
   }, 0)
