Start the review cases again when a port was taken

Cause: a script that ran beside another one once found the system not ready; the ports are chosen before the processes take them. Change: up to three starts with other ports, and an end on SIGTERM.

--- a/review/standins/case.mjs
+++ b/review/standins/case.mjs
@@ -6,6 +6,8 @@
 const BROKEN = 1
 const NOT_RUN = 2
 const LIMIT_MS = 115_000
+const READY_MS = 12_000
+const MAX_STARTS = 3
 
 export const pause = (ms) => new Promise((resolve) => setTimeout(resolve, ms))
 
@@ -27,10 +29,18 @@
     process.exit(code)
   }
   setTimeout(() => { end(NOT_RUN, 'could not run: out of time').catch(() => process.exit(NOT_RUN)) }, LIMIT_MS).unref()
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => { end(NOT_RUN, 'could not run: stopped').catch(() => process.exit(NOT_RUN)) })
   try {
     const prepared = await prepare({ store, record, trouble })
-    system = await startInstances({ count, store, record })
-    if (!await system.allReady(30_000)) return await end(NOT_RUN, 'could not run: the system did not become ready')
+    for (let tries = 1; system === undefined; tries += 1) {
+      const started = await startInstances({ count, store, record })
+      system = started
+      if (await started.allReady(READY_MS)) break
+      if (tries === MAX_STARTS) return await end(NOT_RUN, 'could not run: the system did not become ready')
+      // Another process may have taken one of the ports meanwhile.
+      await started.stop()
+      system = undefined
+    }
     const { broken, text, ran = true } = await play({ store, record, system, trouble, ...prepared })
     if (!ran) return await end(NOT_RUN, `could not run: ${text}`)
     await end(broken ? BROKEN : HELD, `${broken ? 'broken' : 'held'}: ${text}`)
--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -20,12 +20,14 @@
 }
 
 // Returns the first of two consecutive ports that are free, below those that the system gives to outgoing connections.
-async function freePair () {
+async function freePair (taken) {
   for (;;) {
     const port = FIRST_PORT + 2 * Math.floor(Math.random() * PORT_PAIRS)
     const servers = await Promise.all([port, port + 1].map((number) => listen(number).catch(() => undefined)))
     await Promise.all(servers.map((server) => server === undefined ? undefined : new Promise((resolve) => server.close(resolve))))
-    if (servers.every((server) => server !== undefined)) return port
+    if (taken.has(port) || servers.some((server) => server === undefined)) continue
+    taken.add(port)
+    return port
   }
 }
 
@@ -43,7 +45,8 @@
 export async function startInstances ({ count, store, record }) {
   const folder = mkdtempSync(join(tmpdir(), 'review-'))
   const ports = []
-  for (let i = 0; i < count; i += 1) ports.push([await freePair(), await freePair(), await freePair()])
+  const taken = new Set()
+  for (let i = 0; i < count; i += 1) ports.push([await freePair(taken), await freePair(taken), await freePair(taken)])
   const seeds = ports.slice(0, 3).map(([, control]) => `127.0.0.1:${control}`)
   let stopping = false
   const instances = ports.map(([front, control, internal], i) => {
