Contain spoiled header names and transfer codings to one request

Cause: Node's parser accepts header names that its writer refuses (a space inside or behind a name, an empty name). writeHead threw in a 'data' event, outside of the event loop, and ended the process. For whole responses the exception was logged and the request forgotten.

Change: the headers of a response are checked where it is validated, before anything in it is believed, with Node's own validators. A transfer coding other than chunked is refused too, as Node leaves such a body undecoded. An exception in an exchange ends that exchange with 502, or breaks it off if it has begun; the request is released from the state, and one without an outcome 200 ms after its deadline is given up.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -75,8 +75,9 @@
     if (facts.id === '') return reject(call, 400, 'no_request_id')
     requestCount += 1
     const id = `${requestCount.toString(36)}.${facts.id}`
-    options.receive(toReceivedRequest(call, route, { id, body }), {
-      id, callerId: facts.id, callerAddress: call.callerAddress, relayed: call.handover !== undefined, method: request.method ?? 'GET', path, headers: request.rawHeaders, body, response
+    const received = toReceivedRequest(call, route, { id, body })
+    options.receive(received, {
+      id, callerId: facts.id, callerAddress: call.callerAddress, relayed: call.handover !== undefined, method: request.method ?? 'GET', path, headers: request.rawHeaders, body, deadlineMs: received.deadlineMs, response
     })
   }
 
--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Upstream } from '@berylshed/fleet'
 import { attemptHeaders, forwardedResponseHeaders, handoverAnswerHeaders, handoverHeaders, localResponseHeaders, readSoftwareVersion } from '@berylshed/platform'
-import type { Refusal, Relay, Request, AttemptFailure, ServingEffect, ServingEvent } from '@berylshed/serving'
+import { refusal, type Refusal, type Relay, type Request, type AttemptFailure, type ServingEffect, type ServingEvent } from '@berylshed/serving'
 import { forwardAttempt, type Announcement, type ForwardedAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
 
 /** Timeout for a connection to an upstream, in ms: many round trips within a region. */
@@ -18,6 +18,8 @@
 const EVENT_TIMEOUT_FACTOR = 2
 /** Share of the time left after which a retryable request is taken back from a relay that has not begun to respond. */
 const RELAY_TIMEOUT_SHARE = 0.6
+/** Time after its deadline at which an exchange without an outcome is given up, in ms: several ticks, which end requests in time. */
+const EXPIRY_SLACK_MS = 200
 const METHODS_WITHOUT_BODY = ['GET', 'HEAD', 'OPTIONS', 'DELETE']
 
 /** A caller's request as forwarded to upstreams, and the response to the caller. */
@@ -33,6 +35,8 @@
   /** Alternating header names and values, as the caller sent them. */
   readonly headers: readonly string[]
   readonly body: Buffer
+  /** Local time of the deadline, in ms. */
+  readonly deadlineMs: number
   readonly response: ServerResponse
 }
 
@@ -46,6 +50,8 @@
   /** Reports whether the origin of a request's stream has to be stored before its first event is forwarded. */
   needsStoredOrigin (id: string): boolean
   dispatch (event: ServingEvent): void
+  /** Called with an exception that ended an exchange. */
+  failed (error: unknown): void
 }
 
 interface _OpenExchange {
@@ -64,8 +70,12 @@
 /** Open exchanges of an instance with its callers. */
 export interface Exchanges {
   open (exchange: CallerExchange): void
-  /** Carries out an effect of request serving. */
+  /** Carries out an effect of request serving. An exception ends the exchange that it concerns. */
   perform (effect: ServingEffect): void
+  /** Ends an exchange whose request cannot be handled any further. */
+  giveUp (id: string): void
+  /** Gives up the exchanges whose deadline has passed without an outcome. */
+  expire (): void
   /** Returns the number of open exchanges. */
   size (): number
 }
@@ -141,7 +151,7 @@
       id: exchange.callerId, runsOnce: !request.retryable, method: exchange.method, path: exchange.path, body: exchange.body, connectTimeoutMs: CONNECT_TIMEOUT_MS, ...target
     }, {
       announced: (announcement) => { if (relay === undefined) announce(effect.upstream, announcement) },
-      events: (head, chunk, lastEventId) => relayEvents(entry, { head, attempt }, { chunk, lastEventId }),
+      events: (head, chunk, lastEventId) => contain(request.id, () => relayEvents(entry, { head, attempt }, { chunk, lastEventId })) ?? false,
       ended: (head, body) => completeAttempt(entry, { head, attempt }, body),
       failed: (failure, detail, errorResponse) => {
         entry.running = undefined
@@ -227,26 +237,58 @@
 
   function finish (id: string): void {
     const entry = openExchanges.get(id)
+    if (entry === undefined) return
+    const { exchange: { response }, buffered } = entry
+    if (!response.destroyed && !response.headersSent && buffered !== undefined) {
+      sendHead(entry, buffered.head, buffered.body.length)
+      response.end(buffered.body)
+    } else if (!response.destroyed) response.end()
     openExchanges.delete(id)
-    if (entry === undefined || entry.exchange.response.destroyed) return
-    const { response } = entry.exchange
-    if (response.headersSent || entry.buffered === undefined) {
-      response.end()
-      return
-    }
-    sendHead(entry, entry.buffered.head, entry.buffered.body.length)
-    response.end(entry.buffered.body)
   }
 
   function refuse (id: string, refused: Refusal): void {
     const entry = openExchanges.get(id)
-    openExchanges.delete(id)
     if (entry !== undefined) sendRefusal(entry.exchange.response, refused, { callerId: entry.exchange.callerId, close: options.isDraining(), relayed: entry.exchange.relayed })
+    openExchanges.delete(id)
+  }
+
+  // An exception while a request is handled must cost that request alone.
+  function contain<Result> (id: string, run: () => Result): Result | undefined {
+    try {
+      return run()
+    } catch (error) {
+      options.failed(error)
+      giveUp(id)
+      return undefined
+    }
+  }
+
+  function giveUp (id: string): void {
+    const entry = openExchanges.get(id)
+    if (entry === undefined) return
+    openExchanges.delete(id)
+    entry.running?.cancel()
+    const { callerId, relayed, response } = entry.exchange
+    sendRefusal(response, refusal('internal_error', { mayHaveRun: true }), { callerId, close: true, relayed })
+    options.dispatch({ kind: 'exchange_failed', id, nowMs: options.nowMs() })
+  }
+
+  function expire (): void {
+    const dueMs = options.nowMs() - EXPIRY_SLACK_MS
+    for (const [id, { exchange }] of openExchanges) {
+      if (exchange.deadlineMs >= dueMs) continue
+      options.failed(new Error(`Request ${exchange.callerId} had no outcome ${EXPIRY_SLACK_MS} ms after its deadline; it is given up`))
+      giveUp(id)
+    }
   }
 
   function perform (effect: ServingEffect): void {
+    if ('id' in effect) contain(effect.id, () => performOn(effect))
+    else if (effect.kind === 'send') contain(effect.request.id, () => send(effect))
+  }
+
+  function performOn (effect: Extract<ServingEffect, { readonly id: string }>): void {
     switch (effect.kind) {
-      case 'send': return send(effect)
       case 'begin_response': return beginResponse(effect.id)
       case 'finish': return finish(effect.id)
       case 'refuse': return refuse(effect.id, effect.refusal)
@@ -264,7 +306,7 @@
     }
   }
 
-  return { open, perform, size: () => openExchanges.size }
+  return { open, perform, giveUp, expire, size: () => openExchanges.size }
 }
 
 type _Send = Extract<ServingEffect, { kind: 'send' }>
@@ -319,9 +361,13 @@
   readonly relayed: boolean
 }
 
-/** Responds to a request that this instance refuses. */
+/** Responds to a request that this instance refuses; a response that has begun is broken off. */
 export function sendRefusal (response: ServerResponse, refused: Refusal, options: RefusalOptions): void {
-  if (response.destroyed || response.headersSent) return
+  if (response.destroyed || response.writableEnded) return
+  if (response.headersSent) {
+    response.destroy()
+    return
+  }
   const body = JSON.stringify({ error: { reason: refused.reason, outcome: refused.notRun ? 'not run' : 'outcome unknown' } })
   response.writeHead(refused.status, {
     ...localResponseHeaders(options.callerId, refused.retryAfterMs, { notRun: options.relayed && refused.notRun }),
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -156,3 +156,31 @@
 export async function statusOf (port: number, path: string, options?: RequestOptions): Promise<number> {
   return (await ask(port, path, options)).status
 }
+
+/** What a caller gets. */
+export interface CallerOutcome {
+  /** Status of the response; 0 if the connection ended without one. */
+  readonly status: number
+  readonly text: string
+  /** Whether the response ended as a complete one. */
+  readonly isComplete: boolean
+  readonly elapsedMs: number
+}
+
+/** Sends a request and returns what the caller gets, also if the response is broken off. */
+export function outcomeOf (port: number, path: string, options: RequestOptions = {}): Promise<CallerOutcome> {
+  return new Promise((resolve) => {
+    const startedMs = performance.now()
+    const headers = { host: 'api.example', 'attempt-id': 'a1', 'deadline-ms': '3000', ...options.headers }
+    let [status, text] = [0, '']
+    const end = (isComplete: boolean): void => resolve({ status, text, isComplete, elapsedMs: performance.now() - startedMs })
+    const request = httpRequest({ port, host: '127.0.0.1', path, method: options.method ?? 'GET', headers, agent: false }, (response) => {
+      status = response.statusCode ?? 0
+      response.on('data', (chunk: Buffer) => { text += chunk.toString() })
+      response.on('error', () => {})
+      response.on('close', () => end(response.complete))
+    })
+    request.on('error', () => end(false))
+    request.end(options.body)
+  })
+}
--- a/packages/edge/_test_upstream.ts
+++ b/packages/edge/_test_upstream.ts
@@ -1,4 +1,5 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { ExecutionContext } from 'ava'
 import { forwardAttempt, type ForwardedAttempt } from './forward_attempt.ts'
 
 /** TCP upstream that responds with arbitrary bytes. */
@@ -72,3 +73,21 @@
     })
   })
 }
+
+/** Request that reached a {@linkcode startAnsweringUpstream}. */
+export interface ArrivedRequest {
+  readonly id: string
+  /** Last event that the caller has, if the request continues a stream. */
+  readonly lastEventId: string | undefined
+}
+
+/** Starts an upstream that writes what `answer` returns for each request as it is, and then ends the connection. */
+export async function startAnsweringUpstream (t: ExecutionContext, answer: (request: ArrivedRequest) => string): Promise<string> {
+  const upstream = await startRawUpstream((socket, text) => {
+    const headerOf = (name: string): string | undefined => new RegExp(`^${name}: (.*)$`, 'im').exec(text)?.[1]?.trim()
+    const id = headerOf('attempt-id')
+    if (id !== undefined) socket.end(answer({ id, lastEventId: headerOf('last-event-id') }), 'latin1')
+  })
+  t.teardown(() => upstream.close())
+  return `127.0.0.1:${upstream.port}`
+}
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -1,6 +1,6 @@
 import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
-import { readResponseHeaders, type ResponseMetadata } from '@berylshed/platform'
+import { findHeaderFault, readResponseHeaders, type ResponseMetadata } from '@berylshed/platform'
 import type { AttemptFailure } from '@berylshed/serving'
 import { createEventSplitter } from './_split_events.ts'
 
@@ -186,6 +186,8 @@
   })
 
   function handleResponse (incoming: IncomingMessage): void {
+    const fault = findHeaderFault(incoming.rawHeaders)
+    if (fault !== undefined) return fail('malformed', fault)
     const status = incoming.statusCode ?? 0
     const facts = readResponseHeaders(status, incoming.headers)
     if (facts.id !== undefined && facts.id !== attempt.id) return fail('crossed', `response carries attempt id ${facts.id}`)
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -4,7 +4,7 @@
 import type { EngineControl, HostSettings, Registry, Store } from '@berylshed/platform'
 import { createEventLoop } from '@berylshed/reducer'
 import type { Instant, Lease, OrderOutcome, SchedulerEffect } from '@berylshed/scheduler'
-import { needsStoredOrigin, type ReceivedRequest } from '@berylshed/serving'
+import { needsStoredOrigin, type ReceivedRequest, type ServingEvent } from '@berylshed/serving'
 import { Effect, Fiber, HashMap } from 'effect'
 import { createCallerServer } from './_caller_server.ts'
 import { createEdgeMetrics } from './_edge_metrics.ts'
@@ -91,7 +91,11 @@
     }),
     reduce: reduceEdge,
     perform,
-    failed: logFailure
+    failed: (error, event) => {
+      logFailure(error)
+      // The event is lost, so that its request would wait for an outcome until its deadline.
+      if (event.subject === 'serving') exchanges.giveUp(_requestOf(event.event))
+    }
   })
   const metrics = createEdgeMetrics(() => _gaugeValues(loop.state(), { logger, nowMs: nowMs() }))
   const exchanges = createExchanges({
@@ -99,7 +103,8 @@
     upstream: (id) => loop.state().list?.upstreams.get(id),
     isDraining: () => loop.state().draining,
     needsStoredOrigin: (id) => needsStoredOrigin(loop.state().serving, id, nowMs()),
-    dispatch: (event) => loop.dispatch({ subject: 'serving', event })
+    dispatch: (event) => loop.dispatch({ subject: 'serving', event }),
+    failed: logFailure
   })
   const callerServerOptions = {
     nowMs,
@@ -298,7 +303,10 @@
     listenAt(metrics.server, settings.metricsAddress)
   ])
   const registryFibers = [followConfiguration(dependencies.registry, hooks), followUpstreams(dependencies.registry, hooks)].map((follow) => Effect.runFork(follow))
-  const tickTimer = setInterval(() => loop.dispatch({ subject: 'tick', at: at() }), TICK_MS)
+  const tickTimer = setInterval(() => {
+    loop.dispatch({ subject: 'tick', at: at() })
+    exchanges.expire()
+  }, TICK_MS)
   logger.write('process', { what: 'started', incarnation: self.incarnation, zone: settings.availabilityZone, callers: settings.callerAddress })
 
   async function close (): Promise<void> {
@@ -329,6 +337,12 @@
   return { state: loop.state, drain, close }
 }
 
+// Returns the id of the request that an event concerns; empty if it concerns none.
+function _requestOf (event: ServingEvent): string {
+  if (event.kind === 'received') return event.request.id
+  return 'id' in event ? event.id : ''
+}
+
 function _parseLease (value: string): Lease | undefined {
   return value === '' ? undefined : JSON.parse(value) as Lease
 }
--- /dev/null
+++ b/packages/edge/spoiled_head_test.ts
@@ -0,0 +1,40 @@
+import test from 'ava'
+import { plainUpstream, startInstances } from './_test_fleet.ts'
+import { outcomeOf } from './_test_system.ts'
+import { startAnsweringUpstream } from './_test_upstream.ts'
+
+const EVENTS = 'id: 1\ndata: a\n\n'
+/** Time within which a spoiled response is answered, in ms; far below the deadline of 3,000 ms. */
+const SOON_MS = 1500
+
+const SPOILED_HEADERS: Readonly<Record<string, string>> = {
+  'space in a name': 'Weight Versions: 1',
+  'empty name': ': 1',
+  'space after a name': 'X-A : 1',
+  'coding before the chunks': 'Transfer-Encoding: gzip, chunked',
+  'spoiled coding': 'Transfer-Encoding: xchunked'
+}
+
+function respond (id: string, statusLine: string, header: string): string {
+  return `${statusLine}\r\nAttempt-Id: ${id}\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n${header}\r\n\r\n${EVENTS}`
+}
+
+// A header that Node's parser accepts and its writer refuses ended the process or left the request without an answer.
+for (const [what, header] of Object.entries(SPOILED_HEADERS)) {
+  test(`a response with a spoiled header (${what}) costs one request`, async (t) => {
+    const address = await startAnsweringUpstream(t, ({ id }) => respond(id, 'HTTP/1.1 200 OK', header))
+    const [instance] = await startInstances(t, [[plainUpstream('u1', address)]])
+    for (const path of ['/lookups/1', '/bookings/1', '/drafts/1']) {
+      const { status, elapsedMs } = await outcomeOf(instance?.callers ?? 0, path)
+      t.is(status, 502, path)
+      t.true(elapsedMs < SOON_MS, `${path}: ${elapsedMs} ms`)
+    }
+  })
+}
+
+test('a stream that goes on at a response with a spoiled header is broken off', async (t) => {
+  const address = await startAnsweringUpstream(t, ({ id, lastEventId }) => respond(id, 'HTTP/1.1 200 OK', lastEventId === undefined ? 'Content-Length: 99' : 'Weight Versions: 1'))
+  const [instance] = await startInstances(t, [[plainUpstream('u1', address), plainUpstream('u2', address)]])
+  const { status, text, isComplete } = await outcomeOf(instance?.callers ?? 0, '/drafts/1')
+  t.deepEqual({ status, text, isComplete }, { status: 200, text: EVENTS, isComplete: false })
+})
--- a/packages/reducer/event_loop.ts
+++ b/packages/reducer/event_loop.ts
@@ -8,8 +8,8 @@
   reduce (state: State, event: Event): Step<State, Effect>
   /** Carries out an effect; events that it dispatches are reduced after the current one. */
   perform (effect: Effect): void
-  /** Called with an exception of the reducer, whose event is dropped, or of an effect. */
-  failed (error: unknown): void
+  /** Called with an exception of the reducer, whose event is dropped, or of an effect; `event` is the one that was reduced. */
+  failed (error: unknown, event: Event): void
 }
 
 /** Event loop around a reducer. */
@@ -47,17 +47,17 @@
       state = reduced.state
       return reduced.effects
     } catch (error) {
-      options.failed(error)
+      options.failed(error, event)
       return []
     }
   }
 
   // An exception of one effect must not keep the others from being carried out.
-  function perform (effect: Effect): void {
+  function perform (effect: Effect, event: Event): void {
     try {
       options.perform(effect)
     } catch (error) {
-      options.failed(error)
+      options.failed(error, event)
     }
   }
 
@@ -67,7 +67,7 @@
     running = true
     try {
       for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
-        for (const effect of reduce(next)) perform(effect)
+        for (const effect of reduce(next)) perform(effect, next)
       }
     } finally {
       running = false
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -66,6 +66,7 @@
     case 'response_ended': return _endResponse(state, request, event)
     case 'attempt_failed': return _thenDispatch(failAttempt(state, request, event), request.service, event.nowMs)
     case 'caller_left': return _abandon(state, request, event.nowMs)
+    case 'exchange_failed': return _giveUp(state, request, event.nowMs)
   }
 }
 
@@ -147,6 +148,13 @@
   return _thenDispatch(step(removeRequest(noteCancelled(state, request, nowMs), request, nowMs), [...cancelled, record]), request.service, nowMs)
 }
 
+// The caller has been answered already, so only what the request occupies is released.
+function _giveUp (state: ServingState, request: Request, nowMs: number): _Step {
+  const what = request.respondingSinceMs === undefined ? 'refused' : 'broken_off'
+  const record = requestRecord(what, request, { nowMs, reason: 'internal_error', runs: request.runs })
+  return _thenDispatch(step(removeRequest(noteCancelled(state, request, nowMs), request, nowMs), [record]), request.service, nowMs)
+}
+
 type _TargetsChanged = Extract<ServingEvent, { kind: 'targets_changed' }>
 
 function _changeTargets (state: ServingState, event: _TargetsChanged): _Step {
--- a/packages/serving/refusal.ts
+++ b/packages/serving/refusal.ts
@@ -26,6 +26,8 @@
   | 'no_software_version'
   /** Requests with this fingerprint are suspected of having crashed several upstreams. */
   | 'suspected_crash'
+  /** An exception kept the instance from handling the request. */
+  | 'internal_error'
 
 /** Outcome of a request that ended without an upstream's response. */
 export interface Refusal {
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -49,6 +49,8 @@
   /** A response says that its upstream is leaving, wants no requests from this instance for a time, or bears few rejections. */
   | { readonly kind: 'upstream_announced', readonly upstream: string, readonly leaving: boolean, readonly retryAfterMs: number | undefined, readonly maxRejectionsPerS: number | undefined }
   | { readonly kind: 'caller_left', readonly id: string }
+  /** An exception kept the request from being handled; its caller has been answered. */
+  | { readonly kind: 'exchange_failed', readonly id: string }
   | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
   /** Another instance sent changes of its crash evidence, or the lease names quarantines. */
