Accept only further events as the continuation of a stream

Cause: the kind of a response was taken from its own status and content type, not from what the request can use. A stream that had begun and went on at an upstream with a status from 300 to 499, a signed 429, a success without events or of another type ended regularly; one that started over was joined. A response on a plain route that named itself a stream was passed on before it was whole.

Change: an attempt names what it expects: a whole response, a stream or a continuation. The ids of a continuation have to rise.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -58,6 +58,7 @@
   readonly exchange: CallerExchange
   running: RunningAttempt | undefined
   buffered: BufferedResponse | undefined
+  /** Last event that was forwarded. */
   lastEventId: string | undefined
   /** Software version of the upstream that runs the request. */
   softwareVersion: string | undefined
@@ -148,7 +149,15 @@
     const { exchange } = entry
     const { request, attempt, relay } = effect
     entry.running = forwardAttempt({
-      id: exchange.callerId, runsOnce: !request.retryable, method: exchange.method, path: exchange.path, body: exchange.body, connectTimeoutMs: CONNECT_TIMEOUT_MS, ...target
+      id: exchange.callerId,
+      runsOnce: !request.retryable,
+      method: exchange.method,
+      path: exchange.path,
+      body: exchange.body,
+      expects: !request.stream ? 'whole' : exchange.response.headersSent ? 'continuation' : 'stream',
+      lastEventId: entry.lastEventId,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      ...target
     }, {
       announced: (announcement) => { if (relay === undefined) announce(effect.upstream, announcement) },
       events: (head, chunk, lastEventId) => contain(request.id, () => relayEvents(entry, { head, attempt }, { chunk, lastEventId })) ?? false,
--- a/packages/edge/_split_events.ts
+++ b/packages/edge/_split_events.ts
@@ -1,8 +1,8 @@
 /** Complete events of a stream. */
 export interface CompleteEvents {
   readonly bytes: Buffer
-  /** Id of the last event that has one. */
-  readonly lastId: string | undefined
+  /** Ids of the events that have one, in order. */
+  readonly ids: readonly string[]
 }
 
 /** Splits a stream of server-sent events at event boundaries. */
@@ -33,13 +33,12 @@
     }
     const bytes = buffered.subarray(0, end + EVENT_END.length)
     partial = Buffer.from(buffered.subarray(end + EVENT_END.length))
-    return { bytes, lastId: _lastId(bytes) }
+    return { bytes, ids: _ids(bytes) }
   }
 
   return { push, hasPartialEvent: () => partial.length > 0, isOversize: () => partial.length > MAX_EVENT_BYTES }
 }
 
-function _lastId (events: Buffer): string | undefined {
-  const line = events.toString('latin1').split('\n').findLast((text) => text.startsWith(ID_FIELD))
-  return line?.slice(ID_FIELD.length).trim()
+function _ids (events: Buffer): readonly string[] {
+  return events.toString('latin1').split('\n').filter((line) => line.startsWith(ID_FIELD)).map((line) => line.slice(ID_FIELD.length).trim()).filter((id) => id !== '')
 }
--- a/packages/edge/_test_upstream.ts
+++ b/packages/edge/_test_upstream.ts
@@ -55,6 +55,8 @@
       path: '/x',
       headers: ['Host', 'api.example', 'Attempt-Id', 'a1', 'Connection', 'close', 'Content-Length', '4'],
       body: Buffer.from('body'),
+      expects: 'whole',
+      lastEventId: undefined,
       runsOnce: false,
       reuseConnection: false,
       connectTimeoutMs: 2000,
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -19,6 +19,7 @@
 const NO_CONTENT = 204
 const FIRST_REDIRECT = 300
 const FIRST_FAILURE = 500
+const EVENT_STREAM = 'text/event-stream'
 /**
  * Bytes written to a connection that appears to have been closed cleanly. Node reports data and a reset that arrive
  * together as a clean end. A write to a reset connection fails, while a closed one accepts and discards the bytes.
@@ -27,6 +28,15 @@
 /** Statuses that imply that a request was not executed; accepted only if the upstream itself states or signs them. */
 const NOT_RUN_STATUSES = [408, 429, 503]
 
+/** Kind of response that answers a request. */
+export type ExpectedResponse =
+  /** A response that is passed on once all of it has arrived. */
+  | 'whole'
+  /** A stream of events, or a failure as a whole response. */
+  | 'stream'
+  /** Only further events of a stream of which the caller has received the beginning in this response. */
+  | 'continuation'
+
 /** An attempt of a request at an upstream. */
 export interface ForwardedAttempt {
   /** Attempt id that the response must carry. */
@@ -38,6 +48,10 @@
   /** Alternating header names and values. */
   readonly headers: readonly string[]
   readonly body: Buffer
+  /** What kind of response answers the request. */
+  readonly expects: ExpectedResponse
+  /** Last event that was forwarded, if the response has to be a continuation. */
+  readonly lastEventId: string | undefined
   /** Whether a statement that the request was not executed counts only with its id, as another request must not run twice for it. */
   readonly runsOnce: boolean
   /** Whether an idle connection may be reused, at the risk that the upstream is closing it. */
@@ -199,22 +213,28 @@
     if (!facts.unencoded || (succeeded && !facts.signed)) return fail('malformed', `status ${status} without a signature or with a content encoding`)
     if (!facts.signed && NOT_RUN_STATUSES.includes(status)) return fail('malformed', `status ${status} without a signature or a statement that the request was not executed`)
     const head: ResponseHead = { status, headers: incoming.rawHeaders }
-    const isStream = succeeded && String(incoming.headers['content-type']).startsWith('text/event-stream')
-    if (isStream) relayEvents(incoming, head)
-    else collect(incoming, head)
+    if (attempt.expects === 'continuation' && !succeeded) return fail('upstream_error', `status ${status} does not continue the stream`)
+    if (!succeeded || attempt.expects === 'whole') return collect(incoming, head)
+    const contentType = String(incoming.headers['content-type']).toLowerCase()
+    if (!contentType.startsWith(EVENT_STREAM)) return fail('malformed', `status ${status} with content type ${contentType} is not a stream`)
+    relayEvents(incoming, head)
   }
 
   function relayEvents (incoming: IncomingMessage, head: ResponseHead): void {
     const splitter = createEventSplitter()
     let hasEvents = false
+    let { lastEventId } = attempt
     incoming.on('data', (chunk: Buffer) => {
       if (settled) return
       const whole = splitter.push(chunk)
       if (splitter.isOversize()) return fail('malformed', 'event exceeds the maximum size')
       if (whole === undefined) return
+      const fault = _findOrderFault(lastEventId, whole.ids)
+      if (fault !== undefined) return fail('malformed', fault)
       hasEvents = true
+      lastEventId = whole.ids.at(-1) ?? lastEventId
       arm(attempt.eventTimeoutMs, 'silent')
-      if (hooks.events(head, whole.bytes, whole.lastId)) return
+      if (hooks.events(head, whole.bytes, whole.ids.at(-1))) return
       paused = true
       incoming.pause()
     })
@@ -271,6 +291,13 @@
   }
 }
 
+// A stream that starts over, or whose last event cannot be named in the header of a request, cannot be continued.
+function _findOrderFault (previous: string | undefined, ids: readonly string[]): string | undefined {
+  const repeated = ids.findIndex((id, i) => Number(id) <= Number(i === 0 ? previous : ids[i - 1]))
+  if (repeated >= 0) return `event ${JSON.stringify(ids[repeated])} follows event ${JSON.stringify(repeated === 0 ? previous : ids[repeated - 1])}`
+  return findHeaderFault(['Last-Event-Id', ids.at(-1) ?? ''])
+}
+
 // Reports whether the end of a response is known from its headers or status rather than from the end of its connection.
 function _isFramed (incoming: IncomingMessage): boolean {
   const { headers, statusCode } = incoming
--- a/packages/edge/forward_attempt_test.ts
+++ b/packages/edge/forward_attempt_test.ts
@@ -1,16 +1,21 @@
 import { Socket } from 'node:net'
 import test from 'ava'
+import type { ExpectedResponse } from './forward_attempt.ts'
 import { sendAttempt, startRawUpstream } from './_test_upstream.ts'
 
 const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n'
 
+function expectedOf (head: string): ExpectedResponse {
+  return head.includes('text/event-stream') ? 'stream' : 'whole'
+}
+
 async function outcomeOf (bytes: string, ending: 'keep' | 'end' | 'reset' = 'keep'): Promise<string> {
   const upstream = await startRawUpstream((socket) => {
     socket.write(bytes)
     if (ending === 'end') socket.end()
     if (ending === 'reset') setTimeout(() => socket.resetAndDestroy(), 20)
   })
-  const { outcome, received: passed } = await sendAttempt(upstream.port)
+  const { outcome, received: passed } = await sendAttempt(upstream.port, { expects: expectedOf(bytes) })
   await upstream.close()
   return `${outcome} ${JSON.stringify(passed)}`
 }
@@ -65,7 +70,7 @@
     socket.write(`${events.length.toString(16)}\r\n${events}\r\n`)
     setTimeout(() => socket.resetAndDestroy(), 20)
   })
-  t.deepEqual(await sendAttempt(upstream.port), { outcome: 'broken', received: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', lastEventId: '2' })
+  t.deepEqual(await sendAttempt(upstream.port, { expects: 'stream' }), { outcome: 'broken', received: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', lastEventId: '2' })
   await upstream.close()
 })
 
@@ -93,7 +98,7 @@
     }
     flood()
   })
-  const { outcome } = await sendAttempt(upstream.port, { firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity })
+  const { outcome } = await sendAttempt(upstream.port, { expects: expectedOf(start), firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity })
   await closed
   await upstream.close()
   return [outcome, Math.round(written / 1024 / 1024)]
