Answer requests whose response has an impossible status

Cause: Node's parser accepts statuses below 100 and its writer refuses them. The request and its exchange were forgotten before the response was written, so that the exception left nobody to answer it.

Change: only 200 to 599 are statuses of final responses; a switch of protocols and a connection that ends without a response fail the attempt.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -278,7 +278,12 @@
     openExchanges.delete(id)
     entry.running?.cancel()
     const { callerId, relayed, response } = entry.exchange
-    sendRefusal(response, refusal('internal_error', { mayHaveRun: true }), { callerId, close: true, relayed })
+    try {
+      sendRefusal(response, refusal('internal_error', { mayHaveRun: true }), { callerId, close: true, relayed })
+    } catch (error) {
+      options.failed(error)
+      response.destroy()
+    }
     options.dispatch({ kind: 'exchange_failed', id, nowMs: options.nowMs() })
   }
 
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -19,6 +19,7 @@
 const NO_CONTENT = 204
 const FIRST_REDIRECT = 300
 const FIRST_FAILURE = 500
+const LAST_FAILURE = 599
 const EVENT_STREAM = 'text/event-stream'
 /**
  * Bytes written to a connection that appears to have been closed cleanly. Node reports data and a reset that arrive
@@ -191,6 +192,12 @@
   }
   request.on('information', countInterim)
   request.on('continue', countInterim)
+  // Node reports no error if it drops a connection whose protocol the upstream switches.
+  request.on('upgrade', (_response, socket) => {
+    socket.destroy()
+    fail('malformed', 'the upstream switched protocols')
+  })
+  request.on('close', () => { if (response === undefined) fail('broken', 'connection ended without a response') })
   request.on('response', (incoming) => {
     response = incoming
     if (!_isFramed(incoming)) cleanEnd = _probeEnd(incoming.socket)
@@ -200,9 +207,10 @@
   })
 
   function handleResponse (incoming: IncomingMessage): void {
+    const status = incoming.statusCode ?? 0
+    if (status < FIRST_SUCCESS || status > LAST_FAILURE) return fail('malformed', `status ${status} is not that of a final response`)
     const fault = findHeaderFault(incoming.rawHeaders)
     if (fault !== undefined) return fail('malformed', fault)
-    const status = incoming.statusCode ?? 0
     const facts = readResponseHeaders(status, incoming.headers)
     if (facts.id !== undefined && facts.id !== attempt.id) return fail('crossed', `response carries attempt id ${facts.id}`)
     if (facts.id === attempt.id) hooks.announced(facts)
--- a/packages/edge/spoiled_head_test.ts
+++ b/packages/edge/spoiled_head_test.ts
@@ -32,6 +32,38 @@
   })
 }
 
+const SPOILED_STATUS_LINES: Readonly<Record<string, string>> = {
+  'status 000': 'HTTP/1.1 000 OK',
+  'status 099': 'HTTP/1.1 099 OK',
+  'status 101': 'HTTP/1.1 101 OK',
+  'status 101 with an upgrade': 'HTTP/1.1 101 OK\r\nUpgrade: h2c\r\nConnection: upgrade',
+  'status 600': 'HTTP/1.1 600 OK',
+  'status 999': 'HTTP/1.1 999 OK'
+}
+
+// A status that Node's parser accepts and its writer refuses left the request without an answer; others are no final ones.
+for (const [what, statusLine] of Object.entries(SPOILED_STATUS_LINES)) {
+  test(`a response with a spoiled status (${what}) is answered`, async (t) => {
+    const address = await startAnsweringUpstream(t, ({ id }) => respond(id, statusLine, `Content-Length: ${EVENTS.length}`))
+    const [instance] = await startInstances(t, [[plainUpstream('u1', address)]])
+    for (const path of ['/lookups/1', '/bookings/1', '/drafts/1']) {
+      const { status, elapsedMs } = await outcomeOf(instance?.callers ?? 0, path)
+      t.is(status, 502, path)
+      t.true(elapsedMs < SOON_MS, `${path}: ${elapsedMs} ms`)
+    }
+  })
+
+  test(`a stream that goes on at a response with a spoiled status (${what}) is broken off`, async (t) => {
+    const address = await startAnsweringUpstream(t, ({ id, lastEventId }) => lastEventId === undefined
+      ? respond(id, 'HTTP/1.1 200 OK', 'Content-Length: 99')
+      : respond(id, statusLine, `Content-Length: ${EVENTS.length}`))
+    const [instance] = await startInstances(t, [[plainUpstream('u1', address), plainUpstream('u2', address)]])
+    const { text, isComplete, elapsedMs } = await outcomeOf(instance?.callers ?? 0, '/drafts/1')
+    t.deepEqual({ text, isComplete }, { text: EVENTS, isComplete: false })
+    t.true(elapsedMs < SOON_MS, `${elapsedMs} ms`)
+  })
+}
+
 test('a stream that goes on at a response with a spoiled header is broken off', async (t) => {
   const address = await startAnsweringUpstream(t, ({ id, lastEventId }) => respond(id, 'HTTP/1.1 200 OK', lastEventId === undefined ? 'Content-Length: 99' : 'Weight Versions: 1'))
   const [instance] = await startInstances(t, [[plainUpstream('u1', address), plainUpstream('u2', address)]])
