Reject requests that cannot be forwarded, and contain exceptions that nothing catches

What callers saw: 503 for their own malformed request, and for others fewer upstreams: each upstream at which such a request was tried was avoided, as http.request throws for it like for an address that cannot be reached.

Cause: Node's parser of requests accepts header names and paths that its writer refuses (compared byte by byte: a space in a name, an empty name, a tab or form feed in a path). Transfer codings other than chunked were dropped without being undone; CONNECT got no answer.

Change: 400 before routing, 405 for tunnels. As a last resort, uncaught exceptions are logged and the process goes on; requests whose handling they cut short are given up after their deadline.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { chooseService, matchRoute, type Configuration, type Route } from '@berylshed/fleet'
-import { localResponseHeaders, readBody, readHandoverHeaders, readRequestHeaders, type HandoverMetadata, type RequestMetadata } from '@berylshed/platform'
+import { findHeaderFault, localResponseHeaders, readBody, readHandoverHeaders, readRequestHeaders, type HandoverMetadata, type RequestMetadata } from '@berylshed/platform'
 import { refusal, type ReceivedRequest } from '@berylshed/serving'
 import { sendRefusal, type CallerExchange } from './_exchanges.ts'
 import type { EdgeState } from './edge_state.ts'
@@ -17,6 +17,9 @@
 const HEADER_TIMEOUT_FACTOR = 2
 /** Timeout for receiving a whole request, in ms; longer than the timeout of any current route. */
 const REQUEST_TIMEOUT_MS = 60_000
+/** Characters of a path that Node's parser accepts and its writer refuses. */
+const UNWRITABLE_IN_PATH = /[^\x21-\xff]/
+const TUNNEL_STATUS = 405
 
 /** Options of {@linkcode createCallerServer}. */
 export interface CallerServerOptions {
@@ -60,6 +63,7 @@
 
   async function handle (call: _Call): Promise<void> {
     const { request, response, facts } = call
+    if (findHeaderFault(request.rawHeaders) !== undefined || UNWRITABLE_IN_PATH.test(request.url ?? '')) return reject(call, 400, 'malformed_head')
     const state = options.state()
     if (state.configuration === undefined) {
       options.rejected(facts.id, 503, 'not_configured')
@@ -105,20 +109,30 @@
     }
   }
 
-  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_SLACK_MS }, (request, response) => {
+  async function handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const handover = options.forInstances ? readHandoverHeaders(request.headers) : undefined
     const callerAddress = handover?.callerAddress ?? request.socket.remoteAddress ?? ''
-    const call = { request, response, facts: readRequestHeaders(request.headers), arrivedAtMs: options.nowMs(), callerAddress, handover }
-    handle(call).catch((error: unknown) => {
-      options.rejected(call.facts.id, 400, error instanceof Error ? error.message : String(error))
-      response.destroy()
+    await handle({ request, response, facts: readRequestHeaders(request.headers), arrivedAtMs: options.nowMs(), callerAddress, handover })
+  }
+
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_SLACK_MS }, (request, response) => {
+    handleRequest(request, response).catch((error: unknown) => {
+      const callerId = String(request.headers['attempt-id'] ?? '')
+      options.rejected(callerId, 400, error instanceof Error ? error.message : String(error))
+      // A request that broke off has nobody to answer.
+      if (request.errored !== null || response.socket?.writable !== true) response.destroy()
+      else sendRefusal(response, refusal('internal_error', { mayHaveRun: true }), { callerId, close: true, relayed: options.forInstances })
     })
   })
+  server.on('connect', (_request, socket) => {
+    options.rejected('', TUNNEL_STATUS, 'tunnel')
+    socket.end(_rejectionOf(TUNNEL_STATUS))
+  })
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     if (!socket.writable) return
     const status = _clientErrorStatus(error.code)
     options.rejected('', status, error.code ?? error.message)
-    socket.end(`HTTP/1.1 ${status} Rejected\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+    socket.end(_rejectionOf(status))
   })
 
   function configure (configuration: Configuration): void {
@@ -129,6 +143,11 @@
   return { server, configure }
 }
 
+// A response to bytes for which Node has no response object.
+function _rejectionOf (status: number): string {
+  return `HTTP/1.1 ${status} Rejected\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`
+}
+
 function _clientErrorStatus (code: string | undefined): number {
   if (code === 'HPE_HEADER_OVERFLOW') return 431
   return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
--- a/packages/edge/mod.ts
+++ b/packages/edge/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './contain_exceptions.ts'
 export * from './edge_effect.ts'
 export * from './edge_event.ts'
 export * from './edge_state.ts'
--- a/packages/edge/serve.ts
+++ b/packages/edge/serve.ts
@@ -1,6 +1,7 @@
 import { readFile, stat } from 'node:fs/promises'
 import { PlatformEngineControl, PlatformStore, readHostSettings, type HostSettings } from '@berylshed/platform'
 import { formatFinding } from '@berylshed/settings'
+import { containExceptions } from './contain_exceptions.ts'
 import { createLogger } from './logger.ts'
 import { runEdge } from './run_edge.ts'
 
@@ -30,6 +31,7 @@
   onUnreadableEntry: (findings) => logger.write('registry', { what: 'entry_skipped', reason: findings.join('; ') })
 })
 const edge = await runEdge(settings, { store, registry: store.registry, engines: new PlatformEngineControl(), logger })
+containExceptions(logger)
 
 let stopping = false
 function stop (): void {
