Refuse in the grace period what would outlast it, and answer the rest at its end

Cause: the end of the grace period was known to the loop that waits for it only. Requests were passed on however long they would take, and their deadlines lie beyond that end.

Change: the reducer knows when the instance ends its requests. It passes on what usually ends by then, by the average and deviation of the durations of the route, refuses the rest as not run, and answers what still runs 0.3 s before the end.

Conclusion: planned_stop_test loses none in its three loads.

--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -105,6 +105,9 @@
   readonly registry: Registry
 }
 
+/** Grace period of test instances, in ms. */
+export const TEST_GRACE_MS = 8000
+
 /** Starts an instance and waits until it is ready. */
 export async function startInstance (instance: string, platform: TestPlatform): Promise<TestInstance> {
   const [callers = 0, readiness = 0, peers = 0, relay = 0, metrics = 0] = await Promise.all([freePort(), freePort(), freePort(), freePort(), freePort()])
@@ -119,7 +122,7 @@
     storeAddress: '',
     storeWritesPerS: 400,
     bounds: {
-      upstreamDrainMs: 2000, registrationTtlMs: 3600, configurationMs: 2000, shutdownGraceMs: 8000, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000
+      upstreamDrainMs: 2000, registrationTtlMs: 3600, configurationMs: 2000, shutdownGraceMs: TEST_GRACE_MS, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000
     }
   }
   const logger = { write: () => {}, dropped: () => 0, end: async () => {} }
--- /dev/null
+++ b/packages/edge/planned_stop_test.ts
@@ -0,0 +1,89 @@
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Configuration, Upstream } from '@berylshed/fleet'
+import test, { type ExecutionContext } from 'ava'
+import { startOpenLoad, type LoadRequest } from './_test_open_load.ts'
+import { PLAIN_CONFIGURATION, plainUpstream } from './_test_fleet.ts'
+import { FixedRegistry, MemoryStore, pause, startInstance, TEST_GRACE_MS, type TestInstance } from './_test_system.ts'
+
+const CALLER_TIMEOUT_MS = 9000
+/** Time after its last byte within which a request that was not passed on may end with its connection, in ms. */
+const LOSS_SLACK_MS = 200
+/** Time for which the load runs before the signal, in ms; longer than the slowest request. */
+const CALM_MS = 6000
+const CONFIGURATION: Configuration = {
+  ...PLAIN_CONFIGURATION,
+  routes: PLAIN_CONFIGURATION.routes.map((route) => ({ ...route, timeoutMs: CALLER_TIMEOUT_MS, objectiveMs: 6000 })),
+  limits: { ...PLAIN_CONFIGURATION.limits, maxBodyBytes: 1000 }
+}
+
+interface Ran {
+  readonly upstream: Upstream
+  readonly ids: ReadonlySet<string>
+}
+
+// Streams are short; other requests take `workMs`.
+async function startWorking (t: ExecutionContext, workMs: (n: number) => number): Promise<Ran> {
+  const ids = new Set<string>()
+  const server = createServer((request, response) => {
+    const id = String(request.headers['attempt-id'])
+    ids.add(id)
+    const signed = { 'attempt-id': id, 'server-signature': 's' }
+    if (request.url?.startsWith('/drafts/') !== true) {
+      setTimeout(() => response.writeHead(200, { ...signed, 'content-length': 2 }).end('ok'), workMs(ids.size))
+      return
+    }
+    response.writeHead(200, { ...signed, 'content-type': 'text/event-stream' }).write('id: 1\ndata: a\n\n')
+    setTimeout(() => response.end('id: 2\ndata: b\n\n'), 250)
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  return { upstream: plainUpstream('u1', `127.0.0.1:${(server.address() as AddressInfo).port}`, 1000), ids }
+}
+
+function startStopping (upstream: Upstream): Promise<TestInstance> {
+  return startInstance('entry-1', { store: new MemoryStore(), registry: new FixedRegistry(CONFIGURATION, [upstream]) })
+}
+
+// A request that was passed on, or whose connection ended long after its last byte, must have a whole response.
+function isLost (request: LoadRequest, ran: Ran): boolean {
+  if (!request.isConnected || request.isComplete) return false
+  return ran.ids.has(request.id) || request.endedAtMs - request.bodySentAtMs > LOSS_SLACK_MS
+}
+
+interface Load {
+  readonly workMs: (n: number) => number
+  readonly halfAfterMs: number
+  readonly intervalMs: number
+}
+
+// Keeps an open load on an instance that gets a termination signal until it is gone, and returns the requests it lost.
+async function lostAtStop (t: ExecutionContext, load: Load): Promise<readonly string[]> {
+  const ran = await startWorking(t, load.workMs)
+  const { edge, callers } = await startStopping(ran.upstream)
+  const { requests, stop, ended } = startOpenLoad(callers, { paths: ['/lookups/1', '/bookings/1', '/drafts/1'], callerTimeoutMs: CALLER_TIMEOUT_MS, ...load })
+  await pause(CALM_MS)
+  const signalledAtMs = performance.now()
+  await edge.drain()
+  t.true(performance.now() - signalledAtMs < TEST_GRACE_MS)
+  stop()
+  await ended()
+  t.true(requests.filter(({ status, sentAtMs }) => status === 200 && sentAtMs < signalledAtMs).length > 30)
+  return requests.filter((request) => isLost(request, ran)).map(({ path, status, sentAtMs }) => `${path} ${status} sent ${Math.round(sentAtMs - signalledAtMs)} ms after the signal`)
+}
+
+// Requests that a stopping instance had passed on were cut off at the end of its grace period.
+test('no request is cut off by a planned stop if answers take long', async (t) => {
+  t.deepEqual(await lostAtStop(t, { workMs: () => 5500, halfAfterMs: 400, intervalMs: 60 }), [])
+})
+
+test('no request is cut off by a planned stop if bodies arrive slowly', async (t) => {
+  t.deepEqual(await lostAtStop(t, { workMs: () => 1500, halfAfterMs: 5000, intervalMs: 60 }), [])
+})
+
+test('no request is cut off by a planned stop if answers take from very short to long', async (t) => {
+  t.deepEqual(await lostAtStop(t, { workMs: (n) => [30, 1500, 5000, 7000][n % 4] ?? 0, halfAfterMs: 400, intervalMs: 25 }), [])
+})
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -50,11 +50,18 @@
     case 'heartbeat_answered': return applyHolderAnswer(state, event.answer, event.at)
     case 'heartbeat_failed': return _handleHeartbeatFailure(state, event)
     case 'archive': return applyArchiveEvent(state, event.event, event.at)
-    case 'draining': return applySchedulerEvent({ ...state, draining: true }, { kind: 'stopping', ...event.at })
+    case 'draining': return _drain(state, event)
     case 'tick': return _tick(state, event.at)
   }
 }
 
+type _Draining = Extract<EdgeEvent, { subject: 'draining' }>
+
+function _drain (state: EdgeState, { closesAtMs, at }: _Draining): EdgeStep {
+  const stopping = applySchedulerEvent({ ...state, draining: true }, { kind: 'stopping', ...at })
+  return chain(stopping, (s) => applyServingEvent(s, { kind: 'shutdown_announced', closesAtMs, nowMs: at.nowMs }))
+}
+
 // Until a holder tells the number of instances, a new process would take all limits for itself.
 function _applyLeasedInstances (state: EdgeState, leasedInstances: number): EdgeState {
   if (leasedInstances === state.leasedInstances && leasedInstances <= state.serving.instances) return state
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -37,6 +37,8 @@
 const READINESS_DELAY_MS = 2600
 /** Part of the grace period reserved for the exit of the process, in ms. */
 const EXIT_RESERVE_MS = 700
+/** Part of the grace period in which the last responses are delivered, in ms: many round trips within a region. */
+const DELIVERY_RESERVE_MS = 300
 const DRAIN_POLL_MS = 50
 /** Time after the end of a registration's validity until its removal is known, in ms: one watch and some delay. */
 const REMOVAL_DELAY_MS = 1000
@@ -320,8 +322,9 @@
 
   async function drain (): Promise<void> {
     const endMs = nowMs() + bounds.shutdownGraceMs - EXIT_RESERVE_MS
-    logger.write('process', { what: 'draining', open: exchanges.size() })
-    loop.dispatch({ subject: 'draining', at: at() })
+    const closesAtMs = endMs - DELIVERY_RESERVE_MS
+    logger.write('process', { what: 'draining', open: exchanges.size(), leftMs: Math.round(closesAtMs - nowMs()) })
+    loop.dispatch({ subject: 'draining', closesAtMs, at: at() })
     await _sleep(READINESS_DELAY_MS)
     loop.dispatch({ subject: 'serving', event: { kind: 'shutdown_started', nowMs: nowMs() } })
     // A request accepted later could be cut off at the end of the grace period.
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -11,6 +11,7 @@
 import type { RefusalReason } from './refusal.ts'
 import type { Request, Attempt } from './request.ts'
 import { countAttempt, EMPTY_RETRY_WINDOW } from './retry_window.ts'
+import { expectedDurationMs } from './route_duration.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
 
@@ -76,6 +77,7 @@
   const quarantined = request.phase === 'interrupted' ? undefined : quarantinedKey(state.evidence, request, nowMs)
   if (quarantined !== undefined) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
   if (isVersionUnavailable(state, request)) return refuseRequest(state, request, { reason: 'no_software_version', nowMs, retryAfterMs: DEFAULT_RETRY_AFTER_MS })
+  if (_outlastsShutdown(state, request, nowMs)) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS })
   const search = _search(state, request, { futile, nowMs })
   if (search.kind === 'chosen' && search.choice.owner !== undefined) return _handOver(state, request, { relay: search.choice.owner, reason: `owner of ${search.choice.target.upstream}`, nowMs })
   if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, nowMs })
@@ -84,6 +86,13 @@
   return _waitOrRefuse(state, request, { search, nowMs })
 }
 
+// Reports whether a request would probably still run when the instance ends its requests. Another instance can serve it to its end. Early
+// in the grace period the balancer sends new callers, so that a route whose duration is not known gets the benefit of the doubt.
+function _outlastsShutdown (state: ServingState, request: Request, nowMs: number): boolean {
+  if (request.deadlineMs <= state.closesAtMs || request.phase === 'interrupted') return false
+  return nowMs + (expectedDurationMs(state.routeDurations, request.route) ?? (state.shuttingDown ? Infinity : 0)) > state.closesAtMs
+}
+
 function _refuseQuarantined (state: ServingState, request: Request, options: { readonly key: string, readonly nowMs: number }): _Step {
   const { key, nowMs } = options
   const retryAfterMs = (state.evidence.quarantines.get(key)?.untilMs ?? nowMs) - nowMs
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -13,6 +13,7 @@
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeUnreachable } from './reach.ts'
 import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
+import { observeDuration } from './route_duration.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
@@ -49,6 +50,7 @@
     case 'upstream_announced': return applyAnnouncement(state, event)
     case 'relays_received': return dispatchAll({ ...state, relays: event.relays }, event.nowMs)
     case 'models_changed': return step({ ...state, models: event.models })
+    case 'shutdown_announced': return dispatchAll({ ...state, closesAtMs: event.closesAtMs }, event.nowMs)
     case 'shutdown_started': return dispatchAll({ ...state, shuttingDown: true }, event.nowMs)
     case 'ticked': return _tick(state, event.nowMs)
     default: return _reduceRequest(state, event)
@@ -129,7 +131,9 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = request.phase === 'responding' ? state : _observeSuccess(state, request, event.nowMs)
-  const cleared = changeEvidence(observed, recordResponse(observed.evidence, request, event.nowMs), event.nowMs)
+  const sentAtMs = request.attempts[0]?.sentAtMs ?? attempt.sentAtMs
+  const timed = { ...observed, routeDurations: observeDuration(observed.routeDurations, request.route, event.nowMs - sentAtMs) }
+  const cleared = changeEvidence(timed, recordResponse(timed.evidence, request, event.nowMs), event.nowMs)
   const removed = removeRequest(cleared.state, request, event.nowMs)
   const ended = step<ServingState, ServingEffect>(removed, request.abandoned
     ? cleared.effects
@@ -218,14 +222,14 @@
   return step(changed.state, changed.effects.filter((effect) => effect.kind !== 'evidence_changed'))
 }
 
-// Enforces the deadlines of running requests and weighs crashes that have settled; dispatching enforces the deadlines of waiting
+// Enforces the deadlines of running requests, and the end of the grace period, and weighs crashes that have settled; dispatching enforces the deadlines of waiting
 // requests.
 function _tick (state: ServingState, nowMs: number): _Step {
   const overdue = [...HashMap.values(state.requests)].filter((request) => {
-    return request.deadlineMs <= nowMs && (request.phase !== 'waiting' || request.abandoned)
+    return Math.min(request.deadlineMs, state.closesAtMs) <= nowMs && (request.phase !== 'waiting' || request.abandoned)
   })
   const ended = overdue.reduce<_Step>((result, request) => {
-    const refused = refuseRequest(result.state, request, { reason: 'deadline_running', nowMs })
+    const refused = refuseRequest(result.state, request, { reason: request.deadlineMs <= nowMs ? 'deadline_running' : 'shutting_down', nowMs })
     return step(refused.state, [...result.effects, ...refused.effects])
   }, step(state))
   const weighed = changeEvidence(ended.state, quarantineCulprits(ended.state.evidence, nowMs), nowMs)
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -7,6 +7,7 @@
 import { NO_MEMBERS, type Members } from './upstream_owner.ts'
 import type { UpstreamLimit } from './upstream_limit.ts'
 import type { RetryBudget, RetryWindow } from './retry_window.ts'
+import type { RouteDurations } from './route_duration.ts'
 
 /** Rate of events that decays exponentially. */
 export interface DecayingRate {
@@ -80,6 +81,10 @@
   readonly adapterUsedAtMs: HashMap.HashMap<string, number>
   /** Whether the instance is shutting down; requests that cannot be sent at once are then refused. */
   readonly shuttingDown: boolean
+  /** Local time at which this instance ends all requests to shut down, in ms; Infinity if it is not about to. */
+  readonly closesAtMs: number
+  /** How long the requests of each route take at upstreams. */
+  readonly routeDurations: RouteDurations
   /** Unmet demand as last reported, so that only changes are reported immediately. */
   readonly reportedDemand: string
 }
@@ -138,6 +143,8 @@
     requestRates: HashMap.empty(),
     adapterUsedAtMs: HashMap.empty(),
     shuttingDown: false,
+    closesAtMs: Infinity,
+    routeDurations: HashMap.empty(),
     reportedDemand: ''
   }
 }
