Close connections at a planned stop only when nothing is arriving or being written

Cause: Node's server.close and closeIdleConnections close connections whose response is buffered but not written. The drain waited for exchanges, which leave out responses being written and requests that are arriving.

Change: connections of the callers' servers are tracked. The listener closes alone, idle connections by a definition that includes what is being written or read, and requests without their whole body are refused as not run at the end of the grace period.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -4,6 +4,7 @@
 import { findHeaderFault, localResponseHeaders, readBody, readHandoverHeaders, readRequestHeaders, type HandoverMetadata, type RequestMetadata } from '@berylshed/platform'
 import { refusal, type ReceivedRequest } from '@berylshed/serving'
 import { sendRefusal, type CallerExchange } from './_exchanges.ts'
+import { trackConnections, type Connections } from './_connections.ts'
 import type { EdgeState } from './edge_state.ts'
 
 /** Maximum size of request headers, in bytes: twice the limit of current configurations. */
@@ -36,6 +37,9 @@
 /** HTTP server for callers. */
 export interface CallerServer {
   readonly server: Server
+  readonly connections: Connections
+  /** Refuses the requests whose bodies have not arrived yet. */
+  refuseArriving (): void
   /** Applies the limits of a configuration. */
   configure (configuration: Configuration): void
 }
@@ -53,12 +57,13 @@
 /** Creates the HTTP server for callers; it does not listen yet. */
 export function createCallerServer (options: CallerServerOptions): CallerServer {
   let requestCount = 0
+  const arriving = new Set<_Call>()
 
   function reject (call: _Call, status: number, reason: string): void {
     options.rejected(call.facts.id, status, reason)
     if (call.response.headersSent || call.response.destroyed) return
     const body = JSON.stringify({ error: { reason, outcome: 'not run' } })
-    call.response.writeHead(status, { ...localResponseHeaders(call.facts.id, undefined, { notRun: call.handover !== undefined }), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
+    call.response.writeHead(status, { ...localResponseHeaders(call.facts.id, undefined, { notRun: call.handover !== undefined }), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body), ...options.state().draining ? { Connection: 'close' } : {} }).end(body)
   }
 
   async function handle (call: _Call): Promise<void> {
@@ -70,7 +75,10 @@
       await _drainBody(request)
       return sendRefusal(response, refusal('not_configured', { mayHaveRun: false, retryAfterMs: NOT_CONFIGURED_RETRY_MS }), { callerId: facts.id, close: state.draining, relayed: call.handover !== undefined })
     }
-    const body = await readBody(request, state.configuration.limits.maxBodyBytes)
+    arriving.add(call)
+    const body = await readBody(request, state.configuration.limits.maxBodyBytes).finally(() => arriving.delete(call))
+    // The instance may have refused the request meanwhile.
+    if (response.headersSent) return
     if (body === undefined) return reject(call, 413, 'body_too_large')
     // Reads the state again, as the configuration may have changed while the body arrived.
     const path = request.url ?? '/'
@@ -135,12 +143,21 @@
     socket.end(_rejectionOf(status))
   })
 
+  function refuseArriving (): void {
+    for (const { response, facts, handover } of arriving) {
+      const refused = refusal('shutting_down', { mayHaveRun: false, retryAfterMs: 0 })
+      options.rejected(facts.id, refused.status, refused.reason)
+      sendRefusal(response, refused, { callerId: facts.id, close: true, relayed: handover !== undefined })
+    }
+    arriving.clear()
+  }
+
   function configure (configuration: Configuration): void {
     server.keepAliveTimeout = configuration.limits.idleTimeoutMs + IDLE_SLACK_MS
     server.headersTimeout = configuration.limits.headerTimeoutMs * HEADER_TIMEOUT_FACTOR
   }
 
-  return { server, configure }
+  return { server, connections: trackConnections(server, options.nowMs), configure, refuseArriving }
 }
 
 // A response to bytes for which Node has no response object.
--- a/packages/edge/planned_stop_test.ts
+++ b/packages/edge/planned_stop_test.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { Socket, type AddressInfo } from 'node:net'
 import type { Configuration, Upstream } from '@berylshed/fleet'
 import test, { type ExecutionContext } from 'ava'
 import { startOpenLoad, type LoadRequest } from './_test_open_load.ts'
@@ -87,3 +87,49 @@
 test('no request is cut off by a planned stop if answers take from very short to long', async (t) => {
   t.deepEqual(await lostAtStop(t, { workMs: (n) => [30, 1500, 5000, 7000][n % 4] ?? 0, halfAfterMs: 400, intervalMs: 25 }), [])
 })
+
+// Sockets pass unknown options on to their streams. With large reads, most of the response would wait at the reader.
+const SMALL_READS: object = { highWaterMark: 64 * 1024 }
+
+// Reads the response to a booking at a fixed rate and returns the share of its body that arrived.
+function readSlowly (port: number, bytesPerMs: number): Promise<number> {
+  return new Promise((resolve) => {
+    const socket = new Socket(SMALL_READS)
+    socket.connect(port, '127.0.0.1')
+    const startedMs = performance.now()
+    let [head, bytes, expected] = ['', 0, Infinity]
+    const end = (): void => resolve(bytes / expected)
+    socket.on('data', (chunk) => {
+      bytes += chunk.length
+      if (expected === Infinity) {
+        head += chunk.toString('latin1')
+        const headBytes = head.indexOf('\r\n\r\n') + 4
+        if (headBytes < 4) return
+        expected = Number(/content-length: (\d+)/i.exec(head)?.[1])
+        bytes -= headBytes
+      }
+      if (bytes >= expected) return end()
+      socket.pause()
+      setTimeout(() => socket.resume(), Math.max(0, bytes / bytesPerMs - (performance.now() - startedMs)))
+    })
+    socket.on('end', end)
+    socket.on('error', end)
+    socket.write(`GET /bookings/1 HTTP/1.1\r\nHost: api.example\r\nAttempt-Id: slow\r\nDeadline-Ms: ${CALLER_TIMEOUT_MS}\r\n\r\n`)
+  })
+}
+
+// A response was cut off while it was being written, as its exchange had ended.
+test('a large response is delivered whole after a termination signal', async (t) => {
+  const body = Buffer.alloc(14 * 1024 * 1024, 'x')
+  const server = createServer((request, response) => {
+    response.writeHead(200, { 'attempt-id': request.headers['attempt-id'], 'server-signature': 's', 'content-length': body.length }).end(body)
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => server.close())
+  const { edge, callers } = await startStopping(plainUpstream('u1', `127.0.0.1:${(server.address() as AddressInfo).port}`))
+  const reading = readSlowly(callers, 2500)
+  await pause(500)
+  const stopped = edge.drain()
+  t.is(await reading, 1)
+  await stopped
+})
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -327,14 +327,18 @@
     loop.dispatch({ subject: 'draining', closesAtMs, at: at() })
     await _sleep(READINESS_DELAY_MS)
     loop.dispatch({ subject: 'serving', event: { kind: 'shutdown_started', nowMs: nowMs() } })
+    const servers = [callerServer, relayServer]
     // A request accepted later could be cut off at the end of the grace period.
-    const closed = Promise.all([callerServer, relayServer].map(({ server }) => closeServer(server)))
-    while (nowMs() < endMs && (exchanges.size() > 0 || loop.state().scheduler.held !== undefined)) {
+    for (const { connections } of servers) connections.stopListening()
+    const isBusy = (): boolean => exchanges.size() > 0 || servers.some(({ connections }) => connections.isBusy())
+    while (nowMs() < endMs && (isBusy() || loop.state().scheduler.held !== undefined)) {
       await _sleep(DRAIN_POLL_MS)
-      for (const { server } of [callerServer, relayServer]) server.closeIdleConnections()
+      for (const server of servers) {
+        if (nowMs() >= closesAtMs) server.refuseArriving()
+        server.connections.closeIdle()
+      }
     }
     await close()
-    await closed
   }
 
   return { state: loop.state, drain, close }
