Let incomplete events of all streams share a limit

Cause: each stream could hold a mebibyte of an incomplete event; only bodies shared a limit.

Change: bodies and incomplete events are counted together; beyond 48 MiB an event may hold 64 KiB. A gauge shows the sum. The tests of bytes without end now cover trailers and chunk extensions, which were bounded before.

Conclusion: at most 55.5 MiB are held in the test, and nothing afterwards.

--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -18,6 +18,7 @@
   readonly fence: number
   readonly viewAgeMs: number
   readonly droppedLines: number
+  readonly bufferedBytes: number
 }
 
 /** Metrics of an instance in the Prometheus text format. */
@@ -106,5 +107,6 @@
   gauge('berylshed_holds_lease', 'Whether this instance holds the lease', ({ holdsLease }) => Number(holdsLease))
   gauge('berylshed_fence', 'Newest fencing token heard of', ({ fence }) => fence)
   gauge('berylshed_view_age_seconds', 'Age of the newest news from the holder of the lease', ({ viewAgeMs }) => viewAgeMs / MS_PER_SECOND)
+  gauge('berylshed_buffered_response_bytes', 'Bytes of responses that are held until they can be passed on', ({ bufferedBytes }) => bufferedBytes)
   gauge('berylshed_dropped_lines', 'Log lines that were dropped', ({ droppedLines }) => droppedLines)
 }
--- a/packages/edge/_split_events.ts
+++ b/packages/edge/_split_events.ts
@@ -9,14 +9,10 @@
 export interface EventSplitter {
   /** Returns the events that a chunk completes, or undefined if there are none. */
   push (chunk: Buffer): CompleteEvents | undefined
-  /** Reports whether an incomplete event is buffered. */
-  hasPartialEvent (): boolean
-  /** Reports whether an incomplete event exceeds the maximum size. */
-  isOversize (): boolean
+  /** Returns the size of the buffered incomplete event, in bytes. */
+  partialBytes (): number
 }
 
-/** Maximum size of an event, in bytes; events hold a few tokens. */
-const MAX_EVENT_BYTES = 1024 * 1024
 const EVENT_END = Buffer.from('\n\n')
 const ID_FIELD = 'id:'
 
@@ -36,7 +32,7 @@
     return { bytes, ids: _ids(bytes) }
   }
 
-  return { push, hasPartialEvent: () => partial.length > 0, isOversize: () => partial.length > MAX_EVENT_BYTES }
+  return { push, partialBytes: () => partial.length }
 }
 
 function _ids (events: Buffer): readonly string[] {
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -4,11 +4,17 @@
 import type { AttemptFailure } from '@berylshed/serving'
 import { createEventSplitter } from './_split_events.ts'
 
-/** Maximum size of a buffered response body, in bytes. */
-const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-/** Maximum size of a buffered response body while many bytes are buffered, in bytes. */
-const MAX_CONTENDED_RESPONSE_BYTES = 256 * 1024
-/** Size of all buffered response bodies together from which the lower limit applies, in bytes: a tenth of an instance's memory. */
+/** Maximum size of what is buffered of a response, in bytes. */
+interface _SizeLimit {
+  readonly bytes: number
+  /** The same while many bytes are buffered. */
+  readonly contendedBytes: number
+}
+
+const BODY_LIMIT: _SizeLimit = { bytes: 16 * 1024 * 1024, contendedBytes: 256 * 1024 }
+/** Limit of an event; events hold a few tokens. */
+const EVENT_LIMIT: _SizeLimit = { bytes: 1024 * 1024, contendedBytes: 64 * 1024 }
+/** Size of all that is buffered from which the lower limits apply, in bytes: a tenth of an instance's memory. */
 const CONTENDED_BYTES = 48 * 1024 * 1024
 /** Maximum number of interim responses (status 1xx) to a request. */
 const MAX_INTERIM_RESPONSES = 16
@@ -104,10 +110,24 @@
 const HALF_OPEN: object = { allowHalfOpen: true }
 /** Opens a connection for each request. */
 const freshConnections = new Agent({ ...HALF_OPEN, keepAlive: false })
-/** Size of the bodies of all responses that are being collected, in bytes. */
+/** Size of the bodies that are being collected and of the incomplete events of all responses, in bytes. */
 let bufferedBytes = 0
 const keptConnections = new Agent({ ...HALF_OPEN, keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, timeout: MAX_IDLE_CONNECTION_MS })
 
+/**
+ * Returns how much of all responses is held until it can be passed on.
+ *
+ * @returns The size of bodies that are being collected and of incomplete events, in bytes.
+ *
+ * @example
+ * ```ts
+ * console.log(bufferedResponseBytes()) // 0
+ * ```
+ */
+export function bufferedResponseBytes (): number {
+  return bufferedBytes
+}
+
 /**
  * Sends a request to an upstream once, and validates and passes on the response.
  *
@@ -230,12 +250,13 @@
 
   function relayEvents (incoming: IncomingMessage, head: ResponseHead): void {
     const splitter = createEventSplitter()
+    const buffered = countBuffered(incoming, EVENT_LIMIT)
     let hasEvents = false
     let { lastEventId } = attempt
     incoming.on('data', (chunk: Buffer) => {
       if (settled) return
       const whole = splitter.push(chunk)
-      if (splitter.isOversize()) return fail('malformed', 'event exceeds the maximum size')
+      if (buffered.isExceededBy(splitter.partialBytes())) return
       if (whole === undefined) return
       const fault = _findOrderFault(lastEventId, whole.ids)
       if (fault !== undefined) return fail('malformed', fault)
@@ -248,7 +269,7 @@
     })
     incoming.on('end', () => {
       // Without a length, a stream that was cut before its first event looks like a whole one.
-      if (!incoming.complete || splitter.hasPartialEvent() || !hasEvents) return fail('broken', 'stream ended prematurely')
+      if (!incoming.complete || splitter.partialBytes() > 0 || !hasEvents) return fail('broken', 'stream ended prematurely')
       whenComplete(incoming, () => hooks.ended(head, undefined))
     })
     incoming.on('error', (error) => fail('broken', error.message))
@@ -256,16 +277,13 @@
 
   function collect (incoming: IncomingMessage, head: ResponseHead): void {
     const chunks: Buffer[] = []
+    const buffered = countBuffered(incoming, BODY_LIMIT)
     let bytes = 0
     incoming.on('data', (chunk: Buffer) => {
       if (settled) return
       bytes += chunk.length
-      bufferedBytes += chunk.length
-      chunks.push(chunk)
-      const limitBytes = bufferedBytes > CONTENDED_BYTES ? MAX_CONTENDED_RESPONSE_BYTES : MAX_RESPONSE_BYTES
-      if (bytes > limitBytes) fail('malformed', `response exceeds ${limitBytes} bytes`)
+      if (!buffered.isExceededBy(bytes)) chunks.push(chunk)
     })
-    incoming.once('close', () => { bufferedBytes -= bytes })
     incoming.on('end', () => {
       if (!incoming.complete) return fail('broken', 'response body ended prematurely')
       const body = Buffer.concat(chunks)
@@ -277,6 +295,24 @@
     incoming.on('error', (error) => fail('broken', error.message))
   }
 
+  // Counts what is buffered of a response, and fails the attempt if it is too much.
+  function countBuffered (incoming: IncomingMessage, limit: _SizeLimit): { isExceededBy (bytes: number): boolean } {
+    let counted = 0
+    const count = (bytes: number): void => {
+      bufferedBytes += bytes - counted
+      counted = bytes
+    }
+    incoming.once('close', () => count(0))
+    return {
+      isExceededBy: (bytes) => {
+        count(bytes)
+        const limitBytes = bufferedBytes > CONTENDED_BYTES ? limit.contendedBytes : limit.bytes
+        if (bytes > limitBytes) fail('malformed', `${bytes} bytes of the response are buffered, of ${limitBytes} allowed`)
+        return bytes > limitBytes
+      }
+    }
+  }
+
   function whenComplete (incoming: IncomingMessage, report: () => void): void {
     if (_isFramed(incoming)) return settle(report)
     cleanEnd.then((clean) => {
--- a/packages/edge/forward_attempt_test.ts
+++ b/packages/edge/forward_attempt_test.ts
@@ -1,6 +1,7 @@
 import { Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import test from 'ava'
-import type { ExpectedResponse } from './forward_attempt.ts'
+import { bufferedResponseBytes, type ExpectedResponse } from './forward_attempt.ts'
 import { sendAttempt, startRawUpstream } from './_test_upstream.ts'
 
 const HEAD = 'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n'
@@ -111,7 +112,9 @@
     noise: await outcomeOfEndless('', 'noise'),
     interim: await outcomeOfEndless('', 'HTTP/1.1 102 Processing\r\n\r\n'),
     event: await outcomeOfEndless(`${HEAD}Content-Type: text/event-stream\r\n\r\ndata: `, 'x'),
-    body: await outcomeOfEndless(`${HEAD}\r\n`, 'x')
+    body: await outcomeOfEndless(`${HEAD}\r\n`, 'x'),
+    trailer: await outcomeOfEndless(`${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`, 'X-Filler: 0123456789abcdef\r\n'),
+    chunkExtension: await outcomeOfEndless(`${HEAD}Transfer-Encoding: chunked\r\n\r\n1;`, 'x')
   }
   for (const [where, [outcome, mebibytes]] of Object.entries(endless)) {
     t.is(outcome, 'malformed', where)
@@ -119,6 +122,29 @@
   }
 })
 
+const STREAMS = 120
+/** Size from which less of each response is held, and what each stream may hold then, in bytes. */
+const MAX_BUFFERED_BYTES = (48 + STREAMS / 16) * 1024 * 1024
+const PIECE = Buffer.alloc(16 * 1024, 'x')
+
+// Each stream could fill a mebibyte, so that the streams of one faulty upstream could exceed the memory of an instance.
+test('events without end in many streams at once share a limit', async (t) => {
+  let maxBytes = 0
+  const upstream = await startRawUpstream((socket) => {
+    socket.write(`${HEAD}Content-Type: text/event-stream\r\n\r\ndata: `)
+    const timer = setInterval(() => socket.write(PIECE), 20)
+    socket.once('close', () => clearInterval(timer))
+  })
+  const sampling = setInterval(() => { maxBytes = Math.max(maxBytes, bufferedResponseBytes()) }, 1)
+  const timeouts = { firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity }
+  const outcomes = await Promise.all(Array.from({ length: STREAMS }, () => sendAttempt(upstream.port, { expects: 'stream', ...timeouts })))
+  clearInterval(sampling)
+  await upstream.close()
+  t.deepEqual(outcomes.map(({ outcome }) => outcome), outcomes.map(() => 'malformed'))
+  t.true(maxBytes > MAX_BUFFERED_BYTES / 2 && maxBytes <= MAX_BUFFERED_BYTES, `${maxBytes} bytes`)
+  while (bufferedResponseBytes() > 0) await sleep(20)
+})
+
 test('each phase of an attempt has its own timeout', async (t) => {
   const silent = await startRawUpstream(() => {})
   t.is((await sendAttempt(silent.port, { firstByteTimeoutMs: 50 })).outcome, 'silent')
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -12,6 +12,7 @@
 import { followConfiguration, followUpstreams, type RegistryHooks } from './_follow_registry.ts'
 import { closeServer, listenAt } from './_listen.ts'
 import { probeAddress } from './_probe_address.ts'
+import { bufferedResponseBytes } from './forward_attempt.ts'
 import { createPeerClient } from './_peer_client.ts'
 import { createPeerServer } from './_peer_router.ts'
 import type { EdgeEffect } from './edge_effect.ts'
@@ -364,7 +365,8 @@
     holdsLease: state.scheduler.held !== undefined,
     fence: state.scheduler.held?.fence ?? state.received?.view.fence ?? 0,
     viewAgeMs: state.scheduler.held !== undefined || state.received === undefined ? 0 : now.nowMs - state.received.receivedAtMs,
-    droppedLines: now.logger.dropped()
+    droppedLines: now.logger.dropped(),
+    bufferedBytes: bufferedResponseBytes()
   }
 }
 
--- a/packages/edge/split_events_test.ts
+++ b/packages/edge/split_events_test.ts
@@ -9,7 +9,7 @@
     const bounds = [0, ...[...cuts].sort((a, b) => a - b), stream.length]
     const pieces = bounds.slice(1).map((end, i) => splitter.push(Buffer.from(stream.slice(bounds[i], end))))
     const out = pieces.map((piece) => piece?.bytes.toString() ?? '')
-    return out.join('') === stream && out.every((piece) => piece === '' || piece.endsWith('\n\n')) && !splitter.hasPartialEvent()
+    return out.join('') === stream && out.every((piece) => piece === '' || piece.endsWith('\n\n')) && splitter.partialBytes() === 0
   }), { seed: 7 })
   t.pass()
 })
