Wait a moment for an address that is still in use at the start

What operators may see: an instance that does not start, since the process before it, which is being killed, still holds its ports. The users' record has two cases of a system that did not start or ended by itself, without its lines; this cause is only suspected.

Cause: the first EADDRINUSE ended the process.

Change: such an address is tried again every 50 ms for 3 s.

--- a/packages/edge/_listen.ts
+++ b/packages/edge/_listen.ts
@@ -1,20 +1,33 @@
 import type { Server } from 'node:http'
 
-/** Starts listening at an address of the form `host:port`. Rejects if the address is not available. */
-export function listenAt (server: Server, address: string): Promise<void> {
+/** Maximum number of connections waiting to be accepted; sized for a burst of new callers at one instance. */
+const ACCEPT_BACKLOG = 1024
+/** Time for which an address that is in use is tried again, in ms; a process that is being killed still holds its ports. */
+const IN_USE_TIMEOUT_MS = 3000
+const IN_USE_INTERVAL_MS = 50
+
+/** Starts listening at an address of the form `host:port`. Rejects if the address is not available, also after some seconds. */
+export async function listenAt (server: Server, address: string): Promise<void> {
+  const untilMs = performance.now() + IN_USE_TIMEOUT_MS
+  for (;;) {
+    const error = await _listen(server, address)
+    if (error === undefined) return
+    if (error.code !== 'EADDRINUSE' || performance.now() >= untilMs) throw error
+    await new Promise((resolve) => setTimeout(resolve, IN_USE_INTERVAL_MS))
+  }
+}
+
+function _listen (server: Server, address: string): Promise<NodeJS.ErrnoException | undefined> {
   const [host, port] = address.split(':')
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
+  return new Promise((resolve) => {
+    server.once('error', resolve)
     server.listen({ host, port: Number(port), backlog: ACCEPT_BACKLOG }, () => {
-      server.removeListener('error', reject)
-      resolve()
+      server.removeListener('error', resolve)
+      resolve(undefined)
     })
   })
 }
 
-/** Maximum number of connections waiting to be accepted; sized for a burst of new callers at one instance. */
-const ACCEPT_BACKLOG = 1024
-
 /** Stops accepting connections, closes idle ones and waits until the others have ended. */
 export function closeServer (server: Server): Promise<void> {
   return new Promise((resolve) => {
