Do not count loads on lost engines as in progress

What callers saw: 503 no_replica for up to 2 s longer than needed after crashes.

Cause: loads from the weight store on crashed engines counted against the limit of two concurrent ones until the registrations lapsed.

The new test failed before (2 in progress instead of 1).

Change: loads of engines that are marked as lost are left out.

--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -175,7 +175,8 @@
       engine: service.engine,
       views,
       demand: sumDemand([...current.reports.values()], service.name, { nowMs }),
-      storeLoadsInProgress: [...current.engines.values()].filter(({ open }) => open?.planned.fromStore === true).length,
+      // A lost engine loads nothing, though its registration takes seconds to lapse.
+      storeLoadsInProgress: [...current.engines.values()].filter(({ open, missedReports }) => open?.planned.fromStore === true && missedReports < MAX_MISSED_REPORTS).length,
       storeLoadsAllowed: service.engine.loadsPerSecond * STORE_WINDOW_MS / MS_PER_SECOND * STORE_SHARE - current.storeLoadStartsMs.length
     })
     const drained = planned.drains.reduce<_Step>((done, drain) => _chain(done, (s) => _startDrain(s, drain, nowMs)), step(current))
