Check the heads of responses in the product's own interface too

Cause: the same as in packages/edge: Node's parser accepts what its writer refuses, and a switch of protocols ends without an error.

Change: the attempt fails as broken, with the check of packages/platform.

The drain of this interface was not examined.

--- a/packages/instance/_forward_request.ts
+++ b/packages/instance/_forward_request.ts
@@ -1,4 +1,5 @@
 import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
+import { findHeaderFault } from '@berylshed/platform'
 import type { AttemptFailure } from '@berylshed/requests'
 
 /** Maximum size of a response that is buffered before it is forwarded to the caller, in bytes. */
@@ -7,6 +8,8 @@
 const TAIL_BYTES = 64
 const STREAM_END = 'data: [DONE]'
 const SERVICE_UNAVAILABLE = 503
+const FIRST_SUCCESS = 200
+const LAST_FAILURE = 599
 
 /** Options for `forwardRequest`, which makes one attempt at an upstream. */
 export interface ForwardOptions {
@@ -106,9 +109,16 @@
     else send()
   })
   request.on('error', () => fail(_classifyFailure({ connected, reused: request.reusedSocket, responding: response !== undefined })))
+  // Node reports no error if it drops a connection whose protocol the upstream switches.
+  request.on('upgrade', (_response, socket) => {
+    socket.destroy()
+    fail('broken')
+  })
   request.on('response', (incoming) => {
     response = incoming
     recordProgress()
+    const status = incoming.statusCode ?? 0
+    if (status < FIRST_SUCCESS || status > LAST_FAILURE || findHeaderFault(incoming.rawHeaders) !== undefined) return fail('broken')
     if (incoming.headers['x-not-run'] === 'true' && incoming.statusCode === SERVICE_UNAVAILABLE) return fail('refused')
     if (incoming.headers['x-request-id'] !== options.id) return fail('crossed')
     const isStream = String(incoming.headers['content-type']).startsWith('text/event-stream')
