Pass responses without a body on without a length

Cause: the body of each whole response was counted, also for statuses that exclude one, and Node's parser reads a body there that its writer drops.

Evidence: the new case of spoiled_head_test failed before.

Change: 204 and 304 go without a length, and are malformed if they came with a body.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -2,7 +2,7 @@
 import type { Upstream } from '@berylshed/fleet'
 import { attemptHeaders, forwardedResponseHeaders, handoverAnswerHeaders, handoverHeaders, localResponseHeaders, readSoftwareVersion } from '@berylshed/platform'
 import { refusal, type Refusal, type Relay, type Request, type AttemptFailure, type ServingEffect, type ServingEvent } from '@berylshed/serving'
-import { forwardAttempt, type Announcement, type ForwardedAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
+import { forwardAttempt, hasNoBody, type Announcement, type ForwardedAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
 
 /** Timeout for a connection to an upstream, in ms: many round trips within a region. */
 const CONNECT_TIMEOUT_MS = 250
@@ -226,7 +226,7 @@
     const { response } = entry.exchange
     const headers = [...forwardedResponseHeaders(head.headers)]
     if (entry.exchange.relayed) headers.push(...handoverAnswerHeaders(entry.softwareVersion ?? ''))
-    if (length !== undefined) headers.push('Content-Length', String(length))
+    if (length !== undefined && !hasNoBody(head.status)) headers.push('Content-Length', String(length))
     if (options.isDraining()) headers.push('Connection', 'close')
     response.sendDate = false
     response.writeHead(head.status, headers)
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -167,6 +167,8 @@
   readonly text: string
   /** Whether the response ended as a complete one. */
   readonly isComplete: boolean
+  /** Whether the response names the length of its body. */
+  readonly hasLength: boolean
   readonly elapsedMs: number
 }
 
@@ -175,10 +177,11 @@
   return new Promise((resolve) => {
     const startedMs = performance.now()
     const headers = { host: 'api.example', 'attempt-id': 'a1', 'deadline-ms': '3000', ...options.headers }
-    let [status, text] = [0, '']
-    const end = (isComplete: boolean): void => resolve({ status, text, isComplete, elapsedMs: performance.now() - startedMs })
+    let [status, text, hasLength] = [0, '', false]
+    const end = (isComplete: boolean): void => resolve({ status, text, isComplete, hasLength, elapsedMs: performance.now() - startedMs })
     const request = httpRequest({ port, host: '127.0.0.1', path, method: options.method ?? 'GET', headers, agent: false }, (response) => {
       status = response.statusCode ?? 0
+      hasLength = response.headers['content-length'] !== undefined
       response.on('data', (chunk: Buffer) => { text += chunk.toString() })
       response.on('error', () => {})
       response.on('close', () => end(response.complete))
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -23,6 +23,7 @@
 const MAX_IDLE_CONNECTIONS = 64
 const FIRST_SUCCESS = 200
 const NO_CONTENT = 204
+const NOT_MODIFIED = 304
 const FIRST_REDIRECT = 300
 const FIRST_FAILURE = 500
 const LAST_FAILURE = 599
@@ -287,6 +288,7 @@
     incoming.on('end', () => {
       if (!incoming.complete) return fail('broken', 'response body ended prematurely')
       const body = Buffer.concat(chunks)
+      if (body.length > 0 && hasNoBody(head.status)) return fail('malformed', `status ${head.status} with a body of ${body.length} bytes`)
       whenComplete(incoming, () => {
         if (head.status < FIRST_FAILURE) hooks.ended(head, body)
         else hooks.failed('upstream_error', `status ${head.status}`, { head, body })
@@ -342,10 +344,24 @@
   return findHeaderFault(['Last-Event-Id', ids.at(-1) ?? ''])
 }
 
+/**
+ * Reports whether responses of a status never have a body.
+ *
+ * @param status The status code of a final response.
+ * @returns Whether the response ends with its head.
+ *
+ * @example
+ * ```ts
+ * console.log(hasNoBody(204)) // true
+ * ```
+ */
+export function hasNoBody (status: number): boolean {
+  return status === NO_CONTENT || status === NOT_MODIFIED
+}
+
 // Reports whether the end of a response is known from its headers or status rather than from the end of its connection.
-function _isFramed (incoming: IncomingMessage): boolean {
-  const { headers, statusCode } = incoming
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === NO_CONTENT
+function _isFramed ({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || hasNoBody(statusCode)
 }
 
 // Reports at the end of a connection whether it was closed cleanly.
--- a/packages/edge/spoiled_head_test.ts
+++ b/packages/edge/spoiled_head_test.ts
@@ -64,6 +64,15 @@
   })
 }
 
+test('a response whose status excludes a body is passed on without one, or not at all', async (t) => {
+  const head = (id: string, status: number): string => `HTTP/1.1 ${status} X\r\nAttempt-Id: ${id}\r\nServer-Signature: s\r\n`
+  const sound = await startAnsweringUpstream(t, ({ id }) => `${head(id, 204)}\r\n`)
+  const spoiled = await startAnsweringUpstream(t, ({ id }) => `${head(id, 204)}Content-Length: 2\r\n\r\nok`)
+  const [instance, other] = await Promise.all([sound, spoiled].map(async (address) => (await startInstances(t, [[plainUpstream('u1', address)]]))[0]))
+  t.like(await outcomeOf(instance?.callers ?? 0, '/bookings/1'), { status: 204, hasLength: false, isComplete: true })
+  t.like(await outcomeOf(other?.callers ?? 0, '/bookings/1'), { status: 502, isComplete: true })
+})
+
 test('a stream that goes on at a response with a spoiled header is broken off', async (t) => {
   const address = await startAnsweringUpstream(t, ({ id, lastEventId }) => respond(id, 'HTTP/1.1 200 OK', lastEventId === undefined ? 'Content-Length: 99' : 'Weight Versions: 1'))
   const [instance] = await startInstances(t, [[plainUpstream('u1', address), plainUpstream('u2', address)]])
