--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -172,13 +172,19 @@
   readonly elapsedMs: number
 }
 
-/** Sends a request and returns what the caller gets, also if the response is broken off. */
+/** Time after which a caller gives up, in ms; beyond the deadlines of tests. */
+const GIVE_UP_MS = 10_000
+
+/** Sends a request and returns what the caller gets, also if the response is broken off or never comes. */
 export function outcomeOf (port: number, path: string, options: RequestOptions = {}): Promise<CallerOutcome> {
   return new Promise((resolve) => {
     const startedMs = performance.now()
     const headers = { host: 'api.example', 'attempt-id': 'a1', 'deadline-ms': '3000', ...options.headers }
     let [status, text, hasLength] = [0, '', false]
-    const end = (isComplete: boolean): void => resolve({ status, text, isComplete, hasLength, elapsedMs: performance.now() - startedMs })
+    const end = (isComplete: boolean): void => {
+      clearTimeout(timer)
+      resolve({ status, text, isComplete, hasLength, elapsedMs: performance.now() - startedMs })
+    }
     const request = httpRequest({ port, host: '127.0.0.1', path, method: options.method ?? 'GET', headers, agent: false }, (response) => {
       status = response.statusCode ?? 0
       hasLength = response.headers['content-length'] !== undefined
@@ -188,5 +194,6 @@
     })
     request.on('error', () => end(false))
     request.end(options.body)
+    const timer = setTimeout(() => request.destroy(new Error(`no response within ${GIVE_UP_MS} ms`)), GIVE_UP_MS)
   })
 }
