--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -86,8 +86,8 @@
   return _waitOrRefuse(state, request, { search, nowMs })
 }
 
-// Reports whether a request would probably still run when the instance ends its requests. Another instance can serve it to its end. Early
-// in the grace period the balancer sends new callers, so that a route whose duration is not known gets the benefit of the doubt.
+// Reports whether a request would probably still run when the instance ends its requests. Another instance can serve it to its end.
+// A route whose duration is not known is trusted only while the balancer still sends new callers.
 function _outlastsShutdown (state: ServingState, request: Request, nowMs: number): boolean {
   if (request.deadlineMs <= state.closesAtMs || request.phase === 'interrupted') return false
   return nowMs + (expectedDurationMs(state.routeDurations, request.route) ?? (state.shuttingDown ? Infinity : 0)) > state.closesAtMs
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -222,8 +222,8 @@
   return step(changed.state, changed.effects.filter((effect) => effect.kind !== 'evidence_changed'))
 }
 
-// Enforces the deadlines of running requests, and the end of the grace period, and weighs crashes that have settled; dispatching enforces the deadlines of waiting
-// requests.
+// Enforces the deadlines of running requests and the end of the grace period, and weighs crashes that have settled; dispatching
+// enforces the deadlines of waiting requests.
 function _tick (state: ServingState, nowMs: number): _Step {
   const overdue = [...HashMap.values(state.requests)].filter((request) => {
     return Math.min(request.deadlineMs, state.closesAtMs) <= nowMs && (request.phase !== 'waiting' || request.abandoned)
