Count what limited engines take when replicas are planned

Cause: the planner judged replicas by running requests per slot. An engine that names a limit runs few, so that its model looked idle.

The new planner test failed before: no other replica for 14 requests a second at an engine that takes 5.

Change: the planner knows the limits. Requests beyond the sum of the limits of a model's replicas count as late, unless one of their engines is not limited. Without limits the plan is the same.

--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -1,7 +1,7 @@
 import type { Configuration, Upstream } from '@berylshed/fleet'
 import { step, type Step } from '@berylshed/reducer'
 import { expectedLoads, reduceScheduler, type Instant, type PlacedEngine, type SchedulerEvent } from '@berylshed/scheduler'
-import { isIsolated, reduceServing, type TargetModel, type RoutingTarget, type ServingEffect, type ServingEvent } from '@berylshed/serving'
+import { isIsolated, reduceServing, type TargetModel, type RoutingTarget, type ServingEffect, type ServingEvent, type ServingState } from '@berylshed/serving'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { EdgeState } from './edge_state.ts'
 
@@ -25,10 +25,15 @@
   const reduced = reduceServing(state.serving, event)
   const effects = reduced.effects.filter((effect) => !REPORTED_EFFECTS.includes(effect.kind)).map((effect): EdgeEffect => ({ subject: 'serving', effect }))
   const heartbeatDue = state.heartbeatDue || reduced.effects.some((effect) => REPORTED_EFFECTS.includes(effect.kind))
-  const scheduler = { ...state.scheduler, quarantines: reduced.state.evidence.quarantines, instances: reduced.state.instances, isolated: isIsolated(reduced.state, event.nowMs) }
+  const limitsPerS = reduced.state.limits === state.serving.limits ? state.scheduler.limitsPerS : _limitsPerS(reduced.state)
+  const scheduler = { ...state.scheduler, limitsPerS, quarantines: reduced.state.evidence.quarantines, instances: reduced.state.instances, isolated: isIsolated(reduced.state, event.nowMs) }
   return step({ ...state, serving: reduced.state, scheduler, heartbeatDue }, effects)
 }
 
+function _limitsPerS ({ limits }: ServingState): ReadonlyMap<string, number> {
+  return new Map([...limits].flatMap(([upstream, { perS }]) => perS === Infinity ? [] : [[upstream, perS] as const]))
+}
+
 /** Reduces an event of the scheduler, and updates the routing targets if the placement changed. */
 export function applySchedulerEvent (state: EdgeState, event: SchedulerEvent): EdgeStep {
   const reduced = reduceScheduler(state.scheduler, event)
--- a/packages/scheduler/_model_value.ts
+++ b/packages/scheduler/_model_value.ts
@@ -30,6 +30,8 @@
   readonly source: WeightSource
   /** Expected time until the model is loaded, in ms. */
   readonly readyInMs: number
+  /** Requests per second that the engine takes; Infinity without a limit. */
+  readonly limitPerS: number
 }
 
 /** Returns the gain of loading a model that no engine holds, in responses that meet their latency objective. */
@@ -61,31 +63,57 @@
 export function hasShortage (draft: PlacementDraft, model: string): boolean {
   const demand = draft.demandFor(model)
   if (demand.ratePerS < BUSY_RATE_PER_S) return false
-  const replicas = draft.replicas(model).length
-  return replicas > 0 ? _utilization(draft, demand, replicas) >= SHORTAGE_UTILIZATION : demand.dueInMs.some((dueMs) => dueMs < -SHORTAGE_LATENESS_MS)
+  const replicas = draft.replicas(model)
+  return replicas.length > 0 ? _utilization(draft, demand, _capacity(draft, demand, replicas)) >= SHORTAGE_UTILIZATION : demand.dueInMs.some((dueMs) => dueMs < -SHORTAGE_LATENESS_MS)
 }
 
 /** Returns the gain of another replica of a loaded model, in responses that meet their latency objective. */
 export function replicaGain (draft: PlacementDraft, model: string, plan: LoadPlan): number {
   const demand = draft.demandFor(model)
-  const replicas = draft.replicas(model).length
-  const waitingGain = _utilization(draft, demand, replicas) >= 1 ? _waitingGain(demand, plan.readyInMs) : 0
+  const capacity = _capacity(draft, demand, draft.replicas(model))
+  const extended: _Capacity = { replicas: capacity.replicas + 1, perS: capacity.perS + plan.limitPerS }
+  const waitingGain = _utilization(draft, demand, capacity) >= 1 ? _waitingGain(demand, plan.readyInMs) : 0
   const horizonS = plan.source === 'store' ? _usefulDurationS(plan) : HORIZON_S
-  return waitingGain + demand.ratePerS * horizonS * (_lateShare(draft, demand, replicas) - _lateShare(draft, demand, replicas + 1))
+  return waitingGain + demand.ratePerS * horizonS * (_lateShare(draft, demand, capacity) - _lateShare(draft, demand, extended))
+}
+
+/** What the replicas of a model take. */
+interface _Capacity {
+  readonly replicas: number
+  /** Requests per second; Infinity unless all their engines name a limit. */
+  readonly perS: number
+}
+
+// The models of a limited engine share what it takes by their demand.
+function _capacity (draft: PlacementDraft, demand: ModelDemand, replicas: readonly EngineView[]): _Capacity {
+  const perS = replicas.reduce((sum, view) => {
+    const limitPerS = draft.input.limitsPerS.get(view.upstream.id) ?? Infinity
+    const others = [...view.residents.keys()].filter((model) => model !== demand.model)
+    const ratePerS = others.reduce((total, model) => total + draft.demandFor(model).ratePerS, demand.ratePerS)
+    return sum + (limitPerS === Infinity || demand.ratePerS === 0 ? limitPerS : limitPerS * demand.ratePerS / ratePerS)
+  }, 0)
+  return { replicas: replicas.length, perS }
 }
 
 /**
- * Estimates the fraction of a model's responses that are late with a number of replicas.
+ * Estimates the fraction of a model's responses that are late with a capacity.
  *
- * A batch slows down as it fills; requests beyond the number of slots wait.
+ * A batch slows down as it fills; requests beyond the number of slots wait. Requests beyond the limits of all engines are late.
  */
-function _lateShare (draft: PlacementDraft, demand: ModelDemand, replicas: number): number {
-  const utilization = _utilization(draft, demand, replicas)
-  return utilization <= 1 ? LATE_SHARE_AT_CAPACITY * utilization ** 2 : 1 - (1 - LATE_SHARE_AT_CAPACITY) / utilization
+function _lateShare (draft: PlacementDraft, demand: ModelDemand, capacity: _Capacity): number {
+  const utilization = _slotUtilization(draft, demand, capacity)
+  const lateBySlots = utilization <= 1 ? LATE_SHARE_AT_CAPACITY * utilization ** 2 : 1 - (1 - LATE_SHARE_AT_CAPACITY) / utilization
+  const lateByLimit = demand.ratePerS > capacity.perS ? 1 - capacity.perS / demand.ratePerS : 0
+  return Math.max(lateBySlots, lateByLimit)
+}
+
+// Above 1 requests have to wait.
+function _utilization (draft: PlacementDraft, demand: ModelDemand, capacity: _Capacity): number {
+  return Math.max(_slotUtilization(draft, demand, capacity), demand.ratePerS / capacity.perS)
 }
 
-// Returns running and waiting requests per slot; above 1 requests have to wait.
-function _utilization (draft: PlacementDraft, demand: ModelDemand, replicas: number): number {
+// Returns running and waiting requests per slot.
+function _slotUtilization (draft: PlacementDraft, demand: ModelDemand, { replicas }: _Capacity): number {
   return (demand.running + demand.waiting) / (draft.input.engine.slots * Math.max(1, replicas))
 }
 
@@ -93,8 +121,9 @@
 export function evictionCost (draft: PlacementDraft, view: EngineView, model: string): number {
   const demand = draft.demandFor(model)
   const replicas = draft.replicas(model)
-  const otherReplicas = replicas.includes(view) ? replicas.length - 1 : replicas.length
-  if (otherReplicas > 0) return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S * (_lateShare(draft, demand, otherReplicas) - _lateShare(draft, demand, otherReplicas + 1))
+  const others = _capacity(draft, demand, replicas.filter((replica) => replica !== view))
+  const all = _capacity(draft, demand, [view, ...replicas.filter((replica) => replica !== view)])
+  if (others.replicas > 0) return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S * (_lateShare(draft, demand, others) - _lateShare(draft, demand, all))
   if (demand.waiting > 0) return Infinity
   return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S + (draft.enginesWithCopy(model).length > 0 ? 0 : NO_COPY_COST)
 }
--- a/packages/scheduler/_placement_options.ts
+++ b/packages/scheduler/_placement_options.ts
@@ -8,6 +8,8 @@
   readonly view: EngineView
   readonly source: WeightSource
   readonly evictions: EvictionSet
+  /** Requests per second that the engine takes; Infinity without a limit. */
+  readonly limitPerS: number
   /** Expected time until the model is loaded, in ms. */
   readonly readyInMs: number
 }
@@ -39,7 +41,7 @@
     if (evictions === undefined) return []
     const source = weightSource(view, model.name)
     const drainMs = evictions.running === 0 ? 0 : DRAIN_MS + DRAIN_PER_EXTRA_REQUEST_MS * (evictions.running - 1)
-    return [{ view, source, evictions, readyInMs: startInMs + drainMs + evictions.models.length * UNLOAD_MS + loadMs(model, source) }]
+    return [{ view, source, evictions, limitPerS: draft.input.limitsPerS.get(view.upstream.id) ?? Infinity, readyInMs: startInMs + drainMs + evictions.models.length * UNLOAD_MS + loadMs(model, source) }]
   })
 }
 
--- a/packages/scheduler/_test_fleet.ts
+++ b/packages/scheduler/_test_fleet.ts
@@ -50,6 +50,7 @@
   readonly demand?: readonly Partial<ModelDemand>[]
   readonly running?: Readonly<Record<string, number>>
   readonly storeLoadsInProgress?: number
+  readonly limitsPerS?: Readonly<Record<string, number>>
 }
 
 /** Returns the input of a policy at time 0. */
@@ -62,7 +63,7 @@
   }
   const engine = testConfiguration(models).services.get('drafts')?.engine
   if (engine === undefined) throw new TypeError('Cannot build the planning input: the test configuration has no engine')
-  return { nowMs: 0, engine, views, demand, storeLoadsInProgress: given.storeLoadsInProgress ?? 0, storeLoadsAllowed: 9 }
+  return { nowMs: 0, engine, views, demand, limitsPerS: new Map(Object.entries(given.limitsPerS ?? {})), storeLoadsInProgress: given.storeLoadsInProgress ?? 0, storeLoadsAllowed: 9 }
 }
 
 /** Formats an order as one line. */
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -9,7 +9,7 @@
 import type { Plan, PlanningInput } from './planning_input.ts'
 
 /** Instant load, used to rank models independently of where they would be loaded. */
-const IMMEDIATE_LOAD: LoadPlan = { source: 'disk', readyInMs: 0 }
+const IMMEDIATE_LOAD: LoadPlan = { source: 'disk', readyInMs: 0, limitPerS: Infinity }
 /** Maximum number of running requests with which a model may be drained; more would take too long to finish. */
 const MAX_DRAINING_REQUESTS = 2
 /** Concurrent loads from the weight store for models with waiting requests; more would slow each other down. */
--- a/packages/scheduler/plan_orders_test.ts
+++ b/packages/scheduler/plan_orders_test.ts
@@ -14,6 +14,15 @@
   t.deepEqual(plan(views, { demand: [{ model: 'large-1', waiting: 1, ratePerS: 0.2 }] })[0], 'load large-1 on b')
 })
 
+// A replica on an engine that names a limit counted by its slots, so that a busy model got no other one.
+test('a model gets another replica if its engine takes fewer requests than come', (t) => {
+  const views = [testView('a', ['large-1']), testView('b', ['small-1', 'large-2'], ['large-1'])]
+  const demand = [{ model: 'large-1', ratePerS: 14, running: 4 }, { model: 'small-1', ratePerS: 0.6 }, { model: 'large-2', ratePerS: 0.5 }]
+  const unloads = (limitsPerS: Readonly<Record<string, number>>): readonly string[] => plan(views, { demand, limitsPerS }).filter((order) => order.startsWith('unload'))
+  t.deepEqual(unloads({ a: 5 }), ['unload large-2 on b'])
+  t.deepEqual([unloads({}), unloads({ a: 20 }), unloads({ a: 5, b: 0.1 })], [[], [], []])
+})
+
 test('no load from the weight store is planned while the engine with the copy is busy', (t) => {
   const busy: EngineView = { ...testView('b', [], ['large-1']), backoffUntilMs: 100 }
   const orders = plan([testView('a', ['small-1']), busy], { demand: [{ model: 'large-1', waiting: 3, ratePerS: 1, dueInMs: [-5000, -5000, -5000] }], storeLoadsInProgress: 4 })
--- a/packages/scheduler/planning_input.ts
+++ b/packages/scheduler/planning_input.ts
@@ -10,6 +10,8 @@
   /** Engines that hold models or can take orders; leaving and lost engines are excluded. */
   readonly views: readonly EngineView[]
   readonly demand: ServiceDemand
+  /** Requests per second that engines take from all instances together, for those that name a limit. */
+  readonly limitsPerS: ReadonlyMap<string, number>
   /** Loads from the weight store that are under way, over all services. */
   readonly storeLoadsInProgress: number
   /** Loads from the weight store that may begin now, over all services. */
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -174,6 +174,7 @@
       nowMs,
       engine: service.engine,
       views,
+      limitsPerS: current.limitsPerS,
       demand: sumDemand([...current.reports.values()], service.name, { nowMs }),
       // A lost engine loads nothing, though its registration takes seconds to lapse.
       storeLoadsInProgress: [...current.engines.values()].filter(({ open, missedReports }) => open?.planned.fromStore === true && missedReports < MAX_MISSED_REPORTS).length,
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -75,6 +75,8 @@
   readonly stopping: boolean
   /** Whether this instance reaches none of several upstreams. */
   readonly isolated: boolean
+  /** Requests per second that engines take from all instances together, for those that name a limit. */
+  readonly limitsPerS: ReadonlyMap<string, number>
 }
 
 /** Options of {@linkcode newSchedulerState}. */
@@ -123,6 +125,7 @@
     published: EMPTY_PLACEMENT,
     nextId: 0,
     stopping: false,
-    isolated: false
+    isolated: false,
+    limitsPerS: new Map()
   }
 }
