Read the caller's id of a failed request through the adapter

The handler of exceptions named the header itself; names of the platform belong to packages/platform. No change of behaviour; linter and types are clean.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -125,7 +125,7 @@
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_SLACK_MS }, (request, response) => {
     handleRequest(request, response).catch((error: unknown) => {
-      const callerId = String(request.headers['attempt-id'] ?? '')
+      const { id: callerId } = readRequestHeaders(request.headers)
       options.rejected(callerId, 400, error instanceof Error ? error.message : String(error))
       // A request that broke off has nobody to answer.
       if (request.errored !== null || response.socket?.writable !== true) response.destroy()
