Do not sum the rates of engines without a limit

Cause: each rating of a replica summed the request rates of all models on its engine, also where no limit is divided, and an eviction filtered the same list twice.

Change: the sum is made for limited engines only, the list once.

--- a/packages/scheduler/_model_value.ts
+++ b/packages/scheduler/_model_value.ts
@@ -88,9 +88,10 @@
 function _capacity (draft: PlacementDraft, demand: ModelDemand, replicas: readonly EngineView[]): _Capacity {
   const perS = replicas.reduce((sum, view) => {
     const limitPerS = draft.input.limitsPerS.get(view.upstream.id) ?? Infinity
+    if (limitPerS === Infinity || demand.ratePerS === 0) return sum + limitPerS
     const others = [...view.residents.keys()].filter((model) => model !== demand.model)
     const ratePerS = others.reduce((total, model) => total + draft.demandFor(model).ratePerS, demand.ratePerS)
-    return sum + (limitPerS === Infinity || demand.ratePerS === 0 ? limitPerS : limitPerS * demand.ratePerS / ratePerS)
+    return sum + limitPerS * demand.ratePerS / ratePerS
   }, 0)
   return { replicas: replicas.length, perS }
 }
@@ -121,8 +122,9 @@
 export function evictionCost (draft: PlacementDraft, view: EngineView, model: string): number {
   const demand = draft.demandFor(model)
   const replicas = draft.replicas(model)
-  const others = _capacity(draft, demand, replicas.filter((replica) => replica !== view))
-  const all = _capacity(draft, demand, [view, ...replicas.filter((replica) => replica !== view)])
+  const otherReplicas = replicas.filter((replica) => replica !== view)
+  const others = _capacity(draft, demand, otherReplicas)
+  const all = _capacity(draft, demand, [view, ...otherReplicas])
   if (others.replicas > 0) return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S * (_lateShare(draft, demand, others) - _lateShare(draft, demand, all))
   if (demand.waiting > 0) return Infinity
   return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S + (draft.enginesWithCopy(model).length > 0 ? 0 : NO_COPY_COST)
