Log what a request is weighed by in a planned stop

Cause: streams that were accepted 3.06 to 4.42 s after SIGTERM were cut at 6.95 s. Three hypotheses (an estimate that misses long requests, an instance that has seen few, an upstream chosen afterwards) could not be told apart: sent names neither the estimate nor what it rests on.

Change: sent, and refused for shutting_down, carry closesInMs, expectedMs, longestMs and endedRequests while the instance is about to shut down. No decision changes.

Conclusion: a line of a cut stream now shows what was known when it was sent.

--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -12,7 +12,7 @@
 import type { Request, Attempt } from './request.ts'
 import { countAttempt, EMPTY_RETRY_WINDOW } from './retry_window.ts'
 import { expectedDurationMs } from './route_duration.ts'
-import type { ServingEffect } from './serving_effect.ts'
+import type { ServingEffect, ServingRecord } from './serving_effect.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
 
 type _Step = Step<ServingState, ServingEffect>
@@ -80,7 +80,7 @@
   const quarantined = request.phase === 'interrupted' ? undefined : quarantinedKey(state.evidence, request, nowMs)
   if (quarantined !== undefined) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
   if (isVersionUnavailable(state, request)) return refuseRequest(state, request, { reason: 'no_software_version', nowMs, retryAfterMs: DEFAULT_RETRY_AFTER_MS })
-  if (_outlastsShutdown(state, request, nowMs)) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS })
+  if (_outlastsShutdown(state, request, nowMs)) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS, fields: _shutdownFields(state, request, nowMs) })
   const search = _search(state, request, { futile, nowMs })
   if (search.kind === 'chosen' && search.choice.owner !== undefined) return _handOver(state, request, { relay: search.choice.owner, reason: `owner of ${search.choice.target.upstream}`, nowMs })
   if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, nowMs })
@@ -98,6 +98,16 @@
   return nowMs + (expectedDurationMs(state.routeDurations, request.route) ?? (state.shuttingDown ? Infinity : 0)) > state.closesAtMs
 }
 
+// Names what is known of how long a request takes, while that decides whether it is sent.
+function _shutdownFields (state: ServingState, request: Request, nowMs: number): Pick<ServingRecord, 'closesInMs' | 'expectedMs' | 'longestMs' | 'endedRequests'> {
+  if (state.closesAtMs === Infinity) return {}
+  const known = Option.getOrUndefined(HashMap.get(state.routeDurations, request.route))
+  const closesInMs = state.closesAtMs - nowMs
+  if (known === undefined) return { closesInMs, endedRequests: 0 }
+  const expectedMs = expectedDurationMs(state.routeDurations, request.route) ?? 0
+  return { closesInMs, expectedMs, longestMs: known.longestMs, endedRequests: known.requests }
+}
+
 function _refuseQuarantined (state: ServingState, request: Request, options: { readonly key: string, readonly nowMs: number }): _Step {
   const { key, nowMs } = options
   const retryAfterMs = (state.evidence.quarantines.get(key)?.untilMs ?? nowMs) - nowMs
@@ -189,7 +199,7 @@
   return step(countAgainstLimit(marked, upstream, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream, relay: undefined },
     requestRecord('sent', next, {
-      nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion
+      nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion, ..._shutdownFields(state, request, nowMs)
     })
   ])
 }
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -101,6 +101,8 @@
   readonly nowMs: number
   readonly retryAfterMs?: number
   readonly detail?: string
+  /** Further fields of the record. */
+  readonly fields?: Partial<ServingRecord>
 }
 
 /**
@@ -114,7 +116,7 @@
   const cancelled: readonly ServingEffect[] = attempt === undefined ? [] : [{ kind: 'cancel', id: request.id, attempt: attempt.number }]
   const removed = removeRequest(noteCancelled(state, request, nowMs), request, nowMs)
   const detail = details.detail === undefined ? {} : { detail: details.detail }
-  const fields = { nowMs, reason, runs: request.runs, ...attemptFields(request), ...detail }
+  const fields = { nowMs, reason, runs: request.runs, ...attemptFields(request), ...detail, ...details.fields }
   if (request.abandoned) return step(removed, [...cancelled, requestRecord('ended', request, fields)])
   if (request.phase === 'responding' || request.phase === 'interrupted') {
     return step(removed, [...cancelled, { kind: 'abort', id: request.id }, requestRecord('broken_off', request, fields)])
--- a/packages/serving/route_duration.ts
+++ b/packages/serving/route_duration.ts
@@ -11,6 +11,10 @@
   readonly averageMs: number
   /** Average distance from that average, in ms. */
   readonly deviationMs: number
+  /** Longest of them, in ms. */
+  readonly longestMs: number
+  /** Number of requests. */
+  readonly requests: number
 }
 
 /** Durations by route. */
@@ -18,10 +22,12 @@
 
 /** Adds the duration of a request that was answered, in ms. */
 export function observeDuration (durations: RouteDurations, route: string, durationMs: number): RouteDurations {
-  const known = Option.getOrElse(HashMap.get(durations, route), () => ({ averageMs: durationMs, deviationMs: 0 }))
+  const known = Option.getOrElse(HashMap.get(durations, route), () => ({ averageMs: durationMs, deviationMs: 0, longestMs: 0, requests: 0 }))
   return HashMap.set(durations, route, {
     averageMs: known.averageMs + SMOOTHING_FACTOR * (durationMs - known.averageMs),
-    deviationMs: known.deviationMs + SMOOTHING_FACTOR * (Math.abs(durationMs - known.averageMs) - known.deviationMs)
+    deviationMs: known.deviationMs + SMOOTHING_FACTOR * (Math.abs(durationMs - known.averageMs) - known.deviationMs),
+    longestMs: Math.max(known.longestMs, durationMs),
+    requests: known.requests + 1
   })
 }
 
