--- a/packages/edge/edge_event.ts
+++ b/packages/edge/edge_event.ts
@@ -21,5 +21,5 @@
   | { readonly subject: 'heartbeat_failed', readonly refused: boolean, readonly at: Instant }
   /** An action on the stored origins of streams ended. */
   | { readonly subject: 'archive', readonly event: ArchiveEvent, readonly at: Instant }
-  | { readonly subject: 'draining', readonly closesAtMs: number, readonly at: Instant }
+  | { readonly subject: 'draining', readonly newCallersUntilMs: number, readonly closesAtMs: number, readonly at: Instant }
   | { readonly subject: 'tick', readonly at: Instant }
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -63,9 +63,9 @@
 
 type _Draining = Extract<EdgeEvent, { subject: 'draining' }>
 
-function _drain (state: EdgeState, { closesAtMs, at }: _Draining): EdgeStep {
+function _drain (state: EdgeState, { newCallersUntilMs, closesAtMs, at }: _Draining): EdgeStep {
   const stopping = applySchedulerEvent({ ...state, draining: true }, { kind: 'stopping', ...at })
-  return chain(stopping, (s) => applyServingEvent(s, { kind: 'shutdown_announced', closesAtMs, nowMs: at.nowMs }))
+  return chain(stopping, (s) => applyServingEvent(s, { kind: 'shutdown_announced', newCallersUntilMs, closesAtMs, nowMs: at.nowMs }))
 }
 
 // Until a holder tells the number of instances, a new process would take all limits for itself.
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -366,7 +366,7 @@
     const endMs = signalledAtMs + bounds.shutdownGraceMs - EXIT_RESERVE_MS
     const closesAtMs = endMs - DELIVERY_RESERVE_MS
     attempt(() => logger.write('process', { what: 'draining', open: exchanges.size(), leftMs: Math.round(closesAtMs - nowMs()) }))
-    attempt(() => loop.dispatch({ subject: 'draining', closesAtMs, at: at() }))
+    attempt(() => loop.dispatch({ subject: 'draining', newCallersUntilMs: signalledAtMs + READINESS_DELAY_MS, closesAtMs, at: at() }))
     await _sleep(READINESS_DELAY_MS)
     attempt(() => loop.dispatch({ subject: 'serving', event: { kind: 'shutdown_started', nowMs: nowMs() } }))
     const servers = [callerServer, relayServer]
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -11,7 +11,7 @@
 import type { RefusalReason } from './refusal.ts'
 import type { Request, Attempt } from './request.ts'
 import { countAttempt, EMPTY_RETRY_WINDOW } from './retry_window.ts'
-import { expectedDurationMs } from './route_duration.ts'
+import { longestDurationMs } from './route_duration.ts'
 import type { ServingEffect, ServingRecord } from './serving_effect.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
 
@@ -80,7 +80,7 @@
   const quarantined = request.phase === 'interrupted' ? undefined : quarantinedKey(state.evidence, request, nowMs)
   if (quarantined !== undefined) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
   if (isVersionUnavailable(state, request)) return refuseRequest(state, request, { reason: 'no_software_version', nowMs, retryAfterMs: DEFAULT_RETRY_AFTER_MS })
-  if (_outlastsShutdown(state, request, nowMs)) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS, fields: _shutdownFields(state, request, nowMs) })
+  if (_mayOutlastShutdown(state, request, nowMs)) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS, fields: _shutdownFields(state, request, nowMs) })
   const search = _search(state, request, { futile, nowMs })
   if (search.kind === 'chosen' && search.choice.owner !== undefined) return _handOver(state, request, { relay: search.choice.owner, reason: `owner of ${search.choice.target.upstream}`, nowMs })
   if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, nowMs })
@@ -89,23 +89,30 @@
   return _waitOrRefuse(state, request, { search, nowMs })
 }
 
-// Reports whether a request would probably still run when the instance ends its requests. Another instance can serve it to its end.
-// A route whose duration is not known is trusted only while the balancer still sends new callers. The instance that hands a request over
-// does not stop, so that the connection of its caller has no reason to end.
-function _outlastsShutdown (state: ServingState, request: Request, nowMs: number): boolean {
+// Reports whether a request may still run when the instance ends its requests; another instance can serve it to its end.
+//
+// Only its deadline bounds a request. While the balancer may still send new callers, most of which would have to come back, the longest of
+// the recent requests of its route is gone by instead, and a route without any is trusted. The instance that hands a request over does not
+// stop, so that the connection of its caller has no reason to end.
+function _mayOutlastShutdown (state: ServingState, request: Request, nowMs: number): boolean {
   if (request.deadlineMs <= state.closesAtMs || request.phase === 'interrupted') return false
-  if (request.handover !== undefined) return true
-  return nowMs + (expectedDurationMs(state.routeDurations, request.route) ?? (state.shuttingDown ? Infinity : 0)) > state.closesAtMs
+  if (request.handover !== undefined || state.shuttingDown || nowMs >= state.newCallersUntilMs) return true
+  return nowMs + (_longestKnownMs(state, request.route, nowMs) ?? 0) > state.closesAtMs
 }
 
-// Names what is known of how long a request takes, while that decides whether it is sent.
-function _shutdownFields (state: ServingState, request: Request, nowMs: number): Pick<ServingRecord, 'closesInMs' | 'expectedMs' | 'longestMs' | 'endedRequests'> {
+// Returns the time that some request of a route has taken lately, or has been running for, in ms.
+function _longestKnownMs (state: ServingState, route: string, nowMs: number): number | undefined {
+  const runningMs = [...HashMap.values(state.requests)].flatMap((request) => request.route === route && request.attempts[0] !== undefined ? [nowMs - request.attempts[0].sentAtMs] : [])
+  const endedMs = longestDurationMs(state.routeDurations, route, nowMs)
+  if (endedMs === undefined && runningMs.length === 0) return undefined
+  return Math.max(endedMs ?? 0, ...runningMs)
+}
+
+// Names what is known of how long a request may take, while that decides whether it is sent.
+function _shutdownFields (state: ServingState, request: Request, nowMs: number): Pick<ServingRecord, 'closesInMs' | 'longestMs'> {
   if (state.closesAtMs === Infinity) return {}
-  const known = Option.getOrUndefined(HashMap.get(state.routeDurations, request.route))
-  const closesInMs = state.closesAtMs - nowMs
-  if (known === undefined) return { closesInMs, endedRequests: 0 }
-  const expectedMs = expectedDurationMs(state.routeDurations, request.route) ?? 0
-  return { closesInMs, expectedMs, longestMs: known.longestMs, endedRequests: known.requests }
+  const longestMs = _longestKnownMs(state, request.route, nowMs)
+  return { closesInMs: state.closesAtMs - nowMs, ...longestMs === undefined ? {} : { longestMs } }
 }
 
 function _refuseQuarantined (state: ServingState, request: Request, options: { readonly key: string, readonly nowMs: number }): _Step {
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -4,6 +4,7 @@
 import type { TargetLoad } from './routing_target.ts'
 import { refusal, type RefusalReason } from './refusal.ts'
 import { currentAttempt, type Request } from './request.ts'
+import { observeDuration } from './route_duration.ts'
 import type { ServingEffect, ServingRecord } from './serving_effect.ts'
 import { updateTargetLoad, type ServingState } from './serving_state.ts'
 
@@ -60,10 +61,12 @@
   return { ...state, adapterUsedAtMs: HashMap.set(state.adapterUsedAtMs, key, use.nowMs) }
 }
 
-/** Removes a request that has reached its outcome. */
+/** Removes a request that has reached its outcome; one that was broken off would have taken as long at least. */
 export function removeRequest (state: ServingState, request: Request, nowMs: number): ServingState {
   const released = releaseSlot(dequeueRequest(state, request), request, nowMs)
-  return { ...released, requests: HashMap.remove(released.requests, request.id) }
+  const [first] = request.attempts
+  const routeDurations = first === undefined ? released.routeDurations : observeDuration(released.routeDurations, request.route, { durationMs: nowMs - first.sentAtMs, nowMs })
+  return { ...released, routeDurations, requests: HashMap.remove(released.requests, request.id) }
 }
 
 /** Updates the observed load of an upstream with the outcome of an attempt. */
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -13,7 +13,6 @@
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeUnreachable } from './reach.ts'
 import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
-import { observeDuration } from './route_duration.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
@@ -50,7 +49,7 @@
     case 'upstream_announced': return applyAnnouncement(state, event)
     case 'relays_received': return dispatchAll({ ...state, relays: event.relays }, event.nowMs)
     case 'models_changed': return step({ ...state, models: event.models })
-    case 'shutdown_announced': return dispatchAll({ ...state, closesAtMs: event.closesAtMs }, event.nowMs)
+    case 'shutdown_announced': return dispatchAll({ ...state, closesAtMs: event.closesAtMs, newCallersUntilMs: event.newCallersUntilMs ?? Infinity }, event.nowMs)
     case 'shutdown_started': return dispatchAll({ ...state, shuttingDown: true }, event.nowMs)
     case 'closed': return _cutAll(state, event.nowMs)
     case 'ticked': return _tick(state, event.nowMs)
@@ -133,9 +132,7 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = request.phase === 'responding' ? state : _observeSuccess(state, request, event.nowMs)
-  const sentAtMs = request.attempts[0]?.sentAtMs ?? attempt.sentAtMs
-  const timed = { ...observed, routeDurations: observeDuration(observed.routeDurations, request.route, event.nowMs - sentAtMs) }
-  const cleared = changeEvidence(timed, recordResponse(timed.evidence, request, event.nowMs), event.nowMs)
+  const cleared = changeEvidence(observed, recordResponse(observed.evidence, request, event.nowMs), event.nowMs)
   const removed = removeRequest(cleared.state, request, event.nowMs)
   const fields = { nowMs: event.nowMs, status: event.status, runs: request.runs, ...attemptFields(request) }
   const ended = step<ServingState, ServingEffect>(removed, request.abandoned
--- a/packages/serving/route_duration.ts
+++ b/packages/serving/route_duration.ts
@@ -1,38 +1,66 @@
 import { HashMap, Option } from 'effect'
 
-/** Weight of the newest request in the average duration of a route, and in that of its deviation. */
-const SMOOTHING_FACTOR = 0.1
-/** Deviations above the average within which most requests of a route end. */
-const DEVIATIONS = 2
+/** Time for which the longest request of a route is remembered at least, in ms; twice as long at most. */
+const PERIOD_MS = 30_000
 
-/** How long the requests of a route take at upstreams. */
+/** How long the longest of the recent requests of a route took. */
 export interface RouteDuration {
-  /** Average time from the first attempt to the end of the response, in ms. */
-  readonly averageMs: number
-  /** Average distance from that average, in ms. */
-  readonly deviationMs: number
-  /** Longest of them, in ms. */
+  /** Local time at which the present period began, in ms. */
+  readonly sinceMs: number
+  /** Longest time from the first attempt to the end of a request in the present period, in ms. */
   readonly longestMs: number
-  /** Number of requests. */
-  readonly requests: number
+  /** The same in the period before, in ms; undefined if no request ended in it. */
+  readonly previousMs: number | undefined
 }
 
 /** Durations by route. */
 export type RouteDurations = HashMap.HashMap<string, RouteDuration>
 
-/** Adds the duration of a request that was answered, in ms. */
-export function observeDuration (durations: RouteDurations, route: string, durationMs: number): RouteDurations {
-  const known = Option.getOrElse(HashMap.get(durations, route), () => ({ averageMs: durationMs, deviationMs: 0, longestMs: 0, requests: 0 }))
-  return HashMap.set(durations, route, {
-    averageMs: known.averageMs + SMOOTHING_FACTOR * (durationMs - known.averageMs),
-    deviationMs: known.deviationMs + SMOOTHING_FACTOR * (Math.abs(durationMs - known.averageMs) - known.deviationMs),
-    longestMs: Math.max(known.longestMs, durationMs),
-    requests: known.requests + 1
-  })
+/** A request that has ended. */
+export interface EndedRequest {
+  /** Time from its first attempt to its end, whoever ended it, in ms. */
+  readonly durationMs: number
+  /** Local time of its end, in ms. */
+  readonly nowMs: number
 }
 
-/** Returns the time within which most requests of a route end, in ms; undefined if none has been answered. */
-export function expectedDurationMs (durations: RouteDurations, route: string): number | undefined {
+/**
+ * Adds a request to the durations of its route.
+ *
+ * The longest request is kept rather than an average, as what requests usually take tells nothing of the one that comes next.
+ *
+ * @param durations The durations so far.
+ * @param route The route.
+ * @param ended How long the request took, and the time.
+ * @returns The durations including the request.
+ *
+ * @example
+ * ```ts
+ * const durations = observeDuration(HashMap.empty(), 'drafts', { durationMs: 700, nowMs: 0 })
+ * ```
+ */
+export function observeDuration (durations: RouteDurations, route: string, { durationMs, nowMs }: EndedRequest): RouteDurations {
   const known = Option.getOrUndefined(HashMap.get(durations, route))
-  return known === undefined ? undefined : known.averageMs + DEVIATIONS * known.deviationMs
+  if (known === undefined || nowMs - known.sinceMs >= 2 * PERIOD_MS) return HashMap.set(durations, route, { sinceMs: nowMs, longestMs: durationMs, previousMs: undefined })
+  if (nowMs - known.sinceMs >= PERIOD_MS) return HashMap.set(durations, route, { sinceMs: known.sinceMs + PERIOD_MS, longestMs: durationMs, previousMs: known.longestMs })
+  return durationMs <= known.longestMs ? durations : HashMap.set(durations, route, { ...known, longestMs: durationMs })
+}
+
+/**
+ * Returns how long the longest of the recent requests of a route took.
+ *
+ * @param durations The durations.
+ * @param route The route.
+ * @param nowMs The local time in ms.
+ * @returns The time in ms; undefined if none has ended lately.
+ *
+ * @example
+ * ```ts
+ * console.log(longestDurationMs(durations, 'drafts', performance.now()))
+ * ```
+ */
+export function longestDurationMs (durations: RouteDurations, route: string, nowMs: number): number | undefined {
+  const known = Option.getOrUndefined(HashMap.get(durations, route))
+  if (known === undefined || nowMs - known.sinceMs >= 2 * PERIOD_MS) return undefined
+  return Math.max(known.longestMs, known.previousMs ?? 0)
 }
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -52,12 +52,8 @@
   readonly parts?: string
   /** Time until this instance ends all requests to shut down, in ms; absent if it is not about to. */
   readonly closesInMs?: number
-  /** Time within which requests of the route usually end, in ms, if the instance is about to shut down; absent if none has ended here. */
-  readonly expectedMs?: number
-  /** Longest of the requests of the route that have ended here, in ms. */
+  /** Longest time that a request of the route has lately taken or been running for, in ms, if the instance is about to shut down; absent if there is none. */
   readonly longestMs?: number
-  /** Requests of the route that have ended here. */
-  readonly endedRequests?: number
   /** Time since the response started when the attempt failed, in ms; absent if it had not started. */
   readonly respondingMs?: number
 }
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -66,8 +66,8 @@
   /** The lease holder stands by a list of the instances among which upstreams are divided. */
   | { readonly kind: 'members_received', readonly members: readonly Relay[], readonly confirmedAtMs: number }
   | { readonly kind: 'models_changed', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
-  /** The instance is going to shut down, and ends all its requests at `closesAtMs`. */
-  | { readonly kind: 'shutdown_announced', readonly closesAtMs: number }
+  /** The instance is going to shut down, and ends all its requests at `closesAtMs`. New callers may come until `newCallersUntilMs`, or if absent until it shuts down. */
+  | { readonly kind: 'shutdown_announced', readonly closesAtMs: number, readonly newCallersUntilMs?: number }
   /** The instance is shutting down; callers of waiting requests can retry at another one. */
   | { readonly kind: 'shutdown_started' }
   /** The instance closes all connections now. */
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -83,7 +83,9 @@
   readonly shuttingDown: boolean
   /** Local time at which this instance ends all requests to shut down, in ms; Infinity if it is not about to. */
   readonly closesAtMs: number
-  /** How long the requests of each route take at upstreams. */
+  /** Local time until which the load balancer may send new callers to an instance that is about to shut down, in ms. */
+  readonly newCallersUntilMs: number
+  /** How long the longest requests of each route took. */
   readonly routeDurations: RouteDurations
   /** Unmet demand as last reported, so that only changes are reported immediately. */
   readonly reportedDemand: string
@@ -144,6 +146,7 @@
     adapterUsedAtMs: HashMap.empty(),
     shuttingDown: false,
     closesAtMs: Infinity,
+    newCallersUntilMs: Infinity,
     routeDurations: HashMap.empty(),
     reportedDemand: ''
   }
