Accept early in a planned stop unless several requests took longer

Conclusion: a refusal early costs each caller a retry, a long stream that is cut early one in some dozens; late, nothing is guessed.

--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -11,7 +11,7 @@
 import type { RefusalReason } from './refusal.ts'
 import type { Request, Attempt } from './request.ts'
 import { countAttempt, EMPTY_RETRY_WINDOW } from './retry_window.ts'
-import { longestDurationMs } from './route_duration.ts'
+import { latestDurationsMs } from './route_duration.ts'
 import type { ServingEffect, ServingRecord } from './serving_effect.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
 
@@ -31,6 +31,8 @@
 const FIRST_EVENT_MS = 200
 /** Remaining time at or below which a response can no longer reach the caller, in ms. */
 const MIN_REMAINING_MS = 5
+/** Number of requests of a route that may lately have taken longer than the time left when an instance that is about to shut down accepts one. */
+const MAX_LONGER_REQUESTS = 1
 /** Retry delay for callers if there is no estimate of when a slot becomes available, in ms; also the minimum. */
 const DEFAULT_RETRY_AFTER_MS = 700
 /** Retry delay for callers during shutdown, in ms; another instance can serve them at once, but not all at the same moment. */
@@ -91,28 +93,27 @@
 
 // Reports whether a request may still run when the instance ends its requests; another instance can serve it to its end.
 //
-// Only its deadline bounds a request. While the balancer may still send new callers, most of which would have to come back, the longest of
-// the recent requests of its route is gone by instead, and a route without any is trusted. The instance that hands a request over does not
-// stop, so that the connection of its caller has no reason to end.
+// Only its deadline bounds a request, as what others took tells nothing of it. While the balancer may still send new callers, who would have
+// to come back one and all, requests are accepted nevertheless unless several of their route have lately taken longer than the time left.
+// The instance that hands a request over does not stop, so that the connection of its caller has no reason to end.
 function _mayOutlastShutdown (state: ServingState, request: Request, nowMs: number): boolean {
   if (request.deadlineMs <= state.closesAtMs || request.phase === 'interrupted') return false
   if (request.handover !== undefined || state.shuttingDown || nowMs >= state.newCallersUntilMs) return true
-  return nowMs + (_longestKnownMs(state, request.route, nowMs) ?? 0) > state.closesAtMs
+  return _countLonger(state, request, nowMs) > MAX_LONGER_REQUESTS
 }
 
-// Returns the time that some request of a route has taken lately, or has been running for, in ms.
-function _longestKnownMs (state: ServingState, route: string, nowMs: number): number | undefined {
-  const runningMs = [...HashMap.values(state.requests)].flatMap((request) => request.route === route && request.attempts[0] !== undefined ? [nowMs - request.attempts[0].sentAtMs] : [])
-  const endedMs = longestDurationMs(state.routeDurations, route, nowMs)
-  if (endedMs === undefined && runningMs.length === 0) return undefined
-  return Math.max(endedMs ?? 0, ...runningMs)
+// Counts the latest and the running requests of a route that took, or have been running for, longer than the time left.
+function _countLonger (state: ServingState, { route }: Request, nowMs: number): number {
+  const leftMs = state.closesAtMs - nowMs
+  const endedMs = latestDurationsMs(state.routeDurations, route)
+  const runningMs = [...HashMap.values(state.requests)].flatMap(({ route: other, attempts: [first] }) => other === route && first !== undefined ? [nowMs - first.sentAtMs] : [])
+  return [...endedMs, ...runningMs].filter((durationMs) => durationMs > leftMs).length
 }
 
-// Names what is known of how long a request may take, while that decides whether it is sent.
-function _shutdownFields (state: ServingState, request: Request, nowMs: number): Pick<ServingRecord, 'closesInMs' | 'longestMs'> {
+// Names what decides whether a request is sent while the instance is about to shut down.
+function _shutdownFields (state: ServingState, request: Request, nowMs: number): Pick<ServingRecord, 'closesInMs' | 'longerRequests'> {
   if (state.closesAtMs === Infinity) return {}
-  const longestMs = _longestKnownMs(state, request.route, nowMs)
-  return { closesInMs: state.closesAtMs - nowMs, ...longestMs === undefined ? {} : { longestMs } }
+  return { closesInMs: state.closesAtMs - nowMs, longerRequests: _countLonger(state, request, nowMs) }
 }
 
 function _refuseQuarantined (state: ServingState, request: Request, options: { readonly key: string, readonly nowMs: number }): _Step {
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -65,7 +65,7 @@
 export function removeRequest (state: ServingState, request: Request, nowMs: number): ServingState {
   const released = releaseSlot(dequeueRequest(state, request), request, nowMs)
   const [first] = request.attempts
-  const routeDurations = first === undefined ? released.routeDurations : observeDuration(released.routeDurations, request.route, { durationMs: nowMs - first.sentAtMs, nowMs })
+  const routeDurations = first === undefined ? released.routeDurations : observeDuration(released.routeDurations, request.route, nowMs - first.sentAtMs)
   return { ...released, routeDurations, requests: HashMap.remove(released.requests, request.id) }
 }
 
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -52,8 +52,8 @@
   readonly parts?: string
   /** Time until this instance ends all requests to shut down, in ms; absent if it is not about to. */
   readonly closesInMs?: number
-  /** Longest time that a request of the route has lately taken or been running for, in ms, if the instance is about to shut down; absent if there is none. */
-  readonly longestMs?: number
+  /** Recent requests of the route that took longer than that; absent if the instance is not about to shut down. */
+  readonly longerRequests?: number
   /** Time since the response started when the attempt failed, in ms; absent if it had not started. */
   readonly respondingMs?: number
 }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -85,7 +85,7 @@
   readonly closesAtMs: number
   /** Local time until which the load balancer may send new callers to an instance that is about to shut down, in ms. */
   readonly newCallersUntilMs: number
-  /** How long the longest requests of each route took. */
+  /** How long the latest requests of each route took. */
   readonly routeDurations: RouteDurations
   /** Unmet demand as last reported, so that only changes are reported immediately. */
   readonly reportedDemand: string
