--- a/packages/edge/stopping_beside_changes_test.ts
+++ b/packages/edge/stopping_beside_changes_test.ts
@@ -1,60 +1,13 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Configuration, Upstream } from '@berylshed/fleet'
-import { Registry, type RegistryWatch } from '@berylshed/platform'
-import { ok } from 'neverthrow'
+import type { Upstream } from '@berylshed/fleet'
 import test from 'ava'
 import { startOpenLoad } from './_test_open_load.ts'
 import { PLAIN_CONFIGURATION, plainUpstream } from './_test_fleet.ts'
+import { ChangingRegistry } from './_test_registry.ts'
 import { MemoryStore, pause, startInstance, TEST_GRACE_MS } from './_test_system.ts'
 
 const LOSS_SLACK_MS = 200
-const POLL_MS = 20
-
-interface UpstreamChange {
-  readonly id: string
-  readonly upstream: Upstream | undefined
-}
-
-/** A registry that changes while it is watched. */
-class ChangingRegistry extends Registry {
-  readonly #upstreams: readonly Upstream[]
-  readonly #changes: UpstreamChange[] = []
-  #configuration: Configuration = PLAIN_CONFIGURATION
-
-  constructor (upstreams: readonly Upstream[]) {
-    super()
-    this.#upstreams = upstreams
-  }
-
-  change (change: UpstreamChange): void {
-    this.#changes.push(change)
-  }
-
-  configure (configuration: Configuration): void {
-    this.#configuration = configuration
-  }
-
-  override async readConfiguration () {
-    return ok({ revision: this.#configuration.version, configuration: this.#configuration })
-  }
-
-  override async watchConfiguration ({ afterRevision, waitMs }: RegistryWatch) {
-    const untilMs = performance.now() + waitMs
-    while (this.#configuration.version <= afterRevision && performance.now() < untilMs) await pause(POLL_MS)
-    return ok({ revision: this.#configuration.version, configuration: this.#configuration })
-  }
-
-  override async listUpstreams () {
-    return ok({ revision: 1, upstreams: new Map(this.#upstreams.map((upstream) => [upstream.id, upstream])) })
-  }
-
-  override async watchUpstreams ({ afterRevision, waitMs }: RegistryWatch) {
-    const untilMs = performance.now() + waitMs
-    while (this.#changes.length < afterRevision && performance.now() < untilMs) await pause(POLL_MS)
-    return ok({ revision: this.#changes.length + 1, changes: this.#changes.slice(afterRevision - 1) })
-  }
-}
 
 test('no request is lost when upstreams and the configuration change beside a planned stop', async (t) => {
   const ids = new Set<string>()
