Give up a silent attempt only for one that can follow

Callers saw 504 upstream_silent after 0.4 to 1.1 s, or 502, on all requests of a route whose upstreams need 500 and 1,100 ms, with 1.9 to 2.4 s of their time left, once an upstream of 40 ms had left.

Cause: an attempt was given up after 400 ms without a byte before anything asked what would follow. The last attempt, the one at the only upstream and the one of a request that had been handed over were given up for nothing.

Change: continuation.ts decides for begun and not begun responses, at upstreams and relays, by what the reducers would do: the checks of a failed attempt and the dispatch of the one request, so that attempts, budget, suspicion, quarantine, a stop of the instance, full, paused, avoided and unreachable upstreams and relays are the same in both. `waits` names the reason, once for each.

The deadline in continuation_test.ts moves from 9 s to 19 s, as the test asks at 11 s: a stream whose deadline has passed has no other attempt. What it expects is unchanged.

Remains: upstreams given up for silence still count as unreachable, and are excluded.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -54,7 +54,7 @@
   upstream (id: string): Upstream | undefined
   /** Reports whether callers are asked to reconnect to another instance. */
   isDraining (): boolean
-  /** Reports whether a stream that has begun may go on with another attempt. */
+  /** Reports whether the silent attempt of a request is given up for another one. */
   mayContinue (id: string): boolean
   /** Reports whether the origin of a request's stream has to be stored before its first event is forwarded. */
   needsStoredOrigin (id: string): boolean
@@ -75,8 +75,6 @@
   softwareVersion: string | undefined
   /** Whether a relay runs the request. */
   isRelayed: boolean
-  /** Whether the attempt goes on although its upstream is silent. */
-  enduresSilence: boolean
   /** Whether the stream has shown that a caller which has ended its sending side is still there. */
   isProbed: boolean
   /** Last byte of the events that probe the caller; undefined once it is written. */
@@ -104,7 +102,7 @@
 
   function open (exchange: CallerExchange): void {
     const { id, response } = exchange
-    openExchanges.set(id, { exchange, running: undefined, buffered: undefined, lastEventId: undefined, softwareVersion: undefined, isRelayed: false, enduresSilence: false, isProbed: false, tail: undefined, held: undefined })
+    openExchanges.set(id, { exchange, running: undefined, buffered: undefined, lastEventId: undefined, softwareVersion: undefined, isRelayed: false, isProbed: false, tail: undefined, held: undefined })
     response.on('drain', () => openExchanges.get(id)?.running?.resume())
     response.on('close', () => {
       if (response.writableEnded && !response.writableFinished) options.undelivered(exchange)
@@ -166,7 +164,6 @@
   function forward (entry: _OpenExchange, effect: _Send, target: Pick<ForwardedAttempt, 'host' | 'port' | 'headers' | 'reuseConnection' | 'firstByteTimeoutMs' | 'eventTimeoutMs'>): void {
     const { exchange } = entry
     const { request, attempt, relay } = effect
-    entry.enduresSilence = false
     entry.running = forwardAttempt({
       id: exchange.callerId,
       runsOnce: !request.retryable,
@@ -193,10 +190,9 @@
   }
 
   function mayGiveUp (entry: _OpenExchange): boolean {
-    const { id, response } = entry.exchange
-    if (!response.headersSent || options.mayContinue(id)) return true
-    if (!entry.enduresSilence) options.dispatch({ kind: 'silence_endured', id, nowMs: options.nowMs() })
-    entry.enduresSilence = true
+    const { id } = entry.exchange
+    if (options.mayContinue(id)) return true
+    options.dispatch({ kind: 'silence_endured', id, nowMs: options.nowMs() })
     return false
   }
 
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -67,6 +67,12 @@
   return step(reported.state, [...effects, ...reported.effects])
 }
 
+/** Returns the upstream or relay to which a waiting request would be sent now, ahead of all others; undefined if it would wait or end. */
+export function nextReceiver (state: ServingState, request: Request, nowMs: number): string | undefined {
+  const { effects } = _dispatchRequest(state, request, { futile: new Map(), nowMs })
+  return effects.flatMap((effect) => effect.kind === 'send' ? [effect.upstream] : [])[0]
+}
+
 /** Searches without a result in one round, by what the requests need; upstreams only fill up within a round. */
 type _FutileSearches = Map<string, UpstreamSearch>
 
@@ -185,7 +191,7 @@
 }
 
 function _sentRequest (request: Request, attempt: Attempt): Request {
-  return { ...request, phase: request.phase === 'interrupted' ? 'responding' : 'sent', attempts: [...request.attempts, attempt], runs: request.runs + 1 }
+  return { ...request, phase: request.phase === 'interrupted' ? 'responding' : 'sent', attempts: [...request.attempts, attempt], runs: request.runs + 1, enduredFor: undefined }
 }
 
 interface _SendOptions {
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -1,5 +1,5 @@
 import { step, type Step } from '@berylshed/reducer'
-import { enqueueRequest } from './_dispatch_requests.ts'
+import { enqueueRequest, nextReceiver } from './_dispatch_requests.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { isSuspectedRequest, recordCrash } from './_weigh_evidence.ts'
 import { noteCancelled, releaseSlot, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
@@ -56,16 +56,8 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== failed.attempt) return step(state)
   const { failure, nowMs, detail } = failed
-  const notRun = NOT_RUN_FAILURES.includes(failure)
   const responding = request.phase === 'responding'
-  const next: Request = {
-    ...request,
-    phase: responding ? 'interrupted' : 'waiting',
-    runs: notRun ? request.runs - 1 : request.runs,
-    refusedBy: !request.retryable && (failure === 'refused' || failure === 'misdirected') ? [...request.refusedBy, attempt.upstream] : request.refusedBy,
-    waitingSinceMs: nowMs,
-    hasErrorResponse: request.hasErrorResponse || failure === 'upstream_error'
-  }
+  const next = _endAttempt(request, attempt, failed)
   const observed = _observeFailure(putRequest(releaseSlot(failure === 'silent' ? noteCancelled(state, request, nowMs) : state, request, nowMs), next), request, { attempt, failed })
   const blamed = failure === 'broken' && !responding && attempt.relay === undefined ? _blame(observed.state, request, { attempt, nowMs }) : step<ServingState, ServingEffect>(observed.state)
   const record = requestRecord('failed', next, { nowMs, upstream: attempt.upstream, reason: failure, detail, sending: attempt.number, runs: next.runs, ..._traceFields(request, failed) })
@@ -73,6 +65,17 @@
   return step(followUp.state, [record, ...observed.effects, ...blamed.effects, ...followUp.effects])
 }
 
+function _endAttempt (request: Request, attempt: Attempt, { failure, nowMs }: Pick<FailedAttempt, 'failure' | 'nowMs'>): Request {
+  return {
+    ...request,
+    phase: request.phase === 'responding' ? 'interrupted' : 'waiting',
+    runs: NOT_RUN_FAILURES.includes(failure) ? request.runs - 1 : request.runs,
+    refusedBy: !request.retryable && (failure === 'refused' || failure === 'misdirected') ? [...request.refusedBy, attempt.upstream] : request.refusedBy,
+    waitingSinceMs: nowMs,
+    hasErrorResponse: request.hasErrorResponse || failure === 'upstream_error'
+  }
+}
+
 // What requests with failed attempts have in common tells a request that breaks upstreams from an upstream that breaks.
 function _traceFields (request: Request, failed: FailedAttempt): Pick<ServingRecord, 'fingerprint' | 'parts' | 'respondingMs'> {
   if (NOT_RUN_FAILURES.includes(failed.failure)) return {}
@@ -81,30 +84,54 @@
   return { fingerprint: request.fingerprint, ...parts, ...responding }
 }
 
-interface _EndedAttempt extends FailedAttempt {
+interface _EndedAttempt {
+  readonly failure: AttemptFailure
   readonly relay: Relay | undefined
+  readonly nowMs: number
+}
+
+function _retryOrRefuse (state: ServingState, request: Request, failed: _EndedAttempt & { readonly detail: string }): _Step {
+  const { nowMs, detail } = failed
+  const reason = _endReason(state, request, failed)
+  return reason === undefined ? enqueueRequest(state, request, nowMs) : refuseRequest(state, request, { reason, nowMs, detail })
 }
 
-function _retryOrRefuse (state: ServingState, request: Request, failed: _EndedAttempt): _Step {
-  const { nowMs, failure } = failed
-  const stop = (reason: RefusalReason): _Step => refuseRequest(state, request, { reason, nowMs, detail: failed.detail })
-  if (request.abandoned) return stop(REASONS[failure])
-  if (request.runs > 0 && !request.retryable) return stop(REASONS[failure])
+// Returns why a request ends with a failed attempt; undefined if another one may follow.
+function _endReason (state: ServingState, request: Request, { failure, relay, nowMs }: _EndedAttempt): RefusalReason | undefined {
+  if (request.abandoned) return REASONS[failure]
+  if (request.runs > 0 && !request.retryable) return REASONS[failure]
   // A relay has made the attempts that the request is allowed.
-  if (failed.relay !== undefined && failure === 'upstream_error') return stop(REASONS[failure])
-  if (!hasAttemptsLeft(request)) return stop(REASONS[failure])
-  if (isSuspectedRequest(state.evidence, request)) return stop('suspected_crash')
-  const arrived = failure !== 'not_connected' && failed.relay === undefined
-  if (arrived && !mayRetry(state, request, nowMs)) return stop('retry_budget')
-  return enqueueRequest(state, request, nowMs)
+  if (relay !== undefined && failure === 'upstream_error') return REASONS[failure]
+  if (!hasAttemptsLeft(request)) return REASONS[failure]
+  if (isSuspectedRequest(state.evidence, request)) return 'suspected_crash'
+  const arrived = failure !== 'not_connected' && relay === undefined
+  return arrived && !_mayRetry(state, request, nowMs) ? 'retry_budget' : undefined
 }
 
-/** Reports whether the retry budget of all instances allows another attempt of a request that has arrived at an upstream. */
-export function mayRetry (state: ServingState, request: Request, nowMs: number): boolean {
+// Reports whether the retry budget of all instances allows another attempt of a request that has arrived at an upstream.
+function _mayRetry (state: ServingState, request: Request, nowMs: number): boolean {
   const window = state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW
   return isRetryAllowed(window, state.retryBudget, { instances: state.instances, nowMs, startedAtMs: state.startedAtMs })
 }
 
+/** What would follow an attempt that is given up for silence. */
+export type FollowUp =
+  /** Another attempt at once, at an upstream or a relay. */
+  | { readonly kind: 'sent', readonly upstream: string }
+  /** No other attempt, or not at once. */
+  | { readonly kind: 'none', readonly reason: string }
+
+/** Tells what would follow if the attempt in progress were given up for silence now. */
+export function followUpOf (state: ServingState, request: Request, nowMs: number): FollowUp {
+  const attempt = currentAttempt(request)
+  if (attempt === undefined) return { kind: 'none', reason: 'no attempt in progress' }
+  const ended = _endAttempt(request, attempt, { failure: 'silent', nowMs })
+  const reason = _endReason(state, ended, { failure: 'silent', relay: attempt.relay, nowMs })
+  if (reason !== undefined) return { kind: 'none', reason: reason === REASONS.silent ? 'no attempts left' : reason }
+  const upstream = nextReceiver(state, ended, nowMs)
+  return upstream === undefined ? { kind: 'none', reason: 'nothing else can be sent to' } : { kind: 'sent', upstream }
+}
+
 interface _FailureObservation {
   readonly attempt: Attempt
   readonly failed: FailedAttempt
--- a/packages/serving/continuation.ts
+++ b/packages/serving/continuation.ts
@@ -1,14 +1,19 @@
 import { HashMap, Option } from 'effect'
-import { chooseUpstream } from './choose_upstream.ts'
-import { currentAttempt, hasAttemptsLeft } from './request.ts'
-import { mayRetry } from './_fail_attempt.ts'
+import { followUpOf } from './_fail_attempt.ts'
+import { currentAttempt, type Request } from './request.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
 
+/** Whether a silent attempt is given up, and why not. */
+export type SilenceVerdict =
+  | { readonly isGivenUp: true }
+  | { readonly isGivenUp: false, readonly reason: string }
+
+const GIVEN_UP: SilenceVerdict = { isGivenUp: true }
+
 /**
- * Reports whether a stream that has begun may go on with another attempt.
+ * Reports whether a silent attempt of a request is given up for another one.
  *
- * An upstream that is silent may be suspended or short of processor time and go on, so its attempt is given up only for one that can
- * follow at once: at another upstream, or over a new connection if no other upstream offers the model.
+ * Whether its response has begun or not, and wherever it was sent.
  *
  * @param state The state of the requests.
  * @param id The id of the request.
@@ -22,10 +27,34 @@
  */
 export function mayContinueStream (state: ServingState, id: string, nowMs: number): boolean {
   const request = Option.getOrUndefined(HashMap.get(state.requests, id))
-  const attempt = request === undefined ? undefined : currentAttempt(request)
-  if (request === undefined || attempt === undefined) return true
-  if (!hasAttemptsLeft(request) || !mayRetry(state, request, nowMs)) return false
-  const others = chooseUpstream(state, { ...request, refusedBy: [...request.refusedBy, attempt.upstream] }, nowMs)
+  return request === undefined || weighSilence(state, request, nowMs).isGivenUp
+}
+
+/**
+ * Decides whether a silent attempt is given up.
+ *
+ * A silent upstream may be slow, suspended or short of processor time, so its attempt is given up only for one that can follow at
+ * once: at another upstream or instance, or for a stream that has begun over a new connection if no other upstream serves it.
+ *
+ * @param state The state of the requests.
+ * @param request The request.
+ * @param nowMs The local time in ms.
+ * @returns The verdict.
+ *
+ * @example
+ * ```ts
+ * const { isGivenUp } = weighSilence(state, request, performance.now())
+ * ```
+ */
+export function weighSilence (state: ServingState, request: Request, nowMs: number): SilenceVerdict {
+  const attempt = currentAttempt(request)
+  if (attempt === undefined) return GIVEN_UP
+  const followUp = followUpOf(state, request, nowMs)
+  if (followUp.kind === 'none') return { isGivenUp: false, reason: followUp.reason }
+  const load = targetLoad(state, followUp.upstream)
   // After repeated failures the present upstream would be avoided for longer than a stream waits.
-  return others.kind === 'chosen' || (others.kind === 'absent' && targetLoad(state, attempt.upstream).consecutiveFailures === 0)
+  if (followUp.upstream === attempt.upstream && request.phase === 'responding' && load.consecutiveFailures === 0) return GIVEN_UP
+  if (request.attempts.some(({ upstream }) => upstream === followUp.upstream)) return { isGivenUp: false, reason: 'no other upstream' }
+  if (load.avoidedUntilMs > nowMs) return { isGivenUp: false, reason: `${followUp.upstream} is avoided` }
+  return GIVEN_UP
 }
--- a/packages/serving/continuation_test.ts
+++ b/packages/serving/continuation_test.ts
@@ -3,7 +3,7 @@
 import { mayContinueStream } from './continuation.ts'
 
 const BUDGET = { ratio: 0.2, minRetries: 40, windowMs: 10_000 }
-const stream = (id: string, maxRuns = 2) => testRequest(id, { stream: true, maxRuns, deadlineMs: 9000 })
+const stream = (id: string, maxRuns = 2) => testRequest(id, { stream: true, maxRuns, deadlineMs: 19_000 })
 
 // A stream `a` has begun at `u1`; upstreams have one slot each, so that up to three streams run on one.
 function startStream ({ upstreams, others = 0, minRetries = 40, maxRuns = 2 }: { readonly upstreams: number, readonly others?: number, readonly minRetries?: number, readonly maxRuns?: number }): ServingHarness {
@@ -30,3 +30,57 @@
   harness.apply({ kind: 'silence_endured', id: 'a', nowMs: 1700 })
   t.is(harness.records().at(-1), 'waits silent')
 })
+
+const RELAYS = ['b', 'c'].map((instance) => ({ instance, address: instance }))
+
+// A request `a` was sent to `u1`, and all upstreams are sound as far as known.
+function startRequest ({ upstreams = 2, slots = 2, minRetries = 40, maxRuns = 2, retryable = true, handedOver = false }: { readonly upstreams?: number, readonly slots?: number, readonly minRetries?: number, readonly maxRuns?: number, readonly retryable?: boolean, readonly handedOver?: boolean } = {}): ServingHarness {
+  const targets = Array.from({ length: upstreams }, (_, i) => testTarget(`u${i + 1}`, { slots }))
+  const harness = newServingHarness(targets, { ...BUDGET, minRetries, ratio: minRetries === 0 ? 0 : BUDGET.ratio })
+  harness.apply({ kind: 'relays_received', relays: RELAYS, nowMs: 0 })
+  harness.apply({ kind: 'received', request: testRequest('a', { maxRuns, retryable, deadlineMs: 3000, ...handedOver ? { handover: { softwareVersion: undefined } } : {} }), nowMs: 0 })
+  return harness
+}
+
+const isGivenUp = (harness: ServingHarness, nowMs = 1000): boolean => mayContinueStream(harness.state(), 'a', nowMs)
+
+// Sound upstreams that needed 500 and 1,100 ms were given up after 400 ms, with nothing else that could serve the request.
+test('an attempt whose response has not begun is given up for silence only if another one may follow at once', (t) => {
+  t.true(isGivenUp(startRequest()), 'another upstream is free')
+  t.false(isGivenUp(startRequest({ upstreams: 1 })), 'it is the only upstream')
+  t.false(isGivenUp(startRequest({ maxRuns: 1 })), 'no attempts are left')
+  t.false(isGivenUp(startRequest({ minRetries: 0 })), 'the retry budget is used up')
+  t.false(isGivenUp(startRequest({ retryable: false })), 'it may run once')
+  const last = startRequest()
+  last.apply({ kind: 'attempt_failed', id: 'a', attempt: 1, failure: 'broken', detail: '', nowMs: 100 })
+  t.false(isGivenUp(last), 'it is the last attempt')
+  const full = startRequest({ slots: 1 })
+  for (let i = 0; i < 6; i += 1) full.apply({ kind: 'received', request: testRequest(`b${i}`, { deadlineMs: 3000 }), nowMs: 0 })
+  t.false(isGivenUp(full), 'the other upstream is full')
+  const unreachable = startRequest()
+  unreachable.apply({ kind: 'upstream_probed', upstream: 'u2', reached: false, nowMs: 100 })
+  t.false(isGivenUp(unreachable), 'the other upstream cannot be reached')
+  const paused = startRequest()
+  paused.apply({ kind: 'upstream_announced', upstream: 'u2', leaving: false, retryAfterMs: 2000, maxRejectionsPerS: undefined, nowMs: 100 })
+  t.false(isGivenUp(paused), 'the other upstream wants no requests')
+  const stopping = startRequest()
+  stopping.apply({ kind: 'shutdown_announced', closesAtMs: 2000, nowMs: 100 })
+  stopping.apply({ kind: 'shutdown_started', nowMs: 900 })
+  t.false(isGivenUp(stopping), 'the instance is stopping and would refuse another attempt')
+})
+
+test('an attempt whose upstream turns out to be out of reach is given up for another instance', (t) => {
+  const harness = startRequest({ upstreams: 1 })
+  t.false(isGivenUp(harness))
+  harness.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 1000 })
+  t.true(isGivenUp(harness))
+  const handedOver = startRequest({ upstreams: 1, handedOver: true })
+  handedOver.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 1000 })
+  t.false(isGivenUp(handedOver), 'a request is handed over once')
+})
+
+test('each reason for which a silent attempt goes on has one line', (t) => {
+  const harness = startRequest({ upstreams: 1 })
+  for (const nowMs of [400, 600, 800]) harness.apply({ kind: 'silence_endured', id: 'a', nowMs })
+  t.deepEqual(harness.records(), ['sent', 'waits silent'])
+})
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -3,6 +3,7 @@
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { applyAnnouncement, applyBrittleServices } from './_apply_announcement.ts'
 import { changeEvidence } from './_change_evidence.ts'
+import { weighSilence } from './continuation.ts'
 import { applyOrigins } from './origin_exchange.ts'
 import { maintainOrigins, noteVersions, pinStream } from './_pin_streams.ts'
 import { failAttempt } from './_fail_attempt.ts'
@@ -67,7 +68,7 @@
     case 'response_started': return _startResponse(state, request, event)
     case 'response_ended': return _endResponse(state, request, event)
     case 'attempt_failed': return _thenDispatch(failAttempt(state, request, event), request.service, event.nowMs)
-    case 'silence_endured': return step(state, [requestRecord('waits', request, { nowMs: event.nowMs, reason: 'silent', runs: request.runs, ...attemptFields(request) })])
+    case 'silence_endured': return _endureSilence(state, request, event.nowMs)
     case 'caller_left': return _abandon(state, request, event.nowMs)
     case 'exchange_failed': return _giveUp(state, request, event.nowMs)
   }
@@ -81,7 +82,7 @@
 
 function _admit (state: ServingState, received: ReceivedRequest, nowMs: number): _Step {
   const request: Request = {
-    ...received, phase: 'waiting', softwareVersion: received.handover?.softwareVersion, attempts: [], runs: 0, refusedBy: [], abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, hasErrorResponse: false
+    ...received, phase: 'waiting', softwareVersion: received.handover?.softwareVersion, attempts: [], runs: 0, refusedBy: [], abandoned: false, waitingSinceMs: nowMs, respondingSinceMs: undefined, enduredFor: undefined, hasErrorResponse: false
   }
   const { model, service } = request
   // The instance that handed a request over has counted it.
@@ -105,6 +106,14 @@
   return step(pinned, [{ kind: 'store_origin', id: request.id, origin: pinned.origins.newest }])
 }
 
+// An attempt has a line for each reason for which it goes on, not for each time at which that is asked.
+function _endureSilence (state: ServingState, request: Request, nowMs: number): _Step {
+  const verdict = weighSilence(state, request, nowMs)
+  const detail = verdict.isGivenUp ? 'given up next' : verdict.reason
+  if (detail === request.enduredFor) return step(state)
+  return step(putRequest(state, { ...request, enduredFor: detail }), [requestRecord('waits', request, { nowMs, reason: 'silent', detail, runs: request.runs, ...attemptFields(request) })])
+}
+
 type _ResponseStarted = Extract<ServingEvent, { kind: 'response_started' }>
 
 function _startResponse (state: ServingState, request: Request, event: _ResponseStarted): _Step {
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -85,6 +85,8 @@
   readonly waitingSinceMs: number
   /** Local time at which the response to the caller started, in ms; undefined before. */
   readonly respondingSinceMs: number | undefined
+  /** Why the attempt in progress was not given up for its silence when that was last decided; undefined if it was not. */
+  readonly enduredFor: string | undefined
   /** Whether an upstream's error response is kept, to be delivered if no later attempt succeeds. */
   readonly hasErrorResponse: boolean
 }
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -40,7 +40,7 @@
   | { readonly kind: 'response_started', readonly id: string, readonly attempt: number, readonly softwareVersion?: string }
   | { readonly kind: 'response_ended', readonly id: string, readonly attempt: number, readonly status: number }
   | { readonly kind: 'attempt_failed', readonly id: string, readonly attempt: number, readonly failure: AttemptFailure, readonly detail: string }
-  /** The upstream of a stream that has begun is silent, and no other attempt may follow, so that this one goes on. */
+  /** An attempt is silent, and no other one follows yet, so that it goes on. */
   | { readonly kind: 'silence_endured', readonly id: string }
   /** A response of an upstream names a limit on its requests, or none. */
   | { readonly kind: 'limit_stated', readonly upstream: string, readonly perS: number | undefined }
