Probe a silent upstream instead of calling it out of reach

Callers were refused (no_upstream) or handed to another instance, which fared no better, as both upstreams of a route counted as upstream_unreachable after 400 ms without a byte each.

Cause: an attempt that was given up for silence marked its upstream like one to which no connection could be opened. An upstream that takes long, is suspended or is short of processor time is reached all the while. The marks also count for isIsolated, by which a lease holder gives up its lease.

Change: silence asks for a probe at once (a new connection), also while an attempt goes on beside it, at most every 400 ms for an upstream; a failed connection marks it, as before, and its silent attempts are then given up for another instance. not_connected goes on marking it at once.

Before, the two tests of serving/silent_upstream_test.ts failed (u1 marked, no probe). After: they pass, with 100 tests of packages/serving and of reach, handover and stops in packages/edge (cut_instance, isolated_holder, relay_stop, stopping_owner, shared_evidence among them).

Remains: an avoided upstream is excluded, so that a request may still be refused for the silence of others.

--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -6,7 +6,7 @@
 import { demandKey, type TargetLoad } from './routing_target.ts'
 import type { RefusalReason } from './refusal.ts'
 import { currentAttempt, hasAttemptsLeft, type Request, type Attempt } from './request.ts'
-import { markUnreachable, noteContact } from './reach.ts'
+import { markUnreachable, noteContact, probeSilent } from './reach.ts'
 import type { Relay } from './relay.ts'
 import { EMPTY_RETRY_WINDOW, isRetryAllowed } from './retry_window.ts'
 import { brittleService, ownershipOf } from './upstream_owner.ts'
@@ -145,6 +145,10 @@
   if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { upstream, nowMs })))
   if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
   const avoided = updateTargetLoad(contacted, upstream, (load) => _avoidUpstream(observeOutcome(load, { failed: true, nowMs }), nowMs))
+  if (failure === 'silent') {
+    const probed = probeSilent(avoided, upstream, nowMs)
+    return step(probed.state, [...probed.effects, { kind: 'record', record: { what: 'upstream_avoided', upstream, reason: failure, request: request.callerId } }])
+  }
   const marked = markUnreachable(avoided, upstream, nowMs)
   const what = marked === avoided ? 'upstream_avoided' : 'upstream_unreachable'
   return step(marked, [{ kind: 'record', record: { what, upstream, reason: failure, request: request.callerId } }])
--- a/packages/serving/reach.ts
+++ b/packages/serving/reach.ts
@@ -1,7 +1,7 @@
 import type { ServingEffect } from './serving_effect.ts'
-import type { ServingState } from './serving_state.ts'
+import { targetLoad, updateTargetLoad, type ServingState } from './serving_state.ts'
 
-/** Interval between two probes of an upstream that cannot be reached, in ms. */
+/** Interval between two probes of an upstream that is silent or cannot be reached, in ms. */
 const PROBE_INTERVAL_MS = 400
 /** Maximum number of probes per tick; bounds the connections of an instance that reaches none of many upstreams. */
 const MAX_PROBES_PER_TICK = 4
@@ -28,6 +28,25 @@
   return { ...state, unreachable: new Map(state.unreachable).set(upstream, nowMs) }
 }
 
+/**
+ * Asks for a new connection to a silent upstream, as its silence does not tell whether there is no path to it or it only takes long.
+ *
+ * @param state The state of the requests.
+ * @param upstream The upstream's id.
+ * @param nowMs The local time in ms.
+ * @returns The state and the probe; none if the upstream is not a known one, is probed already or was probed lately.
+ *
+ * @example
+ * ```ts
+ * const { effects } = probeSilent(state, 'u1', performance.now())
+ * ```
+ */
+export function probeSilent (state: ServingState, upstream: string, nowMs: number): { readonly state: ServingState, readonly effects: readonly ServingEffect[] } {
+  const isDue = state.targets.has(upstream) && !state.unreachable.has(upstream) && nowMs - targetLoad(state, upstream).probedAtMs >= PROBE_INTERVAL_MS
+  if (!isDue) return { state, effects: [] }
+  return { state: updateTargetLoad(state, upstream, (load) => ({ ...load, probedAtMs: nowMs })), effects: [{ kind: 'probe', upstream }] }
+}
+
 /**
  * Clears an upstream to which a connection was opened.
  *
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -12,7 +12,7 @@
 import { attemptFields, noteCancelled, observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
-import { markReached, markUnreachable, noteContact, probeUnreachable } from './reach.ts'
+import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
 import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
@@ -110,8 +110,10 @@
 function _endureSilence (state: ServingState, request: Request, nowMs: number): _Step {
   const verdict = weighSilence(state, request, nowMs)
   const detail = verdict.isGivenUp ? 'given up next' : verdict.reason
-  if (detail === request.enduredFor) return step(state)
-  return step(putRequest(state, { ...request, enduredFor: detail }), [requestRecord('waits', request, { nowMs, reason: 'silent', detail, runs: request.runs, ...attemptFields(request) })])
+  const probed = probeSilent(state, currentAttempt(request)?.upstream ?? '', nowMs)
+  if (detail === request.enduredFor) return step(probed.state, probed.effects)
+  const record = requestRecord('waits', request, { nowMs, reason: 'silent', detail, runs: request.runs, ...attemptFields(request) })
+  return step(putRequest(probed.state, { ...request, enduredFor: detail }), [...probed.effects, record])
 }
 
 type _ResponseStarted = Extract<ServingEvent, { kind: 'response_started' }>
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -46,6 +46,8 @@
   readonly pausedUntilMs: number
   /** Whether the upstream said in a response that it is leaving. */
   readonly leaving: boolean
+  /** Local time at which the upstream was last probed for its silence, in ms. */
+  readonly probedAtMs: number
   /** Consecutive failures that concern the upstream as a whole. */
   readonly consecutiveFailures: number
   /** Local time until which a listed model or adapter is treated as absent, in ms, by `demandKey`. */
@@ -65,6 +67,7 @@
   avoidedUntilMs: -Infinity,
   pausedUntilMs: -Infinity,
   leaving: false,
+  probedAtMs: -Infinity,
   consecutiveFailures: 0,
   absentUntilMs: new Map()
 }
