Prefer other upstreams to avoided ones instead of excluding them

Callers were refused with no_upstream, or handed to another instance, while all upstreams of their service could be reached and were merely avoided for an earlier silence, for 0.4 to 3.2 s.

Cause: being avoided excluded an upstream like one without a path, so that a guess about one request ended others.

Change: chooseUpstream takes upstreams that are avoided if there are no others that can be reached and offer what the request needs; so `absent`, on which a handover rests, means out of reach. An upstream without models that says that it is another one (421) stays excluded for 400 ms, now by a time of its own. Avoided ones are still not used beside others that are full.

Before, two of the four new tests of serving/silent_upstream_test.ts failed: with both upstreams avoided a request was not sent, and with the other one out of reach it was handed over. The other two (preference, 421) passed before and after.

--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -20,7 +20,7 @@
 const AVOID_MS = 400
 /** Maximum time for which an upstream is avoided, in ms. */
 const MAX_AVOID_MS = 3200
-/** Time for which a model or adapter is treated as absent after an upstream reported so, in ms: two heartbeat intervals. */
+/** Time for which a model, adapter or plain upstream is treated as absent after an upstream reported so, in ms: two heartbeat intervals. */
 const ABSENT_MS = 400
 /** Time over which brittle upstreams count rejections, in ms. */
 const REJECTION_WINDOW_MS = 1000
@@ -173,7 +173,7 @@
 }
 
 function _markAbsent (load: TargetLoad, request: Request, nowMs: number): TargetLoad {
-  if (request.model === undefined) return { ...load, avoidedUntilMs: nowMs + ABSENT_MS }
+  if (request.model === undefined) return { ...load, misdirectedUntilMs: nowMs + ABSENT_MS }
   const current = [...load.absentUntilMs].filter(([, untilMs]) => untilMs > nowMs)
   return { ...load, absentUntilMs: new Map(current).set(demandKey(request.model, request.adapter), nowMs + ABSENT_MS) }
 }
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -53,6 +53,7 @@
  * requests while their health checks pass. The upstream with the lowest expected delay is therefore chosen. The delay is
  * estimated from the time to first byte and the failures that this instance has observed, and from the requests that all
  * instances are running on the upstream. The weight of observations decays, so that a recovered upstream is tried again.
+ * Upstreams that are avoided are chosen from only if there are no others.
  *
  * @param state The state of the requests.
  * @param request The request.
@@ -65,8 +66,11 @@
  * ```
  */
 export function chooseUpstream (state: ServingState, request: Request, nowMs: number): UpstreamSearch {
-  const eligible = [...state.targets.values()].filter((target) => isEligible(state, target, { request, nowMs }))
-  if (eligible.length === 0) return { kind: 'absent' }
+  const reachable = [...state.targets.values()].filter((target) => isEligible(state, target, { request, nowMs }))
+  if (reachable.length === 0) return { kind: 'absent' }
+  // Upstreams are avoided for their silence, which does not tell that they cannot serve a request.
+  const unsuspected = reachable.filter((target) => !_isAvoided(state, target, { request, nowMs }))
+  const eligible = unsuspected.length > 0 ? unsuspected : reachable
   const untried = eligible.filter((target) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
   const candidates = untried.length > 0 ? untried : eligible
   const available = candidates.filter((target) => _isAvailable(state, target, { request, nowMs }))
@@ -104,9 +108,8 @@
  * ```
  */
 export function isEligible (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
-  // An owner has a path of its own.
-  if (query.request.handover === undefined && ownershipOf(state, target, query.nowMs).kind === 'elsewhere') return offersModel(state, target, query)
-  if (state.unreachable.has(target.upstream) || targetLoad(state, target.upstream).avoidedUntilMs > query.nowMs) return false
+  if (_isLeftToOwner(state, target, query)) return offersModel(state, target, query)
+  if (state.unreachable.has(target.upstream) || targetLoad(state, target.upstream).misdirectedUntilMs > query.nowMs) return false
   return offersModel(state, target, query)
 }
 
@@ -175,6 +178,15 @@
   return ahead / perMs
 }
 
+// An owner has a path of its own.
+function _isLeftToOwner (state: ServingState, target: RoutingTarget, { request, nowMs }: RoutingQuery): boolean {
+  return request.handover === undefined && ownershipOf(state, target, nowMs).kind === 'elsewhere'
+}
+
+function _isAvoided (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
+  return !_isLeftToOwner(state, target, query) && targetLoad(state, target.upstream).avoidedUntilMs > query.nowMs
+}
+
 function _isAvailable (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
   const { request, nowMs } = query
   const ownership = ownershipOf(state, target, nowMs)
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -133,7 +133,7 @@
   const firstByteMs = nowMs - attempt.sentAtMs
   const contacted = attempt.relay === undefined ? noteContact(state, nowMs) : state
   return updateTargetLoad(contacted, attempt.upstream, (load) => ({
-    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), consecutiveFailures: 0, avoidedUntilMs: -Infinity
+    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
   }))
 }
 
@@ -192,7 +192,7 @@
   const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
-    ...load, avoidedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, absentUntilMs: new Map()
+    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, absentUntilMs: new Map()
   })), changed)
   return dispatchAll(noteVersions(pruneLimits(reset), targets, nowMs), nowMs)
 }
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -40,8 +40,10 @@
   readonly failureShare: number
   /** Local time of the last outcome, in ms. */
   readonly observedAtMs: number
-  /** Local time until which the upstream receives no requests, in ms. */
+  /** Local time until which other upstreams are preferred, in ms. */
   readonly avoidedUntilMs: number
+  /** Local time until which an upstream without models is treated as another one than intended, as it said, in ms. */
+  readonly misdirectedUntilMs: number
   /** Local time until which the upstream wants no requests from this instance, in ms. */
   readonly pausedUntilMs: number
   /** Whether the upstream said in a response that it is leaving. */
@@ -65,6 +67,7 @@
   failureShare: 0,
   observedAtMs: -Infinity,
   avoidedUntilMs: -Infinity,
+  misdirectedUntilMs: -Infinity,
   pausedUntilMs: -Infinity,
   leaving: false,
   probedAtMs: -Infinity,
--- a/packages/serving/silent_upstream_test.ts
+++ b/packages/serving/silent_upstream_test.ts
@@ -31,3 +31,38 @@
   const probes = [400, 420, 600, 800, 820].map((nowMs) => harness.apply({ kind: 'silence_endured', id: nowMs === 420 ? 'b' : 'a', nowMs }))
   t.deepEqual(probes, [['probe u1'], [], [], ['probe u1'], []])
 })
+
+// Requests were refused or handed over while all upstreams were merely avoided for their silence.
+test('a request is sent to an upstream that is avoided if there is no other one', (t) => {
+  const harness = startTwo()
+  harness.apply(received('a', 0))
+  harness.apply(silent('a', 1, 400))
+  harness.apply(silent('a', 2, 700))
+  t.deepEqual(harness.apply(received('b', 710)), ['send b#1 to u1'])
+  t.deepEqual(harness.apply({ kind: 'attempt_failed', id: 'b', attempt: 1, failure: 'broken', detail: '', nowMs: 720 }), ['send b#2 to u2'])
+})
+
+test('an upstream that is avoided receives no requests while there is another one', (t) => {
+  const harness = startTwo()
+  harness.apply(received('a', 0))
+  harness.apply(silent('a', 1, 400))
+  t.deepEqual(Array.from({ length: 3 }, (_, i) => harness.apply(received(`b${i}`, 410 + i))), [['send b0#1 to u2'], ['send b1#1 to u2'], ['send b2#1 to u2']])
+})
+
+test('an upstream that says that it is another one receives no requests for a time', (t) => {
+  const harness = newServingHarness([testTarget('u1')])
+  harness.apply(received('a', 0))
+  t.deepEqual(harness.apply({ kind: 'attempt_failed', id: 'a', attempt: 1, failure: 'misdirected', detail: '', nowMs: 10 }), [])
+  t.deepEqual(harness.apply(received('b', 100)), [])
+  t.deepEqual(harness.apply({ kind: 'ticked', nowMs: 420 }), ['send a#2 to u1', 'send b#1 to u1'])
+})
+
+test('a request is handed over only if no upstream can be reached', (t) => {
+  const harness = startTwo()
+  harness.apply(received('a', 0))
+  harness.apply(silent('a', 1, 400))
+  harness.apply({ kind: 'upstream_probed', upstream: 'u2', reached: false, nowMs: 410 })
+  t.deepEqual(harness.apply(received('b', 420)), ['send b#1 to u1'])
+  harness.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 430 })
+  t.deepEqual(harness.apply(received('c', 440)), ['send c#1 to relay b'])
+})
