Read what has arrived before an upstream counts as silent

What callers may see: an upstream is given up for silence, avoided, and its run cancelled, though its response lay unread at an instance that had been short of processor time; upstreams could fail so in turn.

Cause: after a stall Node runs the timers that are due before it reads from sockets, so the stall counts as silence of the upstream.

Change: when the time is up, the attempt is judged after the next round of input (setImmediate).

Figures: the new test fails before (silent) and passes; the 9 tests of forward_attempt pass. Conclusion: silence is that of the upstream, not of the instance.

--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -152,12 +152,13 @@
   let paused = false
   let response: IncomingMessage | undefined
   let timer: NodeJS.Timeout | undefined
+  let judgement: NodeJS.Immediate | undefined
   let cleanEnd = Promise.resolve(true)
 
   function settle (report: () => void): void {
     if (settled) return
     settled = true
-    clearTimeout(timer)
+    disarm()
     report()
   }
 
@@ -166,14 +167,22 @@
     request.destroy()
   }
 
-  function arm (timeoutMs: number, failure: AttemptFailure): void {
+  function disarm (): void {
     clearTimeout(timer)
+    clearImmediate(judgement)
+  }
+
+  // After a stall of this process its timers come before what has arrived meanwhile, which is read first.
+  function arm (timeoutMs: number, failure: AttemptFailure): void {
+    disarm()
     if (settled || timeoutMs === Infinity) return
-    timer = setTimeout(() => {
-      if (paused) return
-      if (failure !== 'silent' || hooks.mayGiveUp()) fail(failure, `no progress within ${timeoutMs} ms`)
-      else arm(SILENCE_RECHECK_MS, failure)
-    }, timeoutMs)
+    timer = setTimeout(() => { judgement = setImmediate(judge, timeoutMs, failure) }, timeoutMs)
+  }
+
+  function judge (timeoutMs: number, failure: AttemptFailure): void {
+    if (paused) return
+    if (failure !== 'silent' || hooks.mayGiveUp()) fail(failure, `no progress within ${timeoutMs} ms`)
+    else arm(SILENCE_RECHECK_MS, failure)
   }
 
   let request: ClientRequest
--- a/packages/edge/forward_attempt_test.ts
+++ b/packages/edge/forward_attempt_test.ts
@@ -151,3 +151,13 @@
   await silent.close()
   t.is((await sendAttempt(1, { connectTimeoutMs: 200 })).outcome, 'not_connected')
 })
+
+// After a stall of the process, timers fired before what had arrived meanwhile was read.
+test('an upstream that responds during a stall of the process is not taken for silent', async (t) => {
+  const upstream = await startRawUpstream((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok')
+    for (const endMs = performance.now() + 300; performance.now() < endMs;);
+  })
+  t.is((await sendAttempt(upstream.port, { firstByteTimeoutMs: 100 })).outcome, 'ended 200')
+  await upstream.close()
+})
