Wait for a first byte by what the upstream usually takes

Callers of a route whose upstreams need 500 and 1,100 ms waited for up to 1.5 s, as nearly half of the requests were sent to the faster one, given up there after 400 ms and sent to the other one; each spent retry budget and an attempt of an upstream at work.

Cause: how long is waited was a guess by the latency objective, whatever the upstream had shown to take.

Change: serving/patience.ts. An attempt is given up after twice the longest first byte of its route that was seen at the upstream in the last 10 to 20 s, at least after the time used before (400 ms or twice the objective) and, beyond that, at most after half of the time that was left at its start (time until the caller leaves included). An attempt that was given up counts as one that took as long, so that those beside it go on. It is not given up for an upstream that usually takes longer than the time left. What is known is kept by route and upstream, two numbers each, and dropped with its age or a restart. A `failed` line of a silent attempt has patienceMs and slowestMs, and its detail the time that was really waited.

It is left after 400 ms of a limit of 600 ms and after 500 ms of 1 s (patience_test.ts).

Remains: the time between events of a stream that has begun (1.6 s) is as before, as callers leave after 2 s.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -1,15 +1,12 @@
 import type { ServerResponse } from 'node:http'
 import type { Upstream } from '@berylshed/fleet'
 import { attemptHeaders, forwardedResponseHeaders, handoverAnswerHeaders, handoverHeaders, localResponseHeaders, readSoftwareVersion } from '@berylshed/platform'
-import { refusal, type Refusal, type Relay, type Request, type AttemptFailure, type ServingEffect, type ServingEvent } from '@berylshed/serving'
+import { minPatienceMs, refusal, type Refusal, type Relay, type Request, type AttemptFailure, type ServingEffect, type ServingEvent } from '@berylshed/serving'
 import { breakOff } from './_break_off.ts'
 import { forwardAttempt, hasNoBody, type Announcement, type ForwardedAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
 
 /** Timeout for a connection to an upstream, in ms: many round trips within a region. */
 const CONNECT_TIMEOUT_MS = 250
-/** Timeout for the first byte of the response to a retryable request, as a multiple of the latency objective. */
-const FIRST_BYTE_TIMEOUT_FACTOR = 2
-const MIN_FIRST_BYTE_TIMEOUT_MS = 400
 /**
  * Minimum timeout between two events of a stream, in ms. A sound upstream may pause for more than a second; callers abandon a stream
  * after 2 s without an event or four times its latency objective, and another upstream has to start within that time.
@@ -394,7 +391,7 @@
 // whose callers abandon them after a pause.
 function _timeouts (request: Request): { readonly firstByteTimeoutMs: number, readonly eventTimeoutMs: number } {
   if (!request.retryable) return { firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity }
-  const firstByteTimeoutMs = Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, request.objectiveMs * FIRST_BYTE_TIMEOUT_FACTOR)
+  const firstByteTimeoutMs = minPatienceMs(request)
   return request.stream ? { firstByteTimeoutMs, eventTimeoutMs: Math.max(MIN_EVENT_TIMEOUT_MS, request.objectiveMs * EVENT_TIMEOUT_FACTOR) } : { firstByteTimeoutMs, eventTimeoutMs: Infinity }
 }
 
--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -176,13 +176,14 @@
   function arm (timeoutMs: number, failure: AttemptFailure): void {
     disarm()
     if (settled || timeoutMs === Infinity) return
-    timer = setTimeout(() => { judgement = setImmediate(judge, timeoutMs, failure) }, timeoutMs)
-  }
-
-  function judge (timeoutMs: number, failure: AttemptFailure): void {
-    if (paused) return
-    if (failure !== 'silent' || hooks.mayGiveUp()) fail(failure, `no progress within ${timeoutMs} ms`)
-    else arm(SILENCE_RECHECK_MS, failure)
+    const armedAtMs = performance.now()
+    const judge = (): void => {
+      if (paused) return
+      if (failure !== 'silent' || hooks.mayGiveUp()) fail(failure, `no progress within ${Math.round(performance.now() - armedAtMs)} ms`)
+      else if (!settled) wait(SILENCE_RECHECK_MS)
+    }
+    const wait = (durationMs: number): void => { timer = setTimeout(() => { judgement = setImmediate(judge) }, durationMs) }
+    wait(timeoutMs)
   }
 
   let request: ClientRequest
--- a/packages/edge/slow_upstreams_test.ts
+++ b/packages/edge/slow_upstreams_test.ts
@@ -62,12 +62,14 @@
 // All requests of a route failed once its fast upstream had left, as sound but slower ones were given up for their silence.
 test('requests are served by slow upstreams once a fast one has left', async (t) => {
   const upstreams = await startUpstreams(t, [40, 500, 1100])
-  const { instances: [instance], remove } = await startSystem(t, configurationOf(200, DEADLINE_MS), [{ upstreams }])
+  const { instances: [instance], lines, remove } = await startSystem(t, configurationOf(200, DEADLINE_MS), [{ upstreams }])
   const before = await sendFor(instance, '/lookups/1', { durationMs: 600 })
   remove('u40')
   await pause(100)
   const after = await sendFor(instance, '/lookups/1', { durationMs: 4000 })
   t.deepEqual(failuresOf([...before, ...after]), [])
+  const givenUp = lines.filter((line) => 'what' in line && line.what === 'failed' && line.reason === 'silent').length
+  t.log(`${givenUp} attempts of ${before.length + after.length} requests given up, the longest request ${Math.round(Math.max(...after.map(({ elapsedMs }) => elapsedMs)))} ms`)
 })
 
 test('requests are served by the only upstream, however long it takes', async (t) => {
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -5,6 +5,7 @@
 import { noteCancelled, releaseSlot, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { demandKey, type TargetLoad } from './routing_target.ts'
 import type { RefusalReason } from './refusal.ts'
+import { noteFirstByte, patienceOf } from './patience.ts'
 import { currentAttempt, hasAttemptsLeft, type Request, type Attempt } from './request.ts'
 import { markUnreachable, noteContact, probeSilent } from './reach.ts'
 import type { Relay } from './relay.ts'
@@ -60,7 +61,7 @@
   const next = _endAttempt(request, attempt, failed)
   const observed = _observeFailure(putRequest(releaseSlot(failure === 'silent' ? noteCancelled(state, request, nowMs) : state, request, nowMs), next), request, { attempt, failed })
   const blamed = failure === 'broken' && !responding && attempt.relay === undefined ? _blame(observed.state, request, { attempt, nowMs }) : step<ServingState, ServingEffect>(observed.state)
-  const record = requestRecord('failed', next, { nowMs, upstream: attempt.upstream, reason: failure, detail, sending: attempt.number, runs: next.runs, ..._traceFields(request, failed) })
+  const record = requestRecord('failed', next, { nowMs, upstream: attempt.upstream, reason: failure, detail, sending: attempt.number, runs: next.runs, ..._traceFields(request, failed), ..._patienceFields(state, request, failed) })
   const followUp = _retryOrRefuse(blamed.state, next, { ...failed, relay: attempt.relay })
   return step(followUp.state, [record, ...observed.effects, ...blamed.effects, ...followUp.effects])
 }
@@ -84,6 +85,11 @@
   return { fingerprint: request.fingerprint, ...parts, ...responding }
 }
 
+// What is known of the upstream's responses tells an upstream that hangs from one that is usually slow.
+function _patienceFields (state: ServingState, request: Request, { failure, nowMs }: FailedAttempt): Pick<ServingRecord, 'patienceMs' | 'slowestMs'> {
+  return failure !== 'silent' || request.phase !== 'sent' ? {} : patienceOf(state, request, nowMs)
+}
+
 interface _EndedAttempt {
   readonly failure: AttemptFailure
   readonly relay: Relay | undefined
@@ -144,7 +150,10 @@
   if (failure === 'misdirected') return step(updateTargetLoad(contacted, upstream, (load) => _markAbsent(load, request, nowMs)))
   if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { upstream, nowMs })))
   if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
-  const avoided = updateTargetLoad(contacted, upstream, (load) => _avoidUpstream(observeOutcome(load, { failed: true, nowMs }), nowMs))
+  const waited = failure === 'silent' && request.phase === 'sent' ? { firstByteMs: nowMs - observation.attempt.sentAtMs, nowMs } : undefined
+  const avoided = updateTargetLoad(contacted, upstream, (load) => ({
+    ..._avoidUpstream(observeOutcome(load, { failed: true, nowMs }), nowMs), slowest: waited === undefined ? load.slowest : noteFirstByte(load.slowest, request.route, waited)
+  }))
   if (failure === 'silent') {
     const probed = probeSilent(avoided, upstream, nowMs)
     return step(probed.state, [...probed.effects, { kind: 'record', record: { what: 'upstream_avoided', upstream, reason: failure, request: request.callerId } }])
--- a/packages/serving/continuation.ts
+++ b/packages/serving/continuation.ts
@@ -1,12 +1,18 @@
 import { HashMap, Option } from 'effect'
 import { followUpOf } from './_fail_attempt.ts'
+import { firstByteDueMs, patienceOf } from './patience.ts'
 import { currentAttempt, type Request } from './request.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
 
 /** Whether a silent attempt is given up, and why not. */
 export type SilenceVerdict =
   | { readonly isGivenUp: true }
-  | { readonly isGivenUp: false, readonly reason: string }
+  | {
+    readonly isGivenUp: false
+    readonly reason: string
+    /** Whether the upstream usually takes as long. */
+    readonly isUsual: boolean
+  }
 
 const GIVEN_UP: SilenceVerdict = { isGivenUp: true }
 
@@ -34,7 +40,9 @@
  * Decides whether a silent attempt is given up.
  *
  * A silent upstream may be slow, suspended or short of processor time, so its attempt is given up only for one that can follow at
- * once: at another upstream or instance, or for a stream that has begun over a new connection if no other upstream serves it.
+ * once: at another upstream or instance, or for a stream that has begun over a new connection if no other upstream serves it. One
+ * whose response has not begun is not given up either while the upstream usually takes as long, or for one that usually takes longer
+ * than the time left.
  *
  * @param state The state of the requests.
  * @param request The request.
@@ -49,12 +57,18 @@
 export function weighSilence (state: ServingState, request: Request, nowMs: number): SilenceVerdict {
   const attempt = currentAttempt(request)
   if (attempt === undefined) return GIVEN_UP
+  if (request.phase === 'sent' && attempt.relay === undefined && nowMs - attempt.sentAtMs < patienceOf(state, request, nowMs).patienceMs) return { isGivenUp: false, reason: 'usually as slow', isUsual: true }
   const followUp = followUpOf(state, request, nowMs)
-  if (followUp.kind === 'none') return { isGivenUp: false, reason: followUp.reason }
+  if (followUp.kind === 'none') return _goesOn(followUp.reason)
   const load = targetLoad(state, followUp.upstream)
   // After repeated failures the present upstream would be avoided for longer than a stream waits.
   if (followUp.upstream === attempt.upstream && request.phase === 'responding' && load.consecutiveFailures === 0) return GIVEN_UP
-  if (request.attempts.some(({ upstream }) => upstream === followUp.upstream)) return { isGivenUp: false, reason: 'no other upstream' }
-  if (load.avoidedUntilMs > nowMs) return { isGivenUp: false, reason: `${followUp.upstream} is avoided` }
+  if (request.attempts.some(({ upstream }) => upstream === followUp.upstream)) return _goesOn('no other upstream')
+  if (load.avoidedUntilMs > nowMs) return _goesOn(`${followUp.upstream} is avoided`)
+  if (request.phase === 'sent' && load.firstByteMs > firstByteDueMs(request) - nowMs) return _goesOn(`${followUp.upstream} is too slow for the time left`)
   return GIVEN_UP
 }
+
+function _goesOn (reason: string): SilenceVerdict {
+  return { isGivenUp: false, reason, isUsual: false }
+}
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -13,6 +13,7 @@
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
+import { noteFirstByte } from './patience.ts'
 import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
@@ -109,6 +110,7 @@
 // An attempt has a line for each reason for which it goes on, not for each time at which that is asked.
 function _endureSilence (state: ServingState, request: Request, nowMs: number): _Step {
   const verdict = weighSilence(state, request, nowMs)
+  if (!verdict.isGivenUp && verdict.isUsual) return step(state)
   const detail = verdict.isGivenUp ? 'given up next' : verdict.reason
   const probed = probeSilent(state, currentAttempt(request)?.upstream ?? '', nowMs)
   if (detail === request.enduredFor) return step(probed.state, probed.effects)
@@ -133,7 +135,7 @@
   const firstByteMs = nowMs - attempt.sentAtMs
   const contacted = attempt.relay === undefined ? noteContact(state, nowMs) : state
   return updateTargetLoad(contacted, attempt.upstream, (load) => ({
-    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
+    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), slowest: noteFirstByte(load.slowest, request.route, { firstByteMs, nowMs }), consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
   }))
 }
 
@@ -192,7 +194,7 @@
   const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
-    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, absentUntilMs: new Map()
+    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
   })), changed)
   return dispatchAll(noteVersions(pruneLimits(reset), targets, nowMs), nowMs)
 }
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -1,3 +1,5 @@
+import type { RecentMaximum } from './patience.ts'
+
 /** A model on an upstream as routing sees it. */
 export interface TargetModel {
   /** Whether the model takes requests; it does not while it is being loaded or unloaded. */
@@ -36,6 +38,8 @@
   readonly peerRequests: number
   /** Average time from the start of an attempt to the first byte of its response, in ms; 0 if none was observed. */
   readonly firstByteMs: number
+  /** Longest time from the start of an attempt to the first byte of its response that was lately seen, by route. */
+  readonly slowest: ReadonlyMap<string, RecentMaximum>
   /** Average share of attempts that failed. */
   readonly failureShare: number
   /** Local time of the last outcome, in ms. */
@@ -64,6 +68,7 @@
   sentAtMs: -Infinity,
   peerRequests: 0,
   firstByteMs: 0,
+  slowest: new Map(),
   failureShare: 0,
   observedAtMs: -Infinity,
   avoidedUntilMs: -Infinity,
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -50,6 +50,10 @@
   readonly fingerprint?: string
   /** Ids of the parts of the prompt of a request whose attempt failed, separated by commas. */
   readonly parts?: string
+  /** Time for which an attempt waited for its first byte before another upstream was preferred, in ms. */
+  readonly patienceMs?: number
+  /** Longest first byte of the route that was lately seen at the upstream, in ms; 0 if none was. */
+  readonly slowestMs?: number
   /** Time until this instance ends all requests to shut down, in ms; absent if it is not about to. */
   readonly closesInMs?: number
   /** Recent requests of the route that took longer than that; absent if the instance is not about to shut down. */
