Give up a silent attempt only if another one can follow

Callers of a service whose upstreams need longer than progress_timeout_ms got 504 upstream_silent, though their time limit was far off: repeatable requests once both attempts had been silent, requests that may run once after the first silence, with an unknown outcome. It went on for as long as no faster upstream was left.

Cause: the adapter ended each attempt after progress_timeout_ms without a byte, the last one too, whether or not anything could follow. Silence was taken for a failure.

Change: the adapter reports silence (attempt_silent) and goes on. The reducer gives the attempt up only if the request may run again, an attempt and a retry are left, the upstream is silent for longer than it usually is before its first byte, and an upstream without an attempt can take the request now and usually ends before the deadline; that one gets it in the same step. Otherwise the attempt runs on until the deadline, and a request that is still silent then is refused as upstream_silent, as before. The upstream is checked either way.

--- a/packages/instance/caller_exchanges.ts
+++ b/packages/instance/caller_exchanges.ts
@@ -20,7 +20,7 @@
 export interface ExchangeOptions {
   /** Time within which a connection to an upstream must be established, in ms. */
   readonly connectTimeoutMs: number
-  /** Longest time without data from an upstream, in ms. */
+  /** Time without data from an upstream after which its silence is reported, in ms. */
   readonly progressTimeoutMs: number
   /** Returns the local time in ms. */
   nowMs (): number
@@ -98,6 +98,7 @@
       started: (head) => start(entry, attempt, head),
       chunk: (chunk) => exchange.response.write(chunk),
       ended: (head, body, tokens) => end(entry, { head, body }, { attempt, tokens }),
+      silent: () => options.dispatch({ kind: 'attempt_silent', id: request.id, attempt, nowMs: options.nowMs() }),
       failed: (failure) => fail(request.id, attempt, failure)
     })
   }
--- a/packages/instance/spoiled_head_test.ts
+++ b/packages/instance/spoiled_head_test.ts
@@ -21,6 +21,7 @@
     }, {
       started: ({ status }) => end(`started ${status}`),
       chunk: () => true,
+      silent: () => end('silent'),
       ended: ({ status }) => end(`ended ${status}`),
       failed: (failure) => end(failure)
     })
--- a/packages/requests/_dispatch_requests.ts
+++ b/packages/requests/_dispatch_requests.ts
@@ -2,7 +2,7 @@
 import { step, type Step } from '@berylshed/reducer'
 import { updateCustomer } from './_customer_load.ts'
 import { dequeueRequest, refuseRequest, targetKey } from './_finish_request.ts'
-import { chooseUpstream } from './choose_upstream.ts'
+import { chooseUpstream, type ChoiceContext } from './choose_upstream.ts'
 import type { Attempt, Request } from './request.ts'
 import type { RequestEffect } from './request_effect.ts'
 import { upstreamLoad, type RequestsState } from './requests_state.ts'
@@ -92,20 +92,29 @@
   readonly nowMs: number
 }
 
-function _selectUpstream (state: RequestsState, request: Request, dispatch: _DispatchContext): string | undefined {
-  const triedUpstreams = request.attempts.map((attempt) => attempt.upstream)
-  const sharedUpstream = Option.getOrUndefined(HashMap.get(state.upstreamByFingerprint, request.fingerprint))
-  // Concurrent repeats of a request run on the same upstream.
-  const candidates = sharedUpstream !== undefined && dispatch.candidates.includes(sharedUpstream) ? [sharedUpstream] : dispatch.candidates
-  const context = {
+/** Returns the upstream that can take another attempt of a request now and has had none, or undefined. */
+export function untriedUpstream (state: RequestsState, request: Request, nowMs: number): string | undefined {
+  return chooseUpstream(candidatesFor(state, targetKey(request)), _choiceContext(state, request, nowMs))
+}
+
+function _choiceContext (state: RequestsState, request: Request, nowMs: number): ChoiceContext {
+  return {
     rules: state.rules,
-    nowMs: dispatch.nowMs,
+    nowMs,
     instanceCount: state.instanceCount,
+    triedUpstreams: request.attempts.map((attempt) => attempt.upstream),
     affinity: request.prefix,
     load: (upstream: string) => upstreamLoad(state, upstream),
     hash: state.hash
   }
-  return chooseUpstream(candidates, { ...context, triedUpstreams }) ?? chooseUpstream(candidates, { ...context, triedUpstreams: [] })
+}
+
+function _selectUpstream (state: RequestsState, request: Request, dispatch: _DispatchContext): string | undefined {
+  const sharedUpstream = Option.getOrUndefined(HashMap.get(state.upstreamByFingerprint, request.fingerprint))
+  // Concurrent repeats of a request run on the same upstream.
+  const candidates = sharedUpstream !== undefined && dispatch.candidates.includes(sharedUpstream) ? [sharedUpstream] : dispatch.candidates
+  const context = _choiceContext(state, request, dispatch.nowMs)
+  return chooseUpstream(candidates, context) ?? chooseUpstream(candidates, { ...context, triedUpstreams: [] })
 }
 
 interface _SendOptions {
@@ -115,7 +124,7 @@
 
 function _send (state: RequestsState, request: Request, options: _SendOptions): _Step {
   const { upstream, nowMs } = options
-  const attempt: Attempt = { number: request.attempts.length + 1, upstream, sentAtMs: nowMs }
+  const attempt: Attempt = { number: request.attempts.length + 1, upstream, sentAtMs: nowMs, silent: false }
   const sent: Request = { ...request, phase: 'sent', attempts: [...request.attempts, attempt] }
   const dequeued = dequeueRequest(state, request)
   const load = upstreamLoad(dequeued, upstream)
--- a/packages/requests/_fail_attempt.ts
+++ b/packages/requests/_fail_attempt.ts
@@ -1,9 +1,10 @@
 import { HashMap } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
-import { releaseSlot, refuseRequest } from './_finish_request.ts'
+import { enqueueRequest, untriedUpstream } from './_dispatch_requests.ts'
+import { currentAttempt, releaseSlot, refuseRequest } from './_finish_request.ts'
 import { suspectFingerprint } from './_suspects.ts'
 import type { RefusalReason } from './refusal.ts'
-import type { Request } from './request.ts'
+import type { Attempt, Request } from './request.ts'
 import type { AttemptFailure } from './request_event.ts'
 import type { RequestEffect } from './request_effect.ts'
 import { upstreamLoad, type RequestsState } from './requests_state.ts'
@@ -32,6 +33,44 @@
   readonly random: number
 }
 
+/**
+ * Judges the silence of an attempt's upstream: gives the attempt up if another one can really follow.
+ *
+ * A sound upstream may need longer than the progress timeout. An attempt that no other can replace goes on until the deadline.
+ */
+export function reviewSilence (state: RequestsState, request: Request, nowMs: number): _Step {
+  const attempt = currentAttempt(request)
+  if (attempt === undefined) return step(state)
+  const check: RequestEffect = { kind: 'check_upstream', upstream: attempt.upstream }
+  if (!_canFollow(state, request, { attempt, nowMs })) {
+    const silent: Request = { ...request, attempts: [...request.attempts.slice(0, -1), { ...attempt, silent: true }] }
+    return step({ ...state, requests: HashMap.set(state.requests, request.id, silent) }, [check])
+  }
+  const released = _suspectUpstream(releaseSlot(state, request, nowMs), { failure: 'silent', upstream: attempt.upstream, nowMs })
+  const retryBudget = withdrawRetry(state.retryBudget) ?? state.retryBudget
+  const next = enqueueRequest({ ...released, retryBudget }, { ...request, mayHaveRun: true }, nowMs)
+  return step(next.state, [
+    { kind: 'cancel', id: request.id, attempt: attempt.number },
+    check,
+    { kind: 'count', metric: 'retried.silent', request },
+    ...next.effects
+  ])
+}
+
+interface _SilentAttempt {
+  readonly attempt: Attempt
+  readonly nowMs: number
+}
+
+function _canFollow (state: RequestsState, request: Request, { attempt, nowMs }: _SilentAttempt): boolean {
+  // A suspect would need another permit, which the silent attempt holds.
+  if (request.phase !== 'sent' || !request.idempotent || request.suspect) return false
+  if (request.attempts.length >= state.rules.maxAttempts || withdrawRetry(state.retryBudget) === undefined) return false
+  if (nowMs - attempt.sentAtMs <= upstreamLoad(state, attempt.upstream).silenceMs) return false
+  const other = untriedUpstream(state, request, nowMs)
+  return other !== undefined && nowMs + upstreamLoad(state, other).durationMs < request.deadlineMs
+}
+
 /** Ends a failed attempt; schedules a retry of the request or refuses it. */
 export function failAttempt (state: RequestsState, request: Request, options: FailureOptions): _Step {
   const notRun = options.failure === 'not_connected' || options.failure === 'refused'
@@ -57,7 +96,7 @@
   return failure === 'broken' || failure === 'truncated'
 }
 
-function _suspectUpstream (state: RequestsState, options: FailureOptions): RequestsState {
+function _suspectUpstream (state: RequestsState, options: Omit<FailureOptions, 'random'>): RequestsState {
   if (FAILURES_WITHOUT_SUSPICION.includes(options.failure)) return state
   const load = upstreamLoad(state, options.upstream)
   const suspected = { ...load, suspectedUntilMs: options.nowMs + SUSPICION_MS }
--- a/packages/requests/_finish_request.ts
+++ b/packages/requests/_finish_request.ts
@@ -98,7 +98,8 @@
   const charged = updateCustomer(state, request.customer, (customer) => ({
     ...customer, tokenBucket: { ...customer.tokenBucket, tokens: customer.tokenBucket.tokens - options.tokens }
   }))
-  const recorded = attempt === undefined ? charged : _recordDuration(charged, attempt, options.nowMs)
+  const started = request.phase === 'sent' ? recordStart(charged, request, options.nowMs) : charged
+  const recorded = attempt === undefined ? started : _recordDuration(started, attempt, options.nowMs)
   const effects: RequestEffect[] = [
     { kind: 'deliver', id: request.id, attempt: attempt?.number ?? 0 },
     { kind: 'count', metric: 'answered', request }
@@ -112,11 +113,23 @@
 
 function _recordDuration (state: RequestsState, attempt: Attempt, nowMs: number): RequestsState {
   const load = upstreamLoad(state, attempt.upstream)
-  const elapsedMs = nowMs - attempt.sentAtMs
-  const durationMs = load.durationMs === 0 ? elapsedMs : load.durationMs + DURATION_WEIGHT * (elapsedMs - load.durationMs)
+  const durationMs = _average(load.durationMs, nowMs - attempt.sentAtMs)
   return { ...state, upstreams: HashMap.set(state.upstreams, attempt.upstream, { ...load, durationMs }) }
 }
 
+/** Records how long the upstream of a request was silent before its response started. */
+export function recordStart (state: RequestsState, request: Request, nowMs: number): RequestsState {
+  const attempt = currentAttempt(request)
+  if (attempt === undefined) return state
+  const load = upstreamLoad(state, attempt.upstream)
+  const silenceMs = _average(load.silenceMs, nowMs - attempt.sentAtMs)
+  return { ...state, upstreams: HashMap.set(state.upstreams, attempt.upstream, { ...load, silenceMs }) }
+}
+
+function _average (averageMs: number, elapsedMs: number): number {
+  return averageMs === 0 ? elapsedMs : averageMs + DURATION_WEIGHT * (elapsedMs - averageMs)
+}
+
 /** Ends an open request with the response recorded for an earlier request with the same key. */
 export function replayRequest (state: RequestsState, request: Request, options: ReplayOptions): _Step {
   return step(_removeRequest(state, request, options.nowMs), [
--- a/packages/requests/reduce_requests.ts
+++ b/packages/requests/reduce_requests.ts
@@ -3,8 +3,8 @@
 import { admitRequest } from './_admit_request.ts'
 import { requestPermit, suspectFingerprint } from './_suspects.ts'
 import { dispatchAll, dispatchTarget, enqueueRequest } from './_dispatch_requests.ts'
-import { failAttempt } from './_fail_attempt.ts'
-import { abandonRequest, completeRequest, currentAttempt, refuseRequest, replayRequest, targetKey } from './_finish_request.ts'
+import { failAttempt, reviewSilence } from './_fail_attempt.ts'
+import { abandonRequest, completeRequest, currentAttempt, recordStart, refuseRequest, replayRequest, targetKey } from './_finish_request.ts'
 import type { RefusalReason } from './refusal.ts'
 import type { Request } from './request.ts'
 import type { ClaimAnswer, RequestEvent } from './request_event.ts'
@@ -58,9 +58,10 @@
   switch (event.kind) {
     case 'claim_answered': return _applyClaim(state, request, event)
     case 'permit_answered': return _applyPermit(state, request, event)
-    case 'response_started': return _startResponse(state, request, event.attempt)
+    case 'response_started': return _startResponse(state, request, event)
     case 'response_ended': return _endResponse(state, request, event)
     case 'attempt_failed': return _failCurrentAttempt(state, request, event)
+    case 'attempt_silent': return _isCurrentAttempt(request, event.attempt) ? _dispatchAfter(reviewSilence(state, request, event.nowMs), request, event.nowMs) : step(state)
     case 'caller_left': return _dispatchAfter(abandonRequest(state, request, event.nowMs), request, event.nowMs)
     case 'deadline_passed': return _expireRequest(state, request, event.nowMs)
     case 'retry_due': return _retry(state, request, event.nowMs)
@@ -71,11 +72,14 @@
   return currentAttempt(request)?.number === attempt
 }
 
-function _startResponse (state: RequestsState, request: Request, attempt: number): _Step {
-  if (!_isCurrentAttempt(request, attempt)) return step(state)
+type _ResponseStarted = Extract<RequestEvent, { kind: 'response_started' }>
+
+function _startResponse (state: RequestsState, request: Request, event: _ResponseStarted): _Step {
+  if (!_isCurrentAttempt(request, event.attempt)) return step(state)
+  const recorded = recordStart(state, request, event.nowMs)
   const responding: Request = { ...request, phase: 'responding' }
   const effects: readonly RequestEffect[] = request.suspect ? [{ kind: 'yield_permit', request: responding }] : []
-  return step({ ...state, requests: HashMap.set(state.requests, request.id, responding) }, effects)
+  return step({ ...recorded, requests: HashMap.set(recorded.requests, request.id, responding) }, effects)
 }
 
 type _ResponseEnded = Extract<RequestEvent, { kind: 'response_ended' }>
@@ -136,8 +140,13 @@
 }
 
 function _expireRequest (state: RequestsState, request: Request, nowMs: number): _Step {
-  const reason = currentAttempt(request) === undefined ? 'deadline_waiting' : 'deadline_running'
-  return _dispatchAfter(refuseRequest(state, request, { reason, nowMs }), request, nowMs)
+  return _dispatchAfter(refuseRequest(state, request, { reason: _expiryReason(request), nowMs }), request, nowMs)
+}
+
+function _expiryReason (request: Request): RefusalReason {
+  const attempt = currentAttempt(request)
+  if (attempt === undefined) return 'deadline_waiting'
+  return attempt.silent && request.phase === 'sent' ? 'upstream_silent' : 'deadline_running'
 }
 
 type _ResidencyChanged = Extract<RequestEvent, { kind: 'residency_changed' }>
--- a/packages/requests/request.ts
+++ b/packages/requests/request.ts
@@ -10,6 +10,8 @@
   readonly upstream: string
   /** Local time at which the attempt was sent, in ms. */
   readonly sentAtMs: number
+  /** Whether the upstream sent nothing for the progress timeout, and no other attempt could follow. */
+  readonly silent: boolean
 }
 
 /**
--- a/packages/requests/request_event.ts
+++ b/packages/requests/request_event.ts
@@ -11,7 +11,7 @@
   | 'broken'
   /** A reused connection broke before the response started; the upstream may have closed it while it was idle. */
   | 'stale'
-  /** No data arrived within the progress timeout. */
+  /** No data arrived within the progress timeout, and another attempt can follow. */
   | 'silent'
   /** The response carries the id of another request. */
   | 'crossed'
@@ -52,6 +52,8 @@
   | { readonly kind: 'response_started', readonly id: string, readonly attempt: number, readonly nowMs: number }
   | { readonly kind: 'response_ended', readonly id: string, readonly attempt: number, readonly tokens: number, readonly outcome: RecordedOutcome | undefined, readonly nowMs: number }
   | { readonly kind: 'attempt_failed', readonly id: string, readonly attempt: number, readonly failure: AttemptFailure, readonly nowMs: number, readonly random: number }
+  /** No data has arrived for the progress timeout; the attempt goes on. */
+  | { readonly kind: 'attempt_silent', readonly id: string, readonly attempt: number, readonly nowMs: number }
   | { readonly kind: 'caller_left', readonly id: string, readonly nowMs: number }
   | { readonly kind: 'deadline_passed', readonly id: string, readonly nowMs: number }
   | { readonly kind: 'retry_due', readonly id: string, readonly nowMs: number }
--- a/packages/requests/upstream_load.ts
+++ b/packages/requests/upstream_load.ts
@@ -14,9 +14,11 @@
   readonly suspectedUntilMs: number
   /** Moving average of the duration of a request, in ms; 0 before the first response. */
   readonly durationMs: number
+  /** Moving average of the time until a response starts, in ms; 0 before the first response. */
+  readonly silenceMs: number
 }
 
 /** Load of an upstream before its first request and report. */
 export const INITIAL_LOAD: UpstreamLoad = {
-  ownRequests: 0, otherRequests: 0, reportedAtMs: 0, leaving: false, withdrawn: false, suspectedUntilMs: -Infinity, durationMs: 0
+  ownRequests: 0, otherRequests: 0, reportedAtMs: 0, leaving: false, withdrawn: false, suspectedUntilMs: -Infinity, durationMs: 0, silenceMs: 0
 }
