Do not refuse waiting requests by an average that only answers renew

Callers with a short time limit got 504 deadline_waiting at once, not run, though an upstream was free and would have answered in time: after a slow phase for ever, and for as long as long requests ran beside them.

Cause: a waiting request was refused if its time left was less than the shortest average of its upstreams. The average is of all requests of the upstream and is changed by answers only; what is refused is not answered, so that a route whose callers all have a short limit locked itself out.

Change: no repeatable request is refused by its length. Those that usually end too late are sent last, so they take only slots that no other request wants, and their answers renew the average. A request that may run only once is still refused as not run where it would be cut with an unknown outcome, but by the duration of such requests, and only while all its upstreams have answered one in the last 10 s; then one is tried.

reduce_requests_test.ts, answers after 9 s twice, then 100 requests of 5 s whose upstream needs 40 ms, 1 s apart. Before: 100 of 100 refused, repeatable or not; a request of 5 s beside requests of 30 s refused with a slot free. Now 0 of 100, 0 of 100 and sent. That late requests come last, and that one that may run once is not sent to be cut, is tested too; both held before. The simulations of requests and placement hold (packages/history, 22 tests).

--- a/packages/requests/_dispatch_requests.ts
+++ b/packages/requests/_dispatch_requests.ts
@@ -9,6 +9,8 @@
 
 /** Minimum time between two `demand` effects for the same model, in ms. */
 const DEMAND_INTERVAL_MS = 500
+/** Time for which the duration of requests that may run only once holds others of them back, in ms; then one is tried again. */
+const SINGLE_RUN_EVIDENCE_MS = 10_000
 
 type _Step = Step<RequestsState, RequestEffect>
 
@@ -40,8 +42,8 @@
   if (candidates.length === 0) return _emitDemand(state, key, nowMs)
   let next = state
   const effects: RequestEffect[] = []
-  for (const request of _sortedWaitingRequests(state, key)) {
-    if (_cannotMeetDeadline(next, request, { candidates, nowMs })) {
+  for (const request of _sortedWaitingRequests(state, key, { candidates, nowMs })) {
+    if (_wouldBeCut(next, request, { candidates, nowMs })) {
       const refused = refuseRequest(next, request, { reason: 'deadline_waiting', nowMs })
       next = refused.state
       effects.push(...refused.effects)
@@ -69,10 +71,13 @@
   return ids.flatMap((id) => Option.toArray(HashMap.get(state.requests, id)))
 }
 
-// Orders by priority, then by the customer's running requests in proportion to its weight, then by deadline.
-function _sortedWaitingRequests (state: RequestsState, key: string): readonly Request[] {
+// Requests that usually end too late come last: they take only slots that no other wants, and show whether they still do.
+// The others are ordered by priority, then by the customer's running requests in proportion to its weight, then by deadline.
+function _sortedWaitingRequests (state: RequestsState, key: string, context: _DispatchContext): readonly Request[] {
+  const durations = context.candidates.map((name) => upstreamLoad(state, name).durationMs).filter((durationMs) => durationMs > 0)
+  const endMs = durations.length === 0 ? -Infinity : context.nowMs + Math.min(...durations)
   return [..._waitingRequests(state, key)].sort((a, b) => {
-    return b.priority - a.priority || _weightedRunning(state, a) - _weightedRunning(state, b) || a.deadlineMs - b.deadlineMs
+    return Number(endMs > a.deadlineMs) - Number(endMs > b.deadlineMs) || b.priority - a.priority || _weightedRunning(state, a) - _weightedRunning(state, b) || a.deadlineMs - b.deadlineMs
   })
 }
 
@@ -81,10 +86,12 @@
   return running / (state.rules.customers.get(request.customer)?.weight ?? 1)
 }
 
-// Reports whether a request is too late to end before its deadline, so that it would only take a slot from others.
-function _cannotMeetDeadline (state: RequestsState, request: Request, context: _DispatchContext): boolean {
-  const durations = context.candidates.map((name) => upstreamLoad(state, name).durationMs).filter((durationMs) => durationMs > 0)
-  return durations.length > 0 && context.nowMs + Math.min(...durations) > request.deadlineMs
+// A request that may run only once is better refused as not run than cut with an unknown outcome, if fresh answers say that it would be.
+function _wouldBeCut (state: RequestsState, request: Request, context: _DispatchContext): boolean {
+  if (request.idempotent) return false
+  const loads = context.candidates.map((name) => upstreamLoad(state, name))
+  const isFresh = loads.every((load) => context.nowMs - load.singleRunAtMs <= SINGLE_RUN_EVIDENCE_MS)
+  return isFresh && context.nowMs + Math.min(...loads.map((load) => load.singleRunMs)) > request.deadlineMs
 }
 
 interface _DispatchContext {
--- a/packages/requests/_finish_request.ts
+++ b/packages/requests/_finish_request.ts
@@ -99,7 +99,7 @@
     ...customer, tokenBucket: { ...customer.tokenBucket, tokens: customer.tokenBucket.tokens - options.tokens }
   }))
   const started = request.phase === 'sent' ? recordStart(charged, request, options.nowMs) : charged
-  const recorded = attempt === undefined ? started : _recordDuration(started, attempt, options.nowMs)
+  const recorded = attempt === undefined ? started : _recordDuration(started, request, { attempt, nowMs: options.nowMs })
   const effects: RequestEffect[] = [
     { kind: 'deliver', id: request.id, attempt: attempt?.number ?? 0 },
     { kind: 'count', metric: 'answered', request }
@@ -111,10 +111,17 @@
   return step(_removeRequest(recorded, request, options.nowMs), effects)
 }
 
-function _recordDuration (state: RequestsState, attempt: Attempt, nowMs: number): RequestsState {
+interface _CompletedAttempt {
+  readonly attempt: Attempt
+  readonly nowMs: number
+}
+
+function _recordDuration (state: RequestsState, request: Request, { attempt, nowMs }: _CompletedAttempt): RequestsState {
   const load = upstreamLoad(state, attempt.upstream)
-  const durationMs = _average(load.durationMs, nowMs - attempt.sentAtMs)
-  return { ...state, upstreams: HashMap.set(state.upstreams, attempt.upstream, { ...load, durationMs }) }
+  const elapsedMs = nowMs - attempt.sentAtMs
+  const single = request.idempotent ? {} : { singleRunMs: _average(load.singleRunMs, elapsedMs), singleRunAtMs: nowMs }
+  const recorded = { ...load, durationMs: _average(load.durationMs, elapsedMs), ...single }
+  return { ...state, upstreams: HashMap.set(state.upstreams, attempt.upstream, recorded) }
 }
 
 /** Records how long the upstream of a request was silent before its response started. */
--- a/packages/requests/reduce_requests_test.ts
+++ b/packages/requests/reduce_requests_test.ts
@@ -122,3 +122,49 @@
   ])
   t.deepEqual(summarize(effects), ['soon refused cold_start_too_long, not run'])
 })
+
+const answered = (id: string, nowMs: number): RequestEvent => ({ kind: 'response_ended', id, attempt: 1, tokens: 1, outcome: undefined, nowMs })
+const at = (event: RequestEvent, nowMs: number): RequestEvent => ({ ...event, nowMs })
+const refusedIds = (effects: readonly RequestEffect[]): readonly string[] => effects.flatMap((effect) => effect.kind === 'refuse' ? [effect.id] : [])
+const sentIds = (effects: readonly RequestEffect[]): readonly string[] => effects.flatMap((effect) => effect.kind === 'send' ? [effect.request.id] : [])
+
+for (const idempotent of [true, false]) {
+  test(`requests with short time limits are tried again after a slow phase, ${idempotent ? 'repeatable' : 'run once'}`, (t) => {
+    const slow = run(start(), ['a', 'b'].map((id) => request(id, { idempotent })).concat([answered('a', 9000), answered('b', 9000)]))
+    let { state } = slow
+    let refused = 0
+    for (let i = 0; i < 100; i += 1) {
+      const nowMs = 30_000 + i * 1000
+      const tried = run(state, [at(request(`c${i}`, { idempotent, deadlineMs: nowMs + 5000 }), nowMs), answered(`c${i}`, nowMs + 40)])
+      refused += refusedIds(tried.effects).length
+      state = tried.state
+    }
+    t.is(refused, 0)
+  })
+}
+
+test('a short request is not refused by the length of the long ones that run beside it', (t) => {
+  const first = run(start(), [request('long1', { deadlineMs: 100_000 }), answered('long1', 30_000)])
+  const { effects } = run(first.state, [
+    at(request('long2', { deadlineMs: 140_000 }), 40_000), at(request('long3', { deadlineMs: 140_000 }), 40_000), at(request('short', { deadlineMs: 45_000 }), 40_000)
+  ])
+  t.deepEqual(refusedIds(effects), [])
+  t.deepEqual(sentIds(effects), ['long2', 'long3', 'short'])
+})
+
+test('requests that usually end in time are sent before those that usually do not', (t) => {
+  const first = run(start(), [request('a', { deadlineMs: 20_000 }), request('b', { deadlineMs: 20_000 }), answered('a', 9000), answered('b', 9000)])
+  const full = run(first.state, ['r1', 'r2', 'r3', 'r4'].map((id) => at(request(id, { deadlineMs: 40_000 }), 10_000)))
+  const waiting = run(full.state, [at(request('late', { deadlineMs: 22_000 }), 10_000), at(request('early', { deadlineMs: 60_000 }), 10_000)])
+  const { effects } = run(waiting.state, [answered('r1', 19_000)])
+  t.deepEqual(sentIds(effects), ['early'])
+})
+
+test('a request that may run once is not sent with less time than such requests lately took', (t) => {
+  const single = { idempotent: false }
+  const one = start({ upstreams: new Map([['one', { name: 'one', distanceMs: 0, slots: 1 }]]), services: new Map([['orders', { name: 'orders', upstreams: ['one'] }]]) })
+  const { effects } = run(one, [
+    request('a', single), answered('a', 2000), at(request('b', single), 2000), at(request('c', { ...single, deadlineMs: 5000 }), 2000), answered('b', 4000), { kind: 'deadline_passed', id: 'c', nowMs: 5000 }
+  ])
+  t.deepEqual(summarize(effects).slice(-2), ['b delivered', 'c refused deadline_waiting, not run'])
+})
--- a/packages/requests/upstream_load.ts
+++ b/packages/requests/upstream_load.ts
@@ -16,9 +16,22 @@
   readonly durationMs: number
   /** Moving average of the time until a response starts, in ms; 0 before the first response. */
   readonly silenceMs: number
+  /** Moving average of the duration of a request that may run only once, in ms. */
+  readonly singleRunMs: number
+  /** Local time of the last response to a request that may run only once, in ms. */
+  readonly singleRunAtMs: number
 }
 
 /** Load of an upstream before its first request and report. */
 export const INITIAL_LOAD: UpstreamLoad = {
-  ownRequests: 0, otherRequests: 0, reportedAtMs: 0, leaving: false, withdrawn: false, suspectedUntilMs: -Infinity, durationMs: 0, silenceMs: 0
+  ownRequests: 0,
+  otherRequests: 0,
+  reportedAtMs: 0,
+  leaving: false,
+  withdrawn: false,
+  suspectedUntilMs: -Infinity,
+  durationMs: 0,
+  silenceMs: 0,
+  singleRunMs: 0,
+  singleRunAtMs: -Infinity
 }
