Weigh a queue by the upstreams that serve it, not by the slowest one known

Callers got 503 overloaded, not run, for a queue of one or two requests that would have been answered long before their time limit.

Cause: the wait was taken as the requests ahead, divided by the slots of all upstreams, times the longest average of any of them. One that had left kept its average for good, as it answers nothing any more; a slow one beside fast ones counted for all.

Change: the wait is the requests ahead divided by the rate at which the upstreams in service answer, each with its own slots and average, and the shortest average is added for the request itself. Without an upstream in service, or with one that has answered nothing yet, nothing is refused. A queue exists only while slots are in use, so the averages renew themselves.

reduce_requests_test.ts, two upstreams of two slots. Before: after one upstream of 9 s had left and the other had answered 40 requests in 40 ms, the fourth of four requests of 10 s was refused; beside an upstream of 20 s the sixth of six requests of 5 s was refused, with one of 40 ms.

--- a/packages/requests/_admit_request.ts
+++ b/packages/requests/_admit_request.ts
@@ -4,6 +4,7 @@
 import { candidatesFor, enqueueRequest } from './_dispatch_requests.ts'
 import { refuseRequest, targetKey } from './_finish_request.ts'
 import { requestPermit } from './_suspects.ts'
+import { isInService } from './choose_upstream.ts'
 import { refusal, type RefusalReason } from './refusal.ts'
 import type { ReceivedRequest, Request } from './request.ts'
 import type { RequestEffect } from './request_effect.ts'
@@ -75,14 +76,18 @@
 
 // Refuses a request early if its expected wait and duration exceed its deadline; it would only time out in the queue.
 function _checkQueueWait (state: RequestsState, request: Request, nowMs: number): _RefusalCause | undefined {
+  const ahead = _countAhead(state, request)
   const candidates = candidatesFor(state, targetKey(request))
-  const loads = candidates.map((name) => upstreamLoad(state, name))
-  const slots = candidates.reduce((sum, name) => sum + (state.rules.upstreams.get(name)?.slots ?? 0), 0)
-  if (slots === 0) return undefined
-  const durationMs = Math.max(...loads.map((load) => load.durationMs))
-  const waitMs = _countAhead(state, request) / (slots / state.instanceCount) * durationMs
+    .filter((name) => state.rules.upstreams.has(name) && isInService(upstreamLoad(state, name), nowMs))
+  if (ahead === 0 || candidates.length === 0) return undefined
+  const answersPerMs = candidates.reduce((sum, name) => {
+    return sum + (state.rules.upstreams.get(name)?.slots ?? 0) / state.instanceCount / upstreamLoad(state, name).durationMs
+  }, 0)
+  // An upstream that has answered nothing yet makes the rate infinite, and the wait 0.
+  const waitMs = ahead / answersPerMs
+  const durationMs = Math.min(...candidates.map((name) => upstreamLoad(state, name).durationMs))
   if (nowMs + waitMs + durationMs <= request.deadlineMs) return undefined
-  return waitMs === 0 ? undefined : { reason: 'overloaded', retryAfterMs: waitMs }
+  return { reason: 'overloaded', retryAfterMs: waitMs }
 }
 
 function _countAhead (state: RequestsState, request: Request): number {
--- a/packages/requests/choose_upstream.ts
+++ b/packages/requests/choose_upstream.ts
@@ -50,10 +50,26 @@
   return scored[0]?.name
 }
 
+/**
+ * Reports whether an upstream may receive requests, as far as its health is concerned.
+ *
+ * @param load The load and health of the upstream.
+ * @param nowMs The local time, in ms.
+ * @returns False if the upstream is leaving, withdrawn or suspected.
+ *
+ * @example
+ * ```ts
+ * console.log(isInService(INITIAL_LOAD, 0)) // true
+ * ```
+ */
+export function isInService (load: UpstreamLoad, nowMs: number): boolean {
+  return !load.leaving && !load.withdrawn && load.suspectedUntilMs <= nowMs
+}
+
 function _isEligible (name: string, context: ChoiceContext): boolean {
   const load = context.load(name)
   const slots = context.rules.upstreams.get(name)?.slots ?? 0
-  if (load.leaving || load.withdrawn || load.suspectedUntilMs > context.nowMs) return false
+  if (!isInService(load, context.nowMs)) return false
   if (context.triedUpstreams.includes(name)) return false
   // An instance may always use its share of the slots, even if the last report of the others' requests is outdated.
   return load.ownRequests < Math.ceil(slots / context.instanceCount) || load.ownRequests + _decayedOtherRequests(load, context) < slots
--- a/packages/requests/reduce_requests_test.ts
+++ b/packages/requests/reduce_requests_test.ts
@@ -168,3 +168,17 @@
   ])
   t.deepEqual(summarize(effects).slice(-2), ['b delivered', 'c refused deadline_waiting, not run'])
 })
+
+test('the duration of an upstream that has left does not refuse requests', (t) => {
+  const slow = run(start(), [request('a', { prefix: 'x' }), request('b', { prefix: 'y' }), answered('a', 9000), answered('b', 9000)])
+  let { state } = run(slow.state, [{ kind: 'upstream_listed', upstream: 'two', withdrawn: true, nowMs: 10_000 }])
+  for (let i = 0; i < 40; i += 1) state = run(state, [at(request(`r${i}`, { deadlineMs: 100_000 }), 10_000 + 100 * i), answered(`r${i}`, 10_040 + 100 * i)]).state
+  const { effects } = run(state, ['p', 'q', 'r', 's'].map((id) => at(request(id, { deadlineMs: 30_000 }), 20_000)))
+  t.deepEqual(refusedIds(effects), [])
+})
+
+test('the duration of a slow upstream does not refuse requests that a fast one answers', (t) => {
+  const both = run(start(), [request('a', { deadlineMs: 90_000 }), request('b', { deadlineMs: 90_000 }), answered('a', 40), answered('b', 20_000)])
+  const { effects } = run(both.state, ['p', 'q', 'r', 's', 'u', 'v'].map((id) => at(request(id, { deadlineMs: 35_000 }), 30_000)))
+  t.deepEqual(refusedIds(effects), [])
+})
