Show streams that are accepted late in a planned stop and cut at its end

Cause: a stopping instance compares the usual duration of a route with the time that is left, and chooses the upstream afterwards. No test has upstreams with a pace of their own, or callers that send on one connection until the process is gone.

--- a/packages/edge/_test_soak_callers.ts
+++ b/packages/edge/_test_soak_callers.ts
@@ -61,6 +61,11 @@
   readonly stray: readonly string[]
   /** Sends requests on one connection, without waiting between them. */
   send (target: Target, asked: readonly NewCall[]): void
+  /**
+   * Opens a connection, and sends a request as soon as the one before it has been answered, until the connection ends or none is drawn.
+   * Resolves to the last one, if any.
+   */
+  stay (target: Target, draw: () => NewCall | undefined): Promise<SoakCall | undefined>
   /** Resolves once all requests have ended. */
   ended (): Promise<void>
 }
@@ -77,6 +82,8 @@
   mayReuse: boolean
   idleSinceMs: number
   onContinue: () => void
+  /** Called when all requests have been answered and more can follow; returns whether another one was sent. */
+  goOn: () => boolean
 }
 
 /** Creates callers that have sent nothing yet. */
@@ -95,8 +102,9 @@
     Object.assign(channel, { missing: undefined, hasAnswered: true, idleSinceMs: performance.now() })
     if (call !== undefined) end(call, true, 'answered')
     if (channel.waiting.length > 0) return
-    if (channel.mayReuse && call?.headers.get('connection') !== 'close') idle.push(channel)
-    else channel.socket.end()
+    const mayReuse = channel.mayReuse && call?.headers.get('connection') !== 'close'
+    if (!mayReuse) channel.socket.end()
+    else if (!channel.goOn()) idle.push(channel)
   }
 
   function readHead (channel: _Channel): boolean {
@@ -141,7 +149,7 @@
 
   function openChannel (target: Target): _Channel {
     const socket = connect({ host: '127.0.0.1', port: target.callers, allowHalfOpen: true, noDelay: true })
-    const channel: _Channel = { socket, instance: target.name, waiting: [], received: '', missing: undefined, isChunked: false, hasAnswered: false, mayReuse: true, idleSinceMs: 0, onContinue: () => {} }
+    const channel: _Channel = { socket, instance: target.name, waiting: [], received: '', missing: undefined, isChunked: false, hasAnswered: false, mayReuse: true, idleSinceMs: 0, onContinue: () => {}, goOn: () => false }
     let detail = 'closed'
     socket.on('connect', () => { for (const call of channel.waiting) call.isConnected = true })
     socket.on('data', (chunk: Buffer) => {
@@ -223,10 +231,13 @@
   }
 
   function send (target: Target, asked: readonly NewCall[]): void {
-    const channel = asked[0]?.keep === true ? takeChannel(target) : openChannel(target)
+    sendOn(asked[0]?.keep === true ? takeChannel(target) : openChannel(target), asked)
+  }
+
+  function sendOn (channel: _Channel, asked: readonly NewCall[]): void {
     channel.mayReuse = asked.every(({ keep, kind }) => keep && kind !== 'half_closed' && kind !== 'http10')
     for (const one of asked) {
-      const call: SoakCall = { ...one, instance: target.name, sentAtMs: performance.now(), isKept: channel.hasAnswered, isConnected: channel.hasAnswered, bodySentAtMs: Infinity, leftAtMs: Infinity, endedAtMs: Infinity, status: 0, headers: new Map(), text: '', isComplete: false, detail: '' }
+      const call: SoakCall = { ...one, instance: channel.instance, sentAtMs: performance.now(), isKept: channel.hasAnswered, isConnected: channel.hasAnswered, bodySentAtMs: Infinity, leftAtMs: Infinity, endedAtMs: Infinity, status: 0, headers: new Map(), text: '', isComplete: false, detail: '' }
       calls.push(call)
       open.add(call)
       channel.waiting.push(call)
@@ -236,12 +247,27 @@
     }
   }
 
+  function stay (target: Target, draw: () => NewCall | undefined): Promise<SoakCall | undefined> {
+    const channel = openChannel(target)
+    let last: SoakCall | undefined
+    const next = (): boolean => {
+      const call = draw()
+      if (call !== undefined) sendOn(channel, [call])
+      else channel.socket.end()
+      last = channel.waiting.at(-1) ?? last
+      return true
+    }
+    channel.goOn = next
+    next()
+    return new Promise((resolve) => channel.socket.once('close', () => resolve(last)))
+  }
+
   async function ended (): Promise<void> {
     while (open.size > 0) await new Promise((resolve) => setTimeout(resolve, SLOW_READ_INTERVAL_MS))
     for (const { socket } of idle) socket.destroy()
   }
 
-  return { calls, stray, send, ended }
+  return { calls, stray, send, stay, ended }
 }
 
 /** Returns what is wrong with an answer that its caller got, if anything. */
--- a/packages/edge/_test_soak_upstreams.ts
+++ b/packages/edge/_test_soak_upstreams.ts
@@ -7,6 +7,7 @@
 const MISSED_HEARTBEATS = 3
 /** Time for which a leaving upstream serves beyond `DrainMs`, in ms. */
 const LEAVING_SLACK_MS = 1000
+/** Requests that an upstream runs at once; it may announce fewer. */
 const SLOTS = 60
 
 /** What a caller asks an upstream to do; sent in a header. */
@@ -45,6 +46,8 @@
   leave (): void
   /** Starts again with a new id. */
   comeBack (softwareVersion: string): Promise<void>
+  /** Has room for no further request for a time in ms. */
+  refuse (durationMs: number): void
   close (): void
 }
 
@@ -62,13 +65,24 @@
   return `id: ${number}\ndata: ${id}.${number}\n\n`
 }
 
+/** Options of {@linkcode startSoakUpstream}. */
+export interface SoakUpstreamOptions {
+  readonly service: string
+  readonly store: TestStore
+  readonly arrivals: Arrivals
+  readonly slots?: number
+  /** Pace of streams that is the upstream's own, whatever requests ask for. */
+  readonly ownPace?: Pick<Plan, 'workMs' | 'gapMs'> | undefined
+}
+
 /** Starts an upstream that registers itself in a store. */
-export async function startSoakUpstream (name: string, options: { readonly service: string, readonly store: TestStore, readonly arrivals: Arrivals }): Promise<SoakUpstream> {
-  const { service, store, arrivals } = options
+export async function startSoakUpstream (name: string, options: SoakUpstreamOptions): Promise<SoakUpstream> {
+  const { service, store, arrivals, slots = SLOTS, ownPace } = options
   let lifetime = 0
+  let fullUntilMs = -Infinity
   let current = await start('v1')
 
-  async function start (softwareVersion: string): Promise<Omit<SoakUpstream, 'comeBack'>> {
+  async function start (softwareVersion: string): Promise<Omit<SoakUpstream, 'comeBack' | 'refuse'>> {
     lifetime += 1
     const id = `${name}-${lifetime}`
     const born = Date.now()
@@ -77,7 +91,8 @@
     let [state, beats] = ['ready', 0]
 
     function run (request: IncomingMessage, response: ServerResponse, attempt: string): void {
-      const [workMs = 0, events = 0, gapMs = 0, bytes = 0] = String(request.headers['soak-plan']).split(' ').map(Number)
+      const [askedWorkMs = 0, events = 0, askedGapMs = 0, bytes = 0] = String(request.headers['soak-plan']).split(' ').map(Number)
+      const { workMs, gapMs } = events > 0 && ownPace !== undefined ? ownPace : { workMs: askedWorkMs, gapMs: askedGapMs }
       const after = Number(request.headers['last-event-id'] ?? 0)
       const entry: Run = { id: attempt, upstream: id, startedAtMs: performance.now(), after, endedAtMs: Infinity, how: 'running' }
       arrivals.runs.push(entry)
@@ -111,7 +126,8 @@
       request.on('end', () => {
         const attempt = String(request.headers['attempt-id'])
         const isMisdirected = request.headers['expect-instance'] !== id
-        if (isMisdirected || running.size >= SLOTS) return response.writeHead(isMisdirected ? 421 : 503, { 'Attempt-Id': attempt, 'Not-Executed': '1', 'Content-Length': 0 }).end()
+        const isFull = running.size >= SLOTS || performance.now() < fullUntilMs
+        if (isMisdirected || isFull) return response.writeHead(isMisdirected ? 421 : 503, { 'Attempt-Id': attempt, 'Not-Executed': '1', 'Content-Length': 0 }).end()
         if (body !== bodyOf(attempt, Number(request.headers['soak-bytes']))) arrivals.changed.push(attempt)
         run(request, response, attempt)
       })
@@ -124,7 +140,7 @@
     const { port } = server.address() as AddressInfo
     const beat = (): void => {
       beats += 1
-      store.put('servers', id, { Service: service, Address: `127.0.0.1:${port}`, Zone: 'a', Version: softwareVersion, Slots: SLOTS, State: state, ColdRemainingMs: 0, Sequence: beats, born })
+      store.put('servers', id, { Service: service, Address: `127.0.0.1:${port}`, Zone: 'a', Version: softwareVersion, Slots: slots, State: state, ColdRemainingMs: 0, Sequence: beats, born })
     }
     beat()
     const beating = setInterval(beat, HEARTBEAT_MS)
@@ -151,6 +167,7 @@
     crash: () => current.crash(),
     leave: () => current.leave(),
     comeBack: async (softwareVersion) => { current = await start(softwareVersion) },
+    refuse: (durationMs) => { fullUntilMs = performance.now() + durationMs },
     close: () => current.close()
   }
 }
--- a/packages/edge/planned_stops_soak_test.ts
+++ b/packages/edge/planned_stops_soak_test.ts
@@ -1,13 +1,14 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { uniformInt } from 'pure-rand/distribution/uniformInt'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import test, { type ExecutionContext } from 'ava'
+import { balance } from './_test_balancer.ts'
 import { bundleProgram } from './_test_bundle.ts'
-import { BOUNDS, GRACE_MS, listensForCallers, readinessOf, startProcesses, type ProcessInstance } from './_test_processes.ts'
-import { answerFault, CALLER_KINDS, createCallers, type NewCall, type SoakCall } from './_test_soak_callers.ts'
-import { startSoakUpstream, type Arrivals, type Run } from './_test_soak_upstreams.ts'
+import { listensForCallers, startProcesses, type ProcessInstance } from './_test_processes.ts'
+import { createRandom, pick, type Random } from './_test_random.ts'
+import { CALLER_KINDS, createCallers, type NewCall, type SoakCall } from './_test_soak_callers.ts'
+import { faultsOf, processFaults, watchStalls, type Manifest, type Play } from './_test_soak_faults.ts'
+import { startSoakUpstream, type Arrivals, type Run, type SoakUpstream } from './_test_soak_upstreams.ts'
 import { startTestStore, type TestStore } from './_test_store.ts'
 import { pause } from './_test_system.ts'
 
@@ -22,38 +23,9 @@
 const CALM_MS = 2500
 /** Time of the first of the last signals, after which no instance is started again, in ms. */
 const LAST_STOPS_MS = 12_000
-const PROBE_MS = 1000
 const LISTEN_POLL_MS = 5
-const MISSES = 2
-/** Time within which an upstream is told that a caller has left, in ms. */
-const GONE_MS = 500
-/** Length from which stalls of this process are named in faults, in ms; they delay what callers and upstreams see. */
-const STALL_MS = 100
-/** Part of the grace period after which running requests may be ended, and time after SIGTERM until which these were sent, in ms. */
-const LAST_PART_MS = GRACE_MS * 5 / 6
-const EARLY_MS = 3000
 const TEST_TIMEOUT_MS = 120_000
 const STREAMS = ['drafts', 'notes']
-const RETRYABLE = ['lookups', 'added', 'drafts']
-const NOT_RUN = [408, 421, 429, 503]
-const LAST_LINE = /"what":"(answered|refused|broken_off|left|rejected)"/
-const FAULT_LINE = /uncaught_exception|unhandled_rejection|effect_failed|drain_failed|lines_dropped/
-
-type Random = (below: number) => number
-
-function createRandom (seed: number): Random {
-  const generator = xoroshiro128plus(seed)
-  return (below) => uniformInt(generator, 0, below - 1)
-}
-
-function pick<Item> (random: Random, items: readonly [Item, ...Item[]]): Item {
-  return items[random(items.length)] ?? items[0]
-}
-
-interface Manifest {
-  readonly sentAtMs: number
-  readonly timeoutsMs: ReadonlyMap<string, number>
-}
 
 // Writes a manifest whose time limits, objectives and services are drawn; the later ones add a route.
 function writeManifest (store: TestStore, version: number, random: Random): Manifest {
@@ -79,52 +51,14 @@
   return { id: `${route}-${n}`, kind: KINDS[random(KINDS.length)] ?? 'whole', path: `/${route}/${n}`, plan, bodyBytes: pick(random, [30, 300, 3000]), deadlineMs: pick(random, [10_000, 10_000, 10_000, 1500]), keep: random(2) === 0, pauseMs: pick(random, [30, 300, 1500, 2500]) }
 }
 
-// Sends new callers to the instances that the platform's balancer would use.
-function balance (instances: readonly ProcessInstance[]): { use (random: Random): ProcessInstance | undefined, stop (): void } {
-  const misses = new Map<ProcessInstance, number>()
-  const missesOf = (instance: ProcessInstance): number => misses.get(instance) ?? 0
-  const probe = async (instance: ProcessInstance): Promise<void> => { misses.set(instance, await readinessOf(instance) === 200 ? 0 : missesOf(instance) + 1) }
-  const timer = setInterval(() => { for (const instance of instances) probe(instance).catch(() => {}) }, PROBE_MS)
-  const use = (random: Random): ProcessInstance | undefined => {
-    const ready = instances.filter((instance) => missesOf(instance) < MISSES)
-    const used = ready.length * 2 < instances.length ? instances : ready
-    return used[random(used.length)]
-  }
-  return { use, stop: () => clearInterval(timer) }
-}
-
-interface Stall {
-  readonly fromMs: number
-  readonly toMs: number
-}
-
-// Collects the times in which this process did not run.
-function watchStalls (): { readonly stalls: readonly Stall[], stop (): void } {
-  const stalls: Stall[] = []
-  let fromMs = performance.now()
-  const timer = setInterval(() => {
-    const toMs = performance.now()
-    if (toMs - fromMs > STALL_MS) stalls.push({ fromMs, toMs })
-    fromMs = toMs
-  }, STALL_MS / 10)
-  return { stalls, stop: () => clearInterval(timer) }
-}
-
 interface Event {
   readonly atMs: number
   readonly run: () => Promise<void> | void
 }
 
-interface Play {
-  readonly instances: readonly ProcessInstance[]
-  readonly arrivals: Arrivals
-  readonly manifests: Manifest[]
-  readonly stalls: readonly Stall[]
-}
-
 // Draws the stops, and the reloads, manifests and disturbances of the store and the upstreams beside them.
-function drawEvents (random: Random, { instances, manifests }: Play, platform: { readonly upstreams: ReadonlyArray<Awaited<ReturnType<typeof startSoakUpstream>>>, readonly store: TestStore }): readonly Event[] {
-  const { upstreams, store } = platform
+function drawEvents (random: Random, instances: readonly ProcessInstance[], platform: { readonly upstreams: readonly SoakUpstream[], readonly store: TestStore, readonly manifests: Manifest[] }): readonly Event[] {
+  const { upstreams, store, manifests } = platform
   const order = instances.map((instance) => ({ instance, key: random(1000) })).sort((a, b) => a.key - b.key).map(({ instance }) => instance)
   const restarts = new Map<ProcessInstance, Promise<void>>()
   const startAgain = async (instance: ProcessInstance, reloadAfterMs: number): Promise<void> => {
@@ -174,60 +108,6 @@
   })]
 }
 
-function routeOf ({ path }: SoakCall): string {
-  return path.split('/')[1] ?? ''
-}
-
-// Returns the time until which a call may take by its own deadline and the manifests that may be in force, in ms.
-function limitOf (call: SoakCall, manifests: readonly Manifest[]): number {
-  const inForce = manifests.filter(({ sentAtMs }, i) => sentAtMs <= call.endedAtMs && (manifests[i + 1]?.sentAtMs ?? Infinity) + BOUNDS.ConfigMs >= call.sentAtMs)
-  return Math.min(call.deadlineMs, ...inForce.map(({ timeoutsMs }) => timeoutsMs.get(routeOf(call)) ?? Infinity))
-}
-
-function isLost (call: SoakCall, runs: readonly Run[], { instances, manifests }: Play): boolean {
-  if (!call.isConnected || call.isComplete || call.leftAtMs < Infinity || call.bodySentAtMs === Infinity) return false
-  if (runs.length === 0 && call.endedAtMs - call.bodySentAtMs <= BOUNDS.LossSlackMs) return false
-  const last = runs.at(-1)
-  if (last?.how === 'broke_off' || call.endedAtMs - call.sentAtMs >= limitOf(call, manifests)) return false
-  const signals = instances.filter(({ name }) => name === call.instance).flatMap(({ lifetimes }) => lifetimes.map(({ signalledAtMs }) => signalledAtMs))
-  const signalledAtMs = Math.max(-Infinity, ...signals.filter((atMs) => atMs <= call.endedAtMs))
-  return last === undefined || last.endedAtMs < signalledAtMs + LAST_PART_MS || call.sentAtMs > signalledAtMs + EARLY_MS
-}
-
-function faultsOf (call: SoakCall, runs: readonly Run[], play: Play): readonly string[] {
-  const mayRepeat = RETRYABLE.includes(routeOf(call))
-  const staysAtWork = mayRepeat || STREAMS.includes(routeOf(call))
-  const isLate = ({ startedAtMs, endedAtMs }: Run): boolean => (staysAtWork ? endedAtMs : startedAtMs) > call.leftAtMs + GONE_MS
-  const hasLastLine = play.instances.some(({ name, lines }) => name === call.instance && lines.some((line) => line.includes(`"request":"${call.id}"`) && LAST_LINE.test(line)))
-  return [
-    answerFault(call),
-    isLost(call, runs, play) ? `LOST: the connection ended (${call.detail}) without a complete answer` : undefined,
-    runs.length > 1 && !mayRepeat ? `TWICE: ran ${runs.length} times` : undefined,
-    runs.length > 0 && !mayRepeat && NOT_RUN.includes(call.status) ? `REFUSED: answered ${call.status}, but it ran` : undefined,
-    runs.some(isLate) ? `GONE: the caller left at ${Math.round(call.leftAtMs - call.sentAtMs)} ms` : undefined,
-    (call.status !== 0 || runs.length > 0) && !hasLastLine ? 'LINES: no last line of the request' : undefined
-  ].flatMap((fault) => fault === undefined ? [] : [`${fault}: ${describe(call, runs, play)}`])
-}
-
-function describe (call: SoakCall, runs: readonly Run[], { instances, stalls }: Play): string {
-  const since = (atMs: number): number => Math.round(atMs - call.sentAtMs)
-  const signals = instances.filter(({ name }) => name === call.instance).flatMap(({ lifetimes }) => lifetimes.map(({ signalledAtMs }) => -since(signalledAtMs))).filter(Number.isFinite)
-  const ran = runs.map(({ upstream, startedAtMs, endedAtMs, after, how }) => `${upstream} from ${since(startedAtMs)} to ${since(endedAtMs)} ms after event ${after}, ${how}`)
-  const lastMs = Math.max(call.endedAtMs, ...runs.map(({ endedAtMs }) => endedAtMs))
-  const stalled = stalls.filter(({ fromMs, toMs }) => toMs >= call.sentAtMs && fromMs <= lastMs).map(({ fromMs, toMs }) => `${since(fromMs)} to ${since(toMs)} ms`)
-  const lines = instances.flatMap((instance) => instance.lines).filter((line) => line.includes(`"request":"${call.id}"`))
-  return `${call.id}, ${call.kind}, at ${call.instance}, ${call.isKept ? 'kept' : 'new'} connection, sent ${signals.join(' and ')} ms after SIGTERM, whole at ${since(call.bodySentAtMs)} ms, ended at ${since(call.endedAtMs)} ms, status ${call.status}, ${call.text.length} bytes, deadline ${call.deadlineMs} ms, ${JSON.stringify(call.plan)}; runs: ${ran.join('; ')}; stalls of this process: ${stalled.join(', ')}\n${lines.join('\n')}`
-}
-
-function processFaults ({ name, lines, lifetimes }: ProcessInstance): readonly string[] {
-  const own = lines.filter((line) => line.includes('"subject":"process"') || !line.startsWith('{')).join('\n')
-  const ends = lifetimes.flatMap(({ startedAtMs, signalledAtMs, endedAtMs, code, signal }) => {
-    if (signalledAtMs < endedAtMs && code === 0 && endedAtMs - signalledAtMs < GRACE_MS) return []
-    return [`FAULT: ${name} ended with code ${code} and signal ${signal} ${Math.round(endedAtMs - startedAtMs)} ms after its start, ${Math.round(endedAtMs - signalledAtMs)} ms after SIGTERM\n${own}`]
-  })
-  return [...ends, ...lines.filter((line) => FAULT_LINE.test(line)).map((line) => `FAULT: ${name} wrote ${line}`)]
-}
-
 async function play (t: ExecutionContext, seed: number, bundle: string): Promise<{ readonly faults: readonly string[], readonly calls: readonly SoakCall[] }> {
   const random = createRandom(seed)
   const store = await startTestStore()
@@ -253,7 +133,7 @@
     await close()
     for (const platform of [...upstreams, store]) platform.close()
   })
-  await Promise.all(drawEvents(random, played, { upstreams, store }).map(async ({ atMs, run }) => {
+  await Promise.all(drawEvents(random, instances, { upstreams, store, manifests }).map(async ({ atMs, run }) => {
     await pause(atMs)
     await run()
   }))
