Write the two timers of a silent attempt on lines of their own

Joining the wait by what an upstream usually takes with the reading of what has arrived left one line with three statements.

--- a/packages/edge/forward_attempt.ts
+++ b/packages/edge/forward_attempt.ts
@@ -182,7 +182,9 @@
       if (failure !== 'silent' || hooks.mayGiveUp()) fail(failure, `no progress within ${Math.round(performance.now() - armedAtMs)} ms`)
       else if (!settled) wait(SILENCE_RECHECK_MS)
     }
-    const wait = (durationMs: number): void => { timer = setTimeout(() => { judgement = setImmediate(judge) }, durationMs) }
+    const wait = (durationMs: number): void => {
+      timer = setTimeout(() => { judgement = setImmediate(judge) }, durationMs)
+    }
     wait(timeoutMs)
   }
 
