--- a/packages/edge/_test_processes.ts
+++ b/packages/edge/_test_processes.ts
@@ -32,6 +32,12 @@
   signal: NodeJS.Signals | null
 }
 
+/** Options of {@linkcode startProcesses}. */
+export interface ProcessOptions {
+  /** Time between the signals with which the platform stops a process, in seconds. */
+  readonly graceS?: number
+}
+
 /** An entry instance that runs as a process. */
 export interface ProcessInstance {
   readonly name: string
@@ -57,8 +63,8 @@
   if (await arePortsFree(first, PORTS_PER_INSTANCE)) taken.add(first)
 }
 
-function createInstance (name: string, options: { readonly bundle: string, readonly file: string, readonly settings: object, readonly first: number }): ProcessInstance {
-  const { bundle, file, first } = options
+function createInstance (name: string, options: { readonly bundle: string, readonly file: string, readonly settings: object, readonly first: number, readonly graceMs: number }): ProcessInstance {
+  const { bundle, file, first, graceMs } = options
   const address = (i: number): string => `127.0.0.1:${first + i}`
   const settings = JSON.stringify({ ...options.settings, NodeName: name, Listen: { Front: address(0), Ready: address(1), Control: address(2) }, InternalPorts: [first + 3, first + 4] })
   const lifetimes: Lifetime[] = []
@@ -91,7 +97,7 @@
     if (lifetime === undefined || lifetime.endedAtMs < Infinity) return
     lifetime.signalledAtMs = performance.now()
     running?.kill('SIGTERM')
-    const timer = setTimeout(() => running?.kill('SIGKILL'), GRACE_MS)
+    const timer = setTimeout(() => running?.kill('SIGKILL'), graceMs)
     await ended
     clearTimeout(timer)
   }
@@ -127,14 +133,14 @@
 }
 
 /** Starts instances and waits until all are ready; `close` kills them and removes their files. */
-export async function startProcesses (bundle: string, count: number, storeAddress: string): Promise<{ readonly instances: readonly ProcessInstance[], close (): Promise<void> }> {
+export async function startProcesses (bundle: string, count: number, storeAddress: string, { graceS = BOUNDS.GraceS }: ProcessOptions = {}): Promise<{ readonly instances: readonly ProcessInstance[], close (): Promise<void> }> {
   const folder = await mkdtemp(join(tmpdir(), 'berylshed-'))
   for (let tries = 1; ; tries += 1) {
     const ports = new Set<number>()
     while (ports.size < count) await addPorts(ports)
     const seeds = [...ports].slice(0, 3).map((first) => `127.0.0.1:${first + 2}`)
-    const settings = { Role: 'entry', Ip: '127.0.0.1', Zone: 'a', Region: 'r', Zones: { a: 'r' }, Seeds: seeds, HeartbeatMs: 1200, Bounds: BOUNDS, Platform: { Address: storeAddress, form: 'objects', WritesPerS: 400, ReadsPerS: 2000 } }
-    const instances = [...ports].map((first, i) => createInstance(`edge-${i + 1}`, { bundle, file: join(folder, `${i}.json`), settings, first }))
+    const settings = { Role: 'entry', Ip: '127.0.0.1', Zone: 'a', Region: 'r', Zones: { a: 'r' }, Seeds: seeds, HeartbeatMs: 1200, Bounds: { ...BOUNDS, GraceS: graceS }, Platform: { Address: storeAddress, form: 'objects', WritesPerS: 400, ReadsPerS: 2000 } }
+    const instances = [...ports].map((first, i) => createInstance(`edge-${i + 1}`, { bundle, file: join(folder, `${i}.json`), settings, first, graceMs: graceS * 1000 }))
     const close = async (): Promise<void> => {
       for (const { kill } of instances) kill()
       while (instances.some(({ lifetimes }) => lifetimes.some(({ endedAtMs }) => endedAtMs === Infinity))) await pause(POLL_MS)
