--- a/packages/edge/_test_stop_scenario.ts
+++ b/packages/edge/_test_stop_scenario.ts
@@ -49,8 +49,8 @@
 /** A stop of an instance, or of an upstream that comes back with another software version. */
 export interface StopPlan {
   readonly atMs: number
-  /** The owner is the instance to which requests were handed over last. */
-  readonly instance?: number | 'owner'
+  /** The owner is the instance to which requests were handed over last, the holder the one that took the lease last. */
+  readonly instance?: number | 'owner' | 'holder'
   /** Whether the instance is started again. */
   readonly again?: boolean
   readonly upstream?: number
@@ -221,6 +221,11 @@
   return instances.find(({ name }) => name === newest?.relay)
 }
 
+function _holderOf (instances: readonly ProcessInstance[]): ProcessInstance | undefined {
+  const taken = instances.flatMap((instance) => instance.lines.flatMap((line) => line.includes('"what":"lease_taken"') ? [{ instance, time: /"time":(\d+)/.exec(line)?.[1] ?? '' }] : []))
+  return taken.sort((a, b) => Number(b.time) - Number(a.time))[0]?.instance
+}
+
 // Tells whether a request was lost, by the stop of the instance that its caller uses or of one that it was handed to.
 function _lossOf (call: SoakCall, runs: readonly Run[], { instances, graceMs }: _Judged): _Loss {
   if (!call.isConnected || call.isComplete || call.leftAtMs < Infinity || call.bodySentAtMs === Infinity) return 'none'
@@ -294,7 +299,7 @@
   const stops = scenario.stops.map(async ({ atMs, instance, again, upstream, softwareVersion }) => {
     await pause(atMs)
     const running = instances.filter(isUsed)
-    const named = instance === 'owner' ? _ownerOf(running) ?? running[0] : instances[instance ?? -1]
+    const named = typeof instance === 'string' ? (instance === 'owner' ? _ownerOf(running) : _holderOf(running)) ?? running[0] : instances[instance ?? -1]
     // The owner may be the one that is to stop next.
     const stopped = instance === undefined || named === undefined || running.includes(named) ? named : running[0]
     await stopped?.terminate()
