Play stops with other grace periods

The grace period had been 8 s in all tests; the times that a stopping instance reserves are fixed.

Three instances, two stopped and started again, requests that end within the grace period, callers on kept connections until the end; and two stops beside a store that takes 4 s for each call.

--- a/packages/edge/_test_stop_scenario.ts
+++ b/packages/edge/_test_stop_scenario.ts
@@ -69,6 +69,8 @@
   readonly requestsPerS: number
   /** Draws a request's route and what it takes. */
   draw (random: Random): { readonly route: 'lookups' | 'bookings' | 'drafts' | 'notes', readonly plan: Plan }
+  /** Delay of each call of the store while requests are sent, in ms. */
+  readonly storeDelayMs?: number
   /** Whether new callers use instances that stop, as they do until the balancer notices. */
   readonly usesStopping?: boolean
 }
@@ -294,6 +296,7 @@
     store.close()
   })
   await pause(SETTLE_MS)
+  store.disturb({ delayMs: scenario.storeDelayMs ?? 0, isAway: false })
   const timer = setInterval(send, 1000 / scenario.requestsPerS)
   t.teardown(() => clearInterval(timer))
   const stops = scenario.stops.map(async ({ atMs, instance, again, upstream, softwareVersion }) => {
@@ -312,6 +315,7 @@
   await pause(scenario.lengthMs)
   clearInterval(timer)
   await Promise.all([...stops, callers.ended()])
+  store.disturb({ delayMs: 0, isAway: false })
   const graceMs = (scenario.graceS ?? BOUNDS.GraceS) * 1000
   const judged: _Judged = { instances, graceMs }
   const runsOf = new Map(callers.calls.map(({ id }): [string, Run[]] => [id, []]))
