Scale what a stopping instance reserves with its grace period

Cause: 1 s for the last responses and the exit, and 2.6 s for new callers, were fixed, whatever the settings say.

Change: the reserves take an eighth of the grace period at most, the listener closes with the requests at the latest. Nothing changes from 8 s on.

--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -36,15 +36,19 @@
  * readiness probes, one second apart.
  */
 const READINESS_DELAY_MS = 2600
-/** Part of the grace period reserved for the exit of the process, in ms. */
+/** Maximum part of the grace period reserved for the exit of the process, in ms. */
 const EXIT_RESERVE_MS = 700
-/** Part of the grace period in which the last responses are delivered, in ms: many round trips within a region. */
+/** Maximum part of the grace period in which the last responses are delivered, in ms: many round trips within a region. */
 const DELIVERY_RESERVE_MS = 300
+/** Maximum share of the grace period for both; with ticks that are late, requests may still run until its last sixth. */
+const RESERVES_SHARE = 0.125
 const DRAIN_POLL_MS = 50
 /** Maximum delay of a signal that is allowed for, as a share of the grace period; the rest is needed to end requests. */
 const MAX_SIGNAL_DELAY_SHARE = 0.5
 /** Maximum time for closing what is still open, in ms; a part of the time reserved for the exit. */
 const CLOSE_TIMEOUT_MS = 300
+/** The same as a share of the grace period. */
+const CLOSE_TIMEOUT_SHARE = 0.0375
 /** Time after the end of a registration's validity until its removal is known, in ms: one watch and some delay. */
 const REMOVAL_DELAY_MS = 1000
 
@@ -340,7 +344,8 @@
     for (const server of [callerServer, relayServer]) attempt(() => server.refuseArriving())
     attempt(() => loop.dispatch({ subject: 'serving', event: { kind: 'closed', nowMs: nowMs() } }))
     // A call that cannot be interrupted or a connection that cannot be closed must not outlast the grace period.
-    const isClosed = await Promise.race([stopAll().then(() => true), _sleep(CLOSE_TIMEOUT_MS).then(() => false)])
+    const closeTimeoutMs = Math.min(CLOSE_TIMEOUT_MS, bounds.shutdownGraceMs * CLOSE_TIMEOUT_SHARE)
+    const isClosed = await Promise.race([stopAll().then(() => true), _sleep(closeTimeoutMs).then(() => false)])
     logger.write('process', { what: 'stopped', ...isClosed ? {} : { reason: 'calls or connections remained open' } })
   }
 
@@ -363,11 +368,12 @@
   async function drain (): Promise<void> {
     // A signal that comes while the process is short of processor time is handled late, perhaps after a tick that was late as well.
     const signalledAtMs = Math.max(ticksAtMs[0], nowMs() - bounds.shutdownGraceMs * MAX_SIGNAL_DELAY_SHARE)
-    const endMs = signalledAtMs + bounds.shutdownGraceMs - EXIT_RESERVE_MS
-    const closesAtMs = endMs - DELIVERY_RESERVE_MS
+    const reservesScale = Math.min(1, bounds.shutdownGraceMs * RESERVES_SHARE / (EXIT_RESERVE_MS + DELIVERY_RESERVE_MS))
+    const endMs = signalledAtMs + bounds.shutdownGraceMs - EXIT_RESERVE_MS * reservesScale
+    const closesAtMs = endMs - DELIVERY_RESERVE_MS * reservesScale
     attempt(() => logger.write('process', { what: 'draining', open: exchanges.size(), leftMs: Math.round(closesAtMs - nowMs()) }))
     attempt(() => loop.dispatch({ subject: 'draining', newCallersUntilMs: signalledAtMs + READINESS_DELAY_MS, closesAtMs, at: at() }))
-    await _sleep(READINESS_DELAY_MS)
+    await _sleep(Math.min(READINESS_DELAY_MS, closesAtMs - nowMs()))
     attempt(() => loop.dispatch({ subject: 'serving', event: { kind: 'shutdown_started', nowMs: nowMs() } }))
     const servers = [callerServer, relayServer]
     // After a stall this runs before connections are accepted that the kernel has taken, and would be reset.
