Wait in a stop for claims that a peer records

A caller had its answer (200) from a stopping instance, and a repetition with the same idempotency key got 409 claim_unknown for an hour, though the call was run and answered.

Cause: the outcome is recorded by the instance that owns the key's shard. An instance that is not the lease holder ended as soon as its requests were answered and its own writes were durable; an operation that it had sent to a peer was not counted, so that the call of a peer that gave no answer within peers.timeout_ms had nobody left who would record the outcome itself.

Change: operations of the instance count as open until they are answered, whoever records them. The wait is bounded as before, by the longer of 10 s and lease_ttl_ms after the last request.

--- a/packages/instance/_claims_effects.ts
+++ b/packages/instance/_claims_effects.ts
@@ -12,6 +12,8 @@
   operate (to: string, operation: Operation): Promise<void>
   /** Processes an operation received from a peer and resolves to its answer. */
   operateForPeer (operation: Operation): Promise<OperationAnswer>
+  /** Reports whether an operation of this instance has no answer yet, also one that was sent to a peer. */
+  isBusy (): boolean
 }
 
 function _shardKey (shard: number): string {
@@ -25,6 +27,7 @@
 /** Creates the interpreter of the effects of the claims reducer. */
 export function createClaimsEffects (context: InterpreterContext): ClaimsEffects {
   const { store, peers, nowMs } = context
+  const ownOperations = new Set<string>()
   const peerCallbacks = new Map<string, (answer: OperationAnswer) => void>()
 
   function dispatch (event: ClaimsEvent): void {
@@ -57,6 +60,7 @@
     const peer = peerCallbacks.get(operation.id)
     peerCallbacks.delete(operation.id)
     if (peer !== undefined) return peer(answer)
+    ownOperations.delete(operation.id)
     const live = liveEntries(context.state().membership, nowMs())
     const event = operationEvent(operation, answer, {
       nowMs: nowMs(), random: context.random(), isLive: (holder) => live.some((entry) => entry.incarnation === holder)
@@ -65,6 +69,7 @@
   }
 
   async function operate (to: string, operation: Operation): Promise<void> {
+    ownOperations.add(operation.id)
     const answer = to === '' ? undefined : await peers.operate(to, operation)
     if (answer?.isOk() === true) return deliverAnswer(operation, answer.value)
     dispatch({ kind: 'operation_requested', operation, ...times() })
@@ -85,5 +90,5 @@
     }
   }
 
-  return { perform, operate, operateForPeer }
+  return { perform, operate, operateForPeer, isBusy: () => ownOperations.size > 0 }
 }
--- a/packages/instance/run_instance.ts
+++ b/packages/instance/run_instance.ts
@@ -300,7 +300,8 @@
       callerServer.connections.closeIdle()
       const isOpen = countOpenRequests(state) > 0
       const isHolder = state.placement.shard?.holder?.incarnation === incarnation
-      if (!isOpen && !isHolder && !hasPendingClaims(state.claims) && !callerServer.connections.isBusy()) return
+      const isRecording = claims.isBusy() || hasPendingClaims(state.claims)
+      if (!isOpen && !isHolder && !isRecording && !callerServer.connections.isBusy()) return
       endMs = isOpen ? Infinity : Math.min(endMs, nowMs() + limitMs)
       await _sleep(DRAIN_POLL_MS)
     }
