Do not cut a response in a stop before its time limit

A caller that read its answers slowly lost their end when the instance was stopped, 11 s before its time limit.

Cause: a stop waited 10 s (or lease_ttl_ms) after the last request had its answer, a guess of how long a caller may need to read. A stream that is read slowly had until its time limit, a whole answer had not.

Change: a stop also waits for the responses that are due until the time limits of their requests. A caller that never reads holds the process up to its time limit, as one that never reads a stream did before.

stopping_readers_test.ts: five answers of 12 MiB on one connection, time limit 25 s, read with 0.1 MB/s for 14 s, then at full speed. Before: 45,846,859 of 62,914,560 bytes. Now all of them. (One answer of 12 or 15 MiB did not show it, as a connection's buffers hold it on systems with a large tcp_rmem.)

--- a/packages/instance/_caller_connections.ts
+++ b/packages/instance/_caller_connections.ts
@@ -21,6 +21,8 @@
 export interface CallerConnections {
   /** Reports whether a request is arriving, handled or answered on any connection. */
   isBusy (): boolean
+  /** Lists the responses that are due on all connections. */
+  dueResponses (): readonly ServerResponse[]
   /** Announces on each connection, with the last response that is due, that it will be closed. */
   announceEnd (): void
   /** Stops accepting connections; those that are open go on. */
@@ -120,6 +122,7 @@
 
   return {
     isBusy: () => [...connections].some(([socket, connection]) => !isIdle(socket, connection)),
+    dueResponses: () => [...connections.values()].flatMap(({ due }) => due.map(({ response }) => response)),
     announceEnd: () => {
       ending = true
       for (const connection of connections.values()) _announce(connection)
--- a/packages/instance/caller_server.ts
+++ b/packages/instance/caller_server.ts
@@ -39,6 +39,8 @@
 export interface CallerServer {
   readonly server: Server
   readonly connections: CallerConnections
+  /** Returns the latest deadline of the requests whose responses are not written yet, or -Infinity if there are none. */
+  lastDeadlineMs (): number
 }
 
 interface _Call {
@@ -74,6 +76,7 @@
  * ```
  */
 export function createCallerServer (options: CallerServerOptions): CallerServer {
+  const deadlines = new WeakMap<ServerResponse, number>()
   let count = 0
 
   function nextId (): string {
@@ -99,6 +102,7 @@
     if ('code' in parsed) return reject(call, parsed)
     if (!_isTargetAllowed(customer, parsed.target)) return reject(call, { status: 404, code: 'unknown_target', message: `Cannot accept request: there is no ${parsed.target.kind} ${parsed.target.name} for this customer; see GET /v1/models` })
     const request = _buildRequest({ call, body, customer, receivedAtMs }, parsed)
+    deadlines.set(call.response, request.deadlineMs)
     options.receive(request, { ...call, ...parsed, method: call.request.method ?? 'POST', contentType: call.request.headers['content-type'] ?? 'application/json', body })
   }
 
@@ -117,7 +121,9 @@
   }
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: REQUEST_TIMEOUT_MS })
-  return { server, connections: trackCallerConnections(server, { nowMs: options.nowMs, handle: take, reject: rejectBytes }) }
+  const connections = trackCallerConnections(server, { nowMs: options.nowMs, handle: take, reject: rejectBytes })
+  const lastDeadlineMs = (): number => Math.max(-Infinity, ...connections.dueResponses().map((response) => deadlines.get(response) ?? -Infinity))
+  return { server, connections, lastDeadlineMs }
 }
 
 function _transportRejection (code: string | undefined): _Rejection {
--- a/packages/instance/run_instance.ts
+++ b/packages/instance/run_instance.ts
@@ -292,11 +292,11 @@
     log('stopped', { count: countOpenRequests(state) })
   }
 
-  // Open requests end by their deadlines. The rest has a time limit: a caller may never read its response, the store may be away.
+  // Requests end by their deadlines, and so does the wait for callers that read slowly. The rest has a time limit: the store may be away.
   async function untilServed (): Promise<void> {
     const limitMs = Math.max(MIN_DELIVERY_MS, settings.lease.lease_ttl_ms)
     let endMs = Infinity
-    while (nowMs() < endMs) {
+    while (nowMs() < Math.max(endMs, callerServer.lastDeadlineMs())) {
       callerServer.connections.closeIdle()
       const isOpen = countOpenRequests(state) > 0
       const isHolder = state.placement.shard?.holder?.incarnation === incarnation
