Check a suspected upstream again while requests wait for nothing else

Callers of a service with one upstream got 504 deadline_waiting for all requests with a time limit of 3 s after the upstream had refused connections for 0.6 s.

Cause: an upstream that accepts no connection is left out for 5 s, a guess of how long it will be away. It was checked once, right after the failure, and not again.

Change: while requests wait for a target whose upstreams are all suspected, those that are neither leaving nor withdrawn are checked every 500 ms by a new connection, which risks no request; the first that succeeds clears the upstream.

slow_upstreams_test.ts, one upstream whose port is closed for 0.6 to 0.9 s, ten requests with a time limit of 3 s.

--- a/packages/instance/slow_upstreams_test.ts
+++ b/packages/instance/slow_upstreams_test.ts
@@ -1,4 +1,5 @@
 import { setTimeout as pause } from 'node:timers/promises'
+import { startServiceStandIn } from '@berylshed/standins'
 import test, { type ExecutionContext } from 'ava'
 import { HashMap } from 'effect'
 import { callInstance, startTestSystem, stopTestSystem, until, type TestSystem } from './_test_system.ts'
@@ -64,3 +65,17 @@
   await withdraw(system, 2)
   t.is(await statusOf(system, STATE, 1), 200)
 })
+
+test('requests that wait for the only upstream are answered once it accepts connections again', async (t) => {
+  const system = await start(t)
+  await withdraw(system, 2)
+  const service = [...system.standIns.services.values()].at(-1)
+  if (service === undefined) return t.fail()
+  await service.close()
+  const waiting = statusesOf(system, STATE, 10)
+  await pause(600)
+  const returned = await startServiceStandIn(Number(service.address.split(':')[1]))
+  t.teardown(() => returned.close())
+  const statuses = await waiting
+  t.is(statuses.filter((status) => status !== 200).length, 0)
+})
--- a/packages/requests/reduce_requests.ts
+++ b/packages/requests/reduce_requests.ts
@@ -1,6 +1,7 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { admitRequest } from './_admit_request.ts'
+import { checkSuspected } from './_check_suspected.ts'
 import { requestPermit, suspectFingerprint } from './_suspects.ts'
 import { dispatchAll, dispatchTarget, enqueueRequest } from './_dispatch_requests.ts'
 import { failAttempt, reviewSilence } from './_fail_attempt.ts'
@@ -45,11 +46,17 @@
     case 'fingerprint_suspected': return step(suspectFingerprint(state, event.fingerprint, event.nowMs))
     case 'rules_changed': return dispatchAll({ ...state, rules: event.rules, instanceCount: event.instanceCount }, event.nowMs)
     case 'draining': return step({ ...state, draining: true })
-    case 'ticked': return dispatchAll(state, event.nowMs)
+    case 'ticked': return _tick(state, event.nowMs)
     default: return _reduceRequestEvent(state, event)
   }
 }
 
+function _tick (state: RequestsState, nowMs: number): _Step {
+  const dispatched = dispatchAll(state, nowMs)
+  const checked = checkSuspected(dispatched.state, nowMs)
+  return step(checked.state, [...dispatched.effects, ...checked.effects])
+}
+
 type _RequestEvent = Extract<RequestEvent, { readonly id: string }>
 
 function _reduceRequestEvent (state: RequestsState, event: _RequestEvent): _Step {
--- a/packages/requests/reduce_requests_test.ts
+++ b/packages/requests/reduce_requests_test.ts
@@ -182,3 +182,20 @@
   const { effects } = run(both.state, ['p', 'q', 'r', 's', 'u', 'v'].map((id) => at(request(id, { deadlineMs: 35_000 }), 30_000)))
   t.deepEqual(refusedIds(effects), [])
 })
+
+test('an upstream that all waiting requests need is checked again while it is suspected', (t) => {
+  const one = start({ services: new Map([['orders', { name: 'orders', upstreams: ['one'] }]]) })
+  const lost = run(one, [request('a', { deadlineMs: 3000 }), failed('a', 'not_connected'), { kind: 'upstream_suspected', upstream: 'one', forMs: 5000, nowMs: 20 }, { kind: 'retry_due', id: 'a', nowMs: 60 }])
+  const ticks = Array.from({ length: 20 }, (_, i): RequestEvent => ({ kind: 'ticked', nowMs: 100 + 100 * i }))
+  const waiting = run(lost.state, ticks)
+  t.is(waiting.effects.filter((effect) => effect.kind === 'check_upstream').length, 4)
+  const { effects } = run(waiting.state, [{ kind: 'upstream_cleared', upstream: 'one', nowMs: 2100 }])
+  t.deepEqual(sentIds(effects), ['a'])
+})
+
+test('a suspected upstream is not checked again while another one serves', (t) => {
+  const { state } = run(start(), [request('a'), { kind: 'upstream_suspected', upstream: 'two', forMs: 5000, nowMs: 0 }])
+  const full = run(state, [request('b'), request('c'), request('d')])
+  const { effects } = run(full.state, [{ kind: 'ticked', nowMs: 1000 }])
+  t.is(effects.filter((effect) => effect.kind === 'check_upstream').length, 0)
+})
--- a/packages/requests/upstream_load.ts
+++ b/packages/requests/upstream_load.ts
@@ -12,6 +12,8 @@
   readonly withdrawn: boolean
   /** Local time until which no request is sent to the upstream, in ms. */
   readonly suspectedUntilMs: number
+  /** Local time of the last check that waiting requests asked for, in ms. */
+  readonly checkedAtMs: number
   /** Moving average of the duration of a request, in ms; 0 before the first response. */
   readonly durationMs: number
   /** Moving average of the time until a response starts, in ms; 0 before the first response. */
@@ -30,6 +32,7 @@
   leaving: false,
   withdrawn: false,
   suspectedUntilMs: -Infinity,
+  checkedAtMs: -Infinity,
   durationMs: 0,
   silenceMs: 0,
   singleRunMs: 0,
