Take a request back from another instance only if that may not run

Callers of an instance without a path saw 504 at their deadline: a request whose only upstream takes 2.1 s of a limit of 3 s was taken back from the instance that served it after 1.8 s, and a third one had 1.2 s.

Cause: 0.6 of the time left was a guess of how long an instance takes. Of the three ways in which one is silent (it hangs, its upstream is slow, the request waits there) only the first is helped by another instance, which sends to the same upstreams.

Change: after that share of the time, which stays the earliest moment, an attempt at another instance goes on if it has answered another request since, or has reported to the lease holder since (its place on a list of members made from later reports), or if requests that are handed over usually take longer than the time left. The share moves to serving/patience.ts, and `send` carries the time after which it is asked whether an attempt is given up, so that one that is known to be slow is asked about later and not at 400 ms first.

Remains: an instance that hangs is not told from one that waits before its last report is 1.5 s old.

--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Upstream } from '@berylshed/fleet'
 import { attemptHeaders, forwardedResponseHeaders, handoverAnswerHeaders, handoverHeaders, localResponseHeaders, readSoftwareVersion } from '@berylshed/platform'
-import { minPatienceMs, refusal, type Refusal, type Relay, type Request, type AttemptFailure, type ServingEffect, type ServingEvent } from '@berylshed/serving'
+import { refusal, type Refusal, type Relay, type Request, type AttemptFailure, type ServingEffect, type ServingEvent } from '@berylshed/serving'
 import { breakOff } from './_break_off.ts'
 import { forwardAttempt, hasNoBody, type Announcement, type ForwardedAttempt, type ResponseHead, type BufferedResponse, type RunningAttempt } from './forward_attempt.ts'
 
@@ -14,8 +14,6 @@
 const MIN_EVENT_TIMEOUT_MS = 1600
 /** Timeout between two events of a stream, as a multiple of its latency objective. */
 const EVENT_TIMEOUT_FACTOR = 2
-/** Share of the time left after which a retryable request is taken back from a relay that has not begun to respond. */
-const RELAY_TIMEOUT_SHARE = 0.6
 /** Time after its deadline at which an exchange without an outcome is given up, in ms: several ticks, which end requests in time. */
 const EXPIRY_SLACK_MS = 200
 /** Delay of the last byte of the first events after a caller has ended its sending side, in ms: several round trips within a region. */
@@ -126,7 +124,8 @@
       ..._addressOf(upstream.address),
       headers: attemptHeaders({ ...passed, upstream: effect.upstream, rank: request.rank }),
       reuseConnection: passed.keepAlive,
-      ..._timeouts(request)
+      firstByteTimeoutMs: effect.patienceMs,
+      eventTimeoutMs: _eventTimeoutMs(request)
     })
   }
 
@@ -141,7 +140,8 @@
         ...passed, callerAddress: entry.exchange.callerAddress, maxRuns: Math.max(1, request.maxRuns - request.runs + 1), softwareVersion: request.softwareVersion
       }),
       reuseConnection: passed.keepAlive,
-      ..._relayTimeouts(request, passed.remainingMs)
+      firstByteTimeoutMs: effect.patienceMs,
+      eventTimeoutMs: Infinity
     })
   }
 
@@ -387,18 +387,9 @@
   readonly lastEventId: string | undefined
 }
 
-// A request that is not retryable is limited only by its deadline. The time between events is limited only for streams,
-// whose callers abandon them after a pause.
-function _timeouts (request: Request): { readonly firstByteTimeoutMs: number, readonly eventTimeoutMs: number } {
-  if (!request.retryable) return { firstByteTimeoutMs: Infinity, eventTimeoutMs: Infinity }
-  const firstByteTimeoutMs = minPatienceMs(request)
-  return request.stream ? { firstByteTimeoutMs, eventTimeoutMs: Math.max(MIN_EVENT_TIMEOUT_MS, request.objectiveMs * EVENT_TIMEOUT_FACTOR) } : { firstByteTimeoutMs, eventTimeoutMs: Infinity }
-}
-
-// A relay waits for an upstream and times out its attempts itself; only one that has stopped responding is given up.
-function _relayTimeouts (request: Request, remainingMs: number): ReturnType<typeof _timeouts> {
-  if (!request.retryable) return _timeouts(request)
-  return { firstByteTimeoutMs: remainingMs * RELAY_TIMEOUT_SHARE, eventTimeoutMs: Infinity }
+// The time between events is limited only for streams, whose callers abandon them after a pause. A relay times out its attempts itself.
+function _eventTimeoutMs (request: Request): number {
+  return request.retryable && request.stream ? Math.max(MIN_EVENT_TIMEOUT_MS, request.objectiveMs * EVENT_TIMEOUT_FACTOR) : Infinity
 }
 
 function _addressOf (address: string): Pick<ForwardedAttempt, 'host' | 'port'> {
--- a/packages/edge/slow_upstreams_test.ts
+++ b/packages/edge/slow_upstreams_test.ts
@@ -42,10 +42,10 @@
 let sent = 0
 
 // Sends requests at an interval, whether others end or not.
-async function sendFor (instance: TestInstance | undefined, path: string, { durationMs, deadlineMs = DEADLINE_MS }: { readonly durationMs: number, readonly deadlineMs?: number }): Promise<readonly CallerOutcome[]> {
+async function sendFor (instance: TestInstance | undefined, path: string, { durationMs }: { readonly durationMs: number }): Promise<readonly CallerOutcome[]> {
   const outcomes: Array<Promise<CallerOutcome>> = []
   for (const endMs = performance.now() + durationMs; performance.now() < endMs; await pause(INTERVAL_MS)) {
-    outcomes.push(outcomeOf(instance?.callers ?? 0, path, { headers: { 'attempt-id': `slow-${sent += 1}`, 'deadline-ms': String(deadlineMs) } }))
+    outcomes.push(outcomeOf(instance?.callers ?? 0, path, { headers: { 'attempt-id': `slow-${sent += 1}`, 'deadline-ms': String(DEADLINE_MS) } }))
   }
   return await Promise.all(outcomes)
 }
@@ -87,6 +87,14 @@
   t.deepEqual(failuresOf(await sendFor(cut, '/lookups/1', { durationMs: 3000 })), [])
 })
 
+// Such a request was taken back after 0.6 of its time, and a third instance had too little of it left.
+test('requests that are handed over to an instance that runs are not taken back for another one', async (t) => {
+  const upstreams = await startUpstreams(t, [2100])
+  const { instances: [, , cut] } = await startSystem(t, configurationOf(200, DEADLINE_MS), [{ upstreams }, { upstreams }, { upstreams, isCut: true }])
+  while ((cut?.edge.state().serving.members.relays.length ?? 0) < 2 || cut?.edge.state().serving.unreachable.size === 0) await sendFor(cut, '/lookups/1', { durationMs: INTERVAL_MS })
+  t.deepEqual(failuresOf(await sendFor(cut, '/lookups/1', { durationMs: 900 })), [])
+})
+
 test('streams are served whose first event takes long at all upstreams', async (t) => {
   const upstreams = await startUpstreams(t, [1200, 1600])
   const { instances: [instance] } = await startSystem(t, configurationOf(200, DEADLINE_MS), [{ upstreams }])
@@ -98,8 +106,8 @@
   t.teardown(() => hung.close())
   const [sound] = await startUpstreams(t, [40])
   if (sound === undefined) throw new Error('Started no upstream')
-  const { instances: [instance] } = await startSystem(t, configurationOf(200, 1000), [{ upstreams: [plainUpstream('hung', `127.0.0.1:${hung.port}`, SLOTS), sound] }])
-  const outcomes = await sendFor(instance, '/lookups/1', { durationMs: 6000, deadlineMs: 1000 })
+  const { instances: [instance] } = await startSystem(t, configurationOf(200, DEADLINE_MS), [{ upstreams: [plainUpstream('hung', `127.0.0.1:${hung.port}`, SLOTS), sound] }])
+  const outcomes = await sendFor(instance, '/lookups/1', { durationMs: 6000 })
   t.deepEqual(failuresOf(outcomes), [])
   t.log(`${outcomes.filter(({ elapsedMs }) => elapsedMs > 200).length} of ${outcomes.length} took more than 200 ms, the longest ${Math.round(Math.max(...outcomes.map(({ elapsedMs }) => elapsedMs)))} ms`)
 })
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -8,6 +8,7 @@
 import { chooseRelay, relayKey, type Relay } from './relay.ts'
 import { wantedOrigins } from './origin_exchange.ts'
 import { unmetDemand } from './instance_report.ts'
+import { patienceOf } from './patience.ts'
 import type { RefusalReason } from './refusal.ts'
 import type { Request, Attempt } from './request.ts'
 import { countAttempt, EMPTY_RETRY_WINDOW } from './retry_window.ts'
@@ -178,7 +179,7 @@
   const next = _sentRequest(request, attempt)
   const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
   return step(_countHandover(counted, request, nowMs), [
-    { kind: 'send', request: next, attempt: attempt.number, upstream, relay },
+    { kind: 'send', request: next, attempt: attempt.number, upstream, relay, patienceMs: patienceOf(counted, next, nowMs).patienceMs },
     requestRecord('sent', next, { nowMs, upstream, relay: relay.instance, sending: attempt.number, detail: reason })
   ])
 }
@@ -211,7 +212,7 @@
   }))
   const marked = recordAdapterUse({ ...counted, retryWindows: new Map(counted.retryWindows).set(request.service, window) }, request, { upstream, nowMs })
   return step(countAgainstLimit(marked, upstream, nowMs), [
-    { kind: 'send', request: next, attempt: attempt.number, upstream, relay: undefined },
+    { kind: 'send', request: next, attempt: attempt.number, upstream, relay: undefined, patienceMs: patienceOf(marked, next, nowMs).patienceMs },
     requestRecord('sent', next, {
       nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion, ..._shutdownFields(state, request, nowMs)
     })
--- a/packages/serving/continuation_test.ts
+++ b/packages/serving/continuation_test.ts
@@ -84,3 +84,36 @@
   for (const nowMs of [400, 600, 800]) harness.apply({ kind: 'silence_endured', id: 'a', nowMs })
   t.deepEqual(harness.records(), ['sent', 'waits silent'])
 })
+
+// A request that was handed over was taken back after 0.6 of its time, and a third instance had too little of it left.
+test('a request is not taken back from an instance that has run since', (t) => {
+  const start = (): ServingHarness => {
+    const harness = startRequest({ upstreams: 1 })
+    harness.apply({ kind: 'attempt_failed', id: 'a', attempt: 1, failure: 'not_connected', detail: '', nowMs: 10 })
+    return harness
+  }
+  const reported = (members: typeof RELAYS, nowMs: number) => ({ kind: 'members_received', members, nowMs, confirmedAtMs: nowMs } as const)
+  const silent = start()
+  silent.apply(reported(RELAYS, 1500))
+  t.true(isGivenUp(silent, 1810), 'its last report may be from before the request')
+  silent.apply(reported(RELAYS, 1700))
+  t.false(isGivenUp(silent, 1810))
+  silent.apply(reported(RELAYS.slice(1), 1900))
+  t.true(isGivenUp(silent, 2000), 'it no longer reports')
+  const answering = start()
+  answering.apply({ kind: 'received', request: testRequest('b', { deadlineMs: 3000, arrivedAtMs: 20 }), nowMs: 20 })
+  answering.apply({ kind: 'received', request: testRequest('c', { deadlineMs: 3000, arrivedAtMs: 30 }), nowMs: 30 })
+  t.deepEqual(answering.apply({ kind: 'response_ended', id: 'c', attempt: 1, status: 200, nowMs: 700 }), ['finish c'])
+  t.false(isGivenUp(answering, 1810), 'it has answered another request')
+})
+
+test('a request is not taken back if requests that are handed over usually take longer than the time left', (t) => {
+  const harness = newServingHarness([testTarget('u1')], BUDGET)
+  harness.apply({ kind: 'relays_received', relays: RELAYS, nowMs: 0 })
+  harness.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 0 })
+  harness.apply({ kind: 'received', request: testRequest('first', { deadlineMs: 3000 }), nowMs: 0 })
+  harness.apply({ kind: 'response_ended', id: 'first', attempt: 1, status: 200, nowMs: 700 })
+  harness.apply({ kind: 'received', request: testRequest('a', { arrivedAtMs: 1000, deadlineMs: 3000 }), nowMs: 1000 })
+  t.true(isGivenUp(harness, 2200))
+  t.false(isGivenUp(harness, 2400))
+})
--- a/packages/serving/patience.ts
+++ b/packages/serving/patience.ts
@@ -9,6 +9,8 @@
 const SLOWEST_FACTOR = 2
 /** Share of the time left when an attempt is sent that is waited for its first byte beyond the minimum; the rest is for another attempt. */
 const WAIT_SHARE = 0.5
+/** Share of the time left that a request which was handed over is waited for; an instance gives up silent upstreams itself. */
+const RELAY_WAIT_SHARE = 0.6
 /** Time for which the longest first byte is kept at least, in ms; twice that at most. */
 const RETENTION_MS = 10_000
 
@@ -47,14 +49,14 @@
 
 /** How long a request waits for the first byte of its response, and what that rests on. */
 export interface Patience {
-  /** Time from sending the attempt, in ms. */
+  /** Time from sending the attempt, in ms; Infinity if the request may run once. */
   readonly patienceMs: number
   /** Longest first byte of the route that was lately seen at the upstream, in ms; 0 if none was. */
   readonly slowestMs: number
 }
 
 /**
- * Returns how long the attempt in progress waits for its first byte before another upstream is preferred.
+ * Returns how long the attempt in progress waits for its first byte before another one is preferred.
  *
  * A silence tells that an upstream hangs only if its responses usually begin sooner. An attempt that was given up counts as one that
  * took as long as it was waited for, so that a slow upstream is not given up again and again.
@@ -71,29 +73,17 @@
  */
 export function patienceOf (state: ServingState, request: Request, nowMs: number): Patience {
   const attempt = currentAttempt(request)
-  const minMs = minPatienceMs(request)
-  if (attempt === undefined) return { patienceMs: minMs, slowestMs: 0 }
+  if (attempt === undefined || !request.retryable) return { patienceMs: Infinity, slowestMs: 0 }
+  if (attempt.relay !== undefined) return { patienceMs: RELAY_WAIT_SHARE * (request.deadlineMs - attempt.sentAtMs), slowestMs: 0 }
+  const minMs = Math.max(MIN_PATIENCE_MS, request.objectiveMs * OBJECTIVE_FACTOR)
+  // How soon a stream goes on at another upstream is not known.
+  if (request.phase === 'responding') return { patienceMs: minMs, slowestMs: 0 }
   const known = targetLoad(state, attempt.upstream).slowest.get(request.route)
   const slowestMs = known === undefined ? 0 : _slowestOf(known, nowMs)
   const shareMs = WAIT_SHARE * (firstByteDueMs(request) - attempt.sentAtMs)
   return { patienceMs: Math.max(minMs, Math.min(SLOWEST_FACTOR * slowestMs, shareMs)), slowestMs }
 }
 
-/**
- * Returns the time for which an attempt waits for its first byte whatever is known of the upstream.
- *
- * @param request The request.
- * @returns The time, in ms.
- *
- * @example
- * ```ts
- * console.log(minPatienceMs({ objectiveMs: 300 })) // 600
- * ```
- */
-export function minPatienceMs ({ objectiveMs }: Pick<Request, 'objectiveMs'>): number {
-  return Math.max(MIN_PATIENCE_MS, objectiveMs * OBJECTIVE_FACTOR)
-}
-
 /**
  * Returns the local time after which a response that has not begun no longer reaches the caller.
  *
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -135,7 +135,7 @@
   const firstByteMs = nowMs - attempt.sentAtMs
   const contacted = attempt.relay === undefined ? noteContact(state, nowMs) : state
   return updateTargetLoad(contacted, attempt.upstream, (load) => ({
-    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), slowest: noteFirstByte(load.slowest, request.route, { firstByteMs, nowMs }), consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
+    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), slowest: noteFirstByte(load.slowest, request.route, { firstByteMs, nowMs }), answeredAtMs: nowMs, consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
   }))
 }
 
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -44,6 +44,8 @@
   readonly failureShare: number
   /** Local time of the last outcome, in ms. */
   readonly observedAtMs: number
+  /** Local time of the last response, in ms. */
+  readonly answeredAtMs: number
   /** Local time until which other upstreams are preferred, in ms. */
   readonly avoidedUntilMs: number
   /** Local time until which an upstream without models is treated as another one than intended, as it said, in ms. */
@@ -71,6 +73,7 @@
   slowest: new Map(),
   failureShare: 0,
   observedAtMs: -Infinity,
+  answeredAtMs: -Infinity,
   avoidedUntilMs: -Infinity,
   misdirectedUntilMs: -Infinity,
   pausedUntilMs: -Infinity,
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -64,7 +64,8 @@
 
 /** Action for the caller of the reducer to carry out. */
 export type ServingEffect =
-  | { readonly kind: 'send', readonly request: Request, readonly attempt: number, readonly upstream: string, readonly relay: Relay | undefined }
+  /** Sends an attempt, and asks after `patienceMs` without a first byte whether it is given up. */
+  | { readonly kind: 'send', readonly request: Request, readonly attempt: number, readonly upstream: string, readonly relay: Relay | undefined, readonly patienceMs: number }
   /** Opens a connection to an upstream to see whether it can be reached. */
   | { readonly kind: 'probe', readonly upstream: string }
   /** Cancels an attempt whose response is no longer needed. */
--- a/packages/serving/upstream_owner.ts
+++ b/packages/serving/upstream_owner.ts
@@ -7,6 +7,8 @@
 const CHANGE_MS = 600
 /** Time after the last confirmation until which a list of members is valid, in ms; the holder drops a silent member later. */
 const MEMBERS_TTL_MS = 1200
+/** Maximum age of the last report of a member when the lease holder makes a list, in ms. */
+const MAX_REPORT_AGE_MS = 1500
 /** Time after which upstreams that became brittle may let fewer requests wait, in ms; below the shortest notice of the deployments. */
 const BRITTLE_NOTICE_MS = 1000
 /** Number of instances per owner of a plain service; few owners can use the slots of all upstreams for any request. */
@@ -80,6 +82,23 @@
   return { relays, previous, changedAtMs: at.nowMs, confirmedAtMs }
 }
 
+/**
+ * Reports whether an instance is known to have run since a time, as it has reported to the lease holder.
+ *
+ * @param state The state of the requests.
+ * @param instance The name of the instance.
+ * @param sinceMs The local time in ms.
+ * @returns Whether it is on a list of members that the holder made from later reports.
+ *
+ * @example
+ * ```ts
+ * if (hasReportedSince(state, 'entry-2', attempt.sentAtMs)) wait()
+ * ```
+ */
+export function hasReportedSince ({ members }: ServingState, instance: string, sinceMs: number): boolean {
+  return members.confirmedAtMs - MAX_REPORT_AGE_MS > sinceMs && members.relays.some((relay) => relay.instance === instance)
+}
+
 /**
  * Tells who may send requests to an upstream.
  *
