Count the wait for a silent upstream as its response time

Callers waited 0.4 s and more again and again, as an upstream that had hung was chosen as soon as it was no longer avoided.

Cause: the choice goes by the average time to the first byte, to which an attempt that was given up added nothing. An upstream that never answered was expected to be as fast as the others.

Change: an attempt that is given up for silence counts as one that took as long as it was waited for, if that is more than the average.

--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -2,7 +2,7 @@
 import { enqueueRequest, nextReceiver } from './_dispatch_requests.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { isSuspectedRequest, recordCrash } from './_weigh_evidence.ts'
-import { noteCancelled, releaseSlot, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
+import { noteCancelled, releaseSlot, observeFirstByte, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { demandKey, type TargetLoad } from './routing_target.ts'
 import type { RefusalReason } from './refusal.ts'
 import { noteFirstByte, patienceOf } from './patience.ts'
@@ -150,10 +150,8 @@
   if (failure === 'misdirected') return step(updateTargetLoad(contacted, upstream, (load) => _markAbsent(load, request, nowMs)))
   if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { upstream, nowMs })))
   if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
-  const waited = failure === 'silent' && request.phase === 'sent' ? { firstByteMs: nowMs - observation.attempt.sentAtMs, nowMs } : undefined
-  const avoided = updateTargetLoad(contacted, upstream, (load) => ({
-    ..._avoidUpstream(observeOutcome(load, { failed: true, nowMs }), nowMs), slowest: waited === undefined ? load.slowest : noteFirstByte(load.slowest, request.route, waited)
-  }))
+  const waitedMs = failure === 'silent' && request.phase === 'sent' ? nowMs - observation.attempt.sentAtMs : 0
+  const avoided = updateTargetLoad(contacted, upstream, (load) => _avoidUpstream(_observeSilence(observeOutcome(load, { failed: true, nowMs }), request.route, { waitedMs, nowMs }), nowMs))
   if (failure === 'silent') {
     const probed = probeSilent(avoided, upstream, nowMs)
     return step(probed.state, [...probed.effects, { kind: 'record', record: { what: 'upstream_avoided', upstream, reason: failure, request: request.callerId } }])
@@ -163,6 +161,13 @@
   return step(marked, [{ kind: 'record', record: { what, upstream, reason: failure, request: request.callerId } }])
 }
 
+// The response would have taken at least as long as it was waited for.
+function _observeSilence (load: TargetLoad, route: string, { waitedMs, nowMs }: { readonly waitedMs: number, readonly nowMs: number }): TargetLoad {
+  if (waitedMs === 0) return load
+  const slower = waitedMs > load.firstByteMs ? observeFirstByte(load, waitedMs) : load
+  return { ...slower, slowest: noteFirstByte(load.slowest, route, { firstByteMs: waitedMs, nowMs }) }
+}
+
 // All instances together may be rejected so often in a second, so each that sends to the upstream waits for its turn.
 function _pauseBrittle (state: ServingState, load: TargetLoad, rejected: { readonly upstream: string, readonly nowMs: number }): TargetLoad {
   const { upstream, nowMs } = rejected
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -72,12 +72,13 @@
 /** Updates the observed load of an upstream with the outcome of an attempt. */
 export function observeOutcome (load: TargetLoad, outcome: { readonly failed: boolean, readonly firstByteMs?: number, readonly nowMs: number }): TargetLoad {
   const failureShare = load.failureShare + SMOOTHING_FACTOR * ((outcome.failed ? 1 : 0) - load.failureShare)
-  const firstByteMs = outcome.firstByteMs === undefined ? load.firstByteMs : _average(load.firstByteMs, outcome.firstByteMs)
-  return { ...load, failureShare, firstByteMs, observedAtMs: outcome.nowMs }
+  const observed = outcome.firstByteMs === undefined ? load : observeFirstByte(load, outcome.firstByteMs)
+  return { ...observed, failureShare, observedAtMs: outcome.nowMs }
 }
 
-function _average (average: number, latest: number): number {
-  return average === 0 ? latest : average + SMOOTHING_FACTOR * (latest - average)
+/** Adds the time to the first byte of a response, in ms, to the average of its upstream. */
+export function observeFirstByte (load: TargetLoad, firstByteMs: number): TargetLoad {
+  return { ...load, firstByteMs: load.firstByteMs === 0 ? firstByteMs : load.firstByteMs + SMOOTHING_FACTOR * (firstByteMs - load.firstByteMs) }
 }
 
 /** Builds the effect that records a decision about a request. */
