Stop instances beside callers that stay in the soak, and let quick upstreams leave in the stop

Cause: the soak did not show streams that are accepted late in a planned stop.

Change: 40 callers send streams on one connection until it ends, to upstreams with a pace of their own (0.7, 2.4 and 4.8 s), of which the quick ones leave some 3 s after a SIGTERM. Some instances are stopped again as soon as they are back. SIGHUP waits until a started instance listens, also beside a stop. All checks and kinds of callers stay.

--- a/packages/edge/_test_soak_faults.ts
+++ b/packages/edge/_test_soak_faults.ts
@@ -9,7 +9,7 @@
 /** Part of the grace period after which running requests may be ended, and time after SIGTERM until which these were sent, in ms. */
 const LAST_PART_MS = GRACE_MS * 5 / 6
 const EARLY_MS = 3000
-const STREAMS = ['drafts', 'notes']
+const STREAMS = ['drafts', 'notes', 'talks']
 const RETRYABLE = ['lookups', 'added', 'drafts']
 const NOT_RUN = [408, 421, 429, 503]
 const LAST_LINE = /"what":"(answered|refused|broken_off|left|rejected)"/
--- a/packages/edge/late_streams_test.ts
+++ b/packages/edge/late_streams_test.ts
@@ -28,12 +28,13 @@
 const TIMEOUT_MS = 18_000
 const TEST_TIMEOUT_MS = 90_000
 const EVENTS = 12
-/** Time between events of upstreams, in ms; streams take 0.7, 2.4 and 4.8 s. */
-const GAPS_MS = [60, 60, 200, 400, 400]
-/** The first of them are busy now and then, so that the others are chosen; times in ms. */
+/** Upstreams by the times until the first event and between events, in ms, and their slots; streams take 0.7, 2.4 and 4.8 s. The quick ones are chosen while they are there. */
+const PACES = [[60, 60, 60], [60, 60, 60], [400, 180, 15], [400, 400, 15], [400, 400, 15]] as const
+/** The first of them leave together beside each third stop, some time after SIGTERM, and come back; times in ms. */
 const QUICK = 2
-const BUSY_MS = 250
-const MIN_IDLE_MS = 1500
+const LEAVE_EVERY = 3
+const LEAVE_AFTER_MS = 3050
+const AWAY_MS = 3200
 
 // The duration of a stream is that of its upstream, which is chosen after its route's usual duration was compared with the time that is left.
 test('streams that are accepted late in a planned stop are not cut at its end', async (t) => {
@@ -50,7 +51,7 @@
     Services: [{ Name: 'orders' }],
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 }
   })
-  const upstreams = await Promise.all(GAPS_MS.map((gapMs, i) => startSoakUpstream(`u${i + 1}`, { service: 'orders', store, arrivals, ownPace: { workMs: gapMs, gapMs } })))
+  const upstreams = await Promise.all(PACES.map(([workMs, gapMs, slots], i) => startSoakUpstream(`u${i + 1}`, { service: 'orders', store, arrivals, slots, ownPace: { workMs, gapMs } })))
   const { instances, close } = await startProcesses(await bundleProgram(folder), INSTANCES, store.address)
   const [callers, balancer, { stalls, stop }] = [createCallers(), balance(instances), watchStalls()]
   const endMs = performance.now() + CALM_MS + STOPS_MS
@@ -86,11 +87,12 @@
       await pause(random(MAX_PAUSE_MS))
     }
   }
-  const fillUpstreams = async (): Promise<void> => {
-    while (performance.now() < endMs) {
-      await pause(MIN_IDLE_MS + random(MAX_PAUSE_MS))
-      for (const upstream of upstreams.slice(0, QUICK)) upstream.refuse(BUSY_MS)
-    }
+  const leaveAndComeBack = async (): Promise<void> => {
+    await pause(LEAVE_AFTER_MS)
+    const quick = upstreams.slice(0, QUICK)
+    for (const { leave } of quick) leave()
+    await pause(AWAY_MS)
+    await Promise.all(quick.map(({ comeBack }) => comeBack('v1')))
   }
 
   const stopping = new Set<ProcessInstance>()
@@ -101,20 +103,22 @@
     stopping.delete(instance)
   }
   const stops: Array<Promise<void>> = []
+  const changes: Array<Promise<void>> = []
   const stopInSeries = async (): Promise<void> => {
     await pause(CALM_MS)
     while (performance.now() < endMs) {
       const instance = instances[stops.length % INSTANCES]
       if (instance !== undefined && stopping.size < MAX_STOPPING && !stopping.has(instance)) {
         stopping.add(instance)
+        if (stops.length % LEAVE_EVERY === 0) changes.push(leaveAndComeBack())
         stops.push(startAgain(instance))
         await pause(350 + random(700))
       } else await pause(POLL_MS)
     }
-    await Promise.all(stops)
+    await Promise.all([...stops, ...changes])
   }
 
-  await Promise.all([stopInSeries(), fillUpstreams(), ...Array.from({ length: STAYING + NEW }, (_, i) => callOn(i < STAYING))])
+  await Promise.all([stopInSeries(), ...Array.from({ length: STAYING + NEW }, (_, i) => callOn(i < STAYING))])
   await callers.ended()
 
   if (LINES_FOLDER !== undefined) await Promise.all(instances.map(({ name, lines }) => writeFile(join(LINES_FOLDER, `${name}.txt`), lines.join('\n'))))
--- a/packages/edge/planned_stops_soak_test.ts
+++ b/packages/edge/planned_stops_soak_test.ts
@@ -24,9 +24,24 @@
 /** Time of the first of the last signals, after which no instance is started again, in ms. */
 const LAST_STOPS_MS = 12_000
 const LISTEN_POLL_MS = 5
+/** Callers that send streams on one connection until it ends, and the maximum time until they open the next one, in ms. */
+const STAYING = Number(process.env.SOAK_STAYING ?? 40)
+const RETURN_MS = 1000
+const LONG_MS = 16_000
+/** Upstreams of these by the times until the first event and between events, in ms, and their slots. The quick ones leave together, now and then. */
+const PACES = [[60, 60, 60], [60, 60, 60], [400, 180, 12], [400, 400, 12], [400, 400, 12]] as const
+const QUICK = 2
+/** Time after SIGTERM from which they leave, and for which they are away, in ms. */
+const LEAVE_AFTER_MS = 2900
+const AWAY_MS = 3200
 const TEST_TIMEOUT_MS = 120_000
 const STREAMS = ['drafts', 'notes']
 
+// Draws a stream of a caller that stays; its duration is that of its upstream.
+function drawTalk (random: Random, n: number): NewCall {
+  return { id: `talks-${n}`, kind: pick(random, ['whole', 'chunked', 'pieces', 'expect']), path: `/talks/${n}`, plan: { workMs: 0, events: 12, gapMs: 0, bytes: 0 }, bodyBytes: pick(random, [30, 300]), deadlineMs: LONG_MS, keep: true, pauseMs: 30 }
+}
+
 // Writes a manifest whose time limits, objectives and services are drawn; the later ones add a route.
 function writeManifest (store: TestStore, version: number, random: Random): Manifest {
   const route = (name: string, kind: string, fields: object) => ({
@@ -37,9 +52,10 @@
     route('bookings', 'non_idempotent', { Attempts: 1 }),
     route('drafts', 'streaming', { Attempts: 3, Resumable: true }),
     route('notes', 'streaming', { Attempts: 1 }),
+    route('talks', 'streaming', { Attempts: 1, Service: 'talk', TimeoutMs: LONG_MS, GoalMs: 4000, GapTargetMs: 800 }),
     ...version === 1 ? [] : [route('added', 'idempotent', { Attempts: 2 })]
   ]
-  store.put('config', 'main', { Version: version * 3, Routes: routes, Services: ['orders', 'desk'].map((Name) => ({ Name })), Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 } })
+  store.put('config', 'main', { Version: version * 3, Routes: routes, Services: ['orders', 'desk', 'talk'].map((Name) => ({ Name })), Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 } })
   return { sentAtMs: performance.now(), timeoutsMs: new Map(routes.map(({ Name, TimeoutMs }) => [Name, TimeoutMs])) }
 }
 
@@ -56,18 +72,37 @@
   readonly run: () => Promise<void> | void
 }
 
+// Reports whether an instance runs and has got no SIGTERM; it listens, or is going to.
+function hasNoSignal ({ lifetimes }: ProcessInstance): boolean {
+  return lifetimes.at(-1)?.endedAtMs === Infinity && lifetimes.at(-1)?.signalledAtMs === Infinity
+}
+
 // Draws the stops, and the reloads, manifests and disturbances of the store and the upstreams beside them.
-function drawEvents (random: Random, instances: readonly ProcessInstance[], platform: { readonly upstreams: readonly SoakUpstream[], readonly store: TestStore, readonly manifests: Manifest[] }): readonly Event[] {
-  const { upstreams, store, manifests } = platform
+function drawEvents (random: Random, instances: readonly ProcessInstance[], platform: { readonly upstreams: readonly SoakUpstream[], readonly quick: readonly SoakUpstream[], readonly store: TestStore, readonly manifests: Manifest[] }): readonly Event[] {
+  const { upstreams, quick, store, manifests } = platform
   const order = instances.map((instance) => ({ instance, key: random(1000) })).sort((a, b) => a.key - b.key).map(({ instance }) => instance)
   const restarts = new Map<ProcessInstance, Promise<void>>()
+  const [isStoppedTwice, leaveAfterMs] = [random(2) === 0, LEAVE_AFTER_MS + random(600)]
+  const leaveAndComeBack = async (): Promise<void> => {
+    await pause(leaveAfterMs)
+    for (const { leave } of quick) leave()
+    await pause(AWAY_MS)
+    await Promise.all(quick.map(({ comeBack }) => comeBack('v1')))
+  }
+  const terminate = async (instance: ProcessInstance): Promise<void> => {
+    await Promise.all([instance.terminate(), instance === order[0] ? leaveAndComeBack() : undefined])
+  }
+  // Before an instance listens, no program could handle a signal.
+  const reload = async (instance: ProcessInstance): Promise<void> => {
+    while (hasNoSignal(instance) && !await listensForCallers(instance)) await pause(LISTEN_POLL_MS)
+    await instance.reload()
+  }
   const startAgain = async (instance: ProcessInstance, reloadAfterMs: number): Promise<void> => {
-    await instance.terminate()
+    await terminate(instance)
     await instance.restart()
-    // Before, no program could handle a signal.
-    while (instance.lifetimes.at(-1)?.endedAtMs === Infinity && !await listensForCallers(instance)) await pause(LISTEN_POLL_MS)
+    while (hasNoSignal(instance) && !await listensForCallers(instance)) await pause(LISTEN_POLL_MS)
     await pause(reloadAfterMs)
-    await instance.reload()
+    await reload(instance)
   }
   const series = (stopped: readonly ProcessInstance[], firstAtMs: number, run: (instance: ProcessInstance, reloadAfterMs: number) => Promise<void>): readonly Event[] => {
     let atMs = firstAtMs
@@ -79,12 +114,13 @@
   }
   const stops = [
     ...series(order.slice(0, 1 + random(instances.length - 1)), CALM_MS + random(500), async (instance, reloadAfterMs) => {
-      restarts.set(instance, startAgain(instance, reloadAfterMs))
+      const again = startAgain(instance, reloadAfterMs)
+      restarts.set(instance, isStoppedTwice ? again.then(() => startAgain(instance, reloadAfterMs)) : again)
       await restarts.get(instance)
     }),
     ...series(order.toReversed(), LAST_STOPS_MS, async (instance) => {
       await restarts.get(instance)
-      await instance.terminate()
+      await terminate(instance)
     })
   ]
   const beside = (run: Event['run']): Event => ({ atMs: Math.max(CALM_MS, (stops[random(stops.length)]?.atMs ?? 0) - 500 + random(3000)), run })
@@ -99,7 +135,7 @@
   })
   const changes = [0, 1, 2].flatMap(() => {
     const reloaded = instances[random(instances.length)]
-    return [beside(() => reloaded?.reload()), beside(() => { manifests.push(writeManifest(store, manifests.length + 1, random)) })]
+    return [beside(() => reloaded === undefined ? undefined : reload(reloaded)), beside(() => { manifests.push(writeManifest(store, manifests.length + 1, random)) })]
   })
   return [...stops, ...disturbances, ...changes, beside(async () => {
     store.disturb({ delayMs, isAway: delayMs === 0 })
@@ -114,6 +150,7 @@
   const arrivals: Arrivals = { runs: [], changed: [] }
   const manifests = [writeManifest(store, 1, random)]
   const upstreams = await Promise.all(['orders', 'orders', 'desk', 'desk'].map((service, i) => startSoakUpstream(`u${i + 1}`, { service, store, arrivals })))
+  const paced = await Promise.all(PACES.map(([workMs, gapMs, slots], i) => startSoakUpstream(`t${i + 1}`, { service: 'talk', store, arrivals, slots, ownPace: { workMs, gapMs } })))
   const { instances, close } = await startProcesses(bundle, INSTANCES > 0 ? INSTANCES : 3 + random(2), store.address)
   const [callers, balancer, { stalls, stop }] = [createCallers(), balance(instances), watchStalls()]
   const played: Play = { instances, arrivals, manifests, stalls }
@@ -126,18 +163,34 @@
     const [instance, call] = [balancer.use(random), draw()]
     if (instance !== undefined) callers.send(instance, call.kind === 'pipelined' ? [call, draw(), draw()].map((one) => ({ ...one, kind: 'pipelined' })) : [call])
   }, 1000 / REQUESTS_PER_S)
+  const over = new AbortController()
+  const drawNext = (): NewCall | undefined => {
+    sent += 1
+    return over.signal.aborted ? undefined : drawTalk(random, sent)
+  }
+  const stay = async (): Promise<void> => {
+    while (!over.signal.aborted) {
+      const instance = balancer.use(random)
+      if (instance !== undefined) await callers.stay(instance, drawNext)
+      await pause(random(RETURN_MS))
+    }
+  }
+  const staying = Array.from({ length: STAYING }, stay)
   t.teardown(async () => {
+    over.abort()
     clearInterval(timer)
     balancer.stop()
     stop()
     await close()
-    for (const platform of [...upstreams, store]) platform.close()
+    for (const platform of [...upstreams, ...paced, store]) platform.close()
   })
-  await Promise.all(drawEvents(random, instances, { upstreams, store, manifests }).map(async ({ atMs, run }) => {
+  await Promise.all(drawEvents(random, instances, { upstreams, quick: paced.slice(0, QUICK), store, manifests }).map(async ({ atMs, run }) => {
     await pause(atMs)
     await run()
   }))
+  over.abort()
   clearInterval(timer)
+  await Promise.all(staying)
   await callers.ended()
   const runsOf = new Map(callers.calls.map(({ id }): [string, Run[]] => [id, []]))
   for (const run of arrivals.runs) runsOf.get(run.id)?.push(run)
