Leave an upstream that hangs after twice the usual time at most

Cause: each request that was given up at an upstream raised the time that others wait there, also if it had responded to none since.

Change: until the upstream responds again, a request waits for twice the minimum at most: 400, 800, 800 ms and so on.

Conclusion: slow upstreams are still learnt, by what they respond and by one longer wait.

--- a/packages/serving/patience.ts
+++ b/packages/serving/patience.ts
@@ -7,6 +7,8 @@
 const OBJECTIVE_FACTOR = 2
 /** Time for which a request waits, as a multiple of the longest first byte lately seen: load varies. */
 const SLOWEST_FACTOR = 2
+/** Time for which a request waits, as a multiple of the minimum, while the upstream has not responded since a request was given up there. */
+const SILENT_FACTOR = 2
 /** Share of the time left when an attempt is sent that is waited for its first byte beyond the minimum; the rest is for another attempt. */
 const WAIT_SHARE = 0.5
 /** Share of the time left that a request which was handed over is waited for; an instance gives up silent upstreams itself. */
@@ -78,10 +80,13 @@
   const minMs = Math.max(MIN_PATIENCE_MS, request.objectiveMs * OBJECTIVE_FACTOR)
   // How soon a stream goes on at another upstream is not known.
   if (request.phase === 'responding') return { patienceMs: minMs, slowestMs: 0 }
-  const known = targetLoad(state, attempt.upstream).slowest.get(request.route)
+  const { slowest, consecutiveFailures } = targetLoad(state, attempt.upstream)
+  const known = slowest.get(request.route)
   const slowestMs = known === undefined ? 0 : _slowestOf(known, nowMs)
   const shareMs = WAIT_SHARE * (firstByteDueMs(request) - attempt.sentAtMs)
-  return { patienceMs: Math.max(minMs, Math.min(SLOWEST_FACTOR * slowestMs, shareMs)), slowestMs }
+  // An upstream that hangs is waited for as well, but not longer each time.
+  const silentMs = consecutiveFailures > 0 ? SILENT_FACTOR * minMs : Infinity
+  return { patienceMs: Math.max(minMs, Math.min(SLOWEST_FACTOR * slowestMs, shareMs, silentMs)), slowestMs }
 }
 
 /**
