Find out early that a silent upstream is out of reach, and leave it then

Cause: a new connection was tried only once a request had waited for as long as usual, or twice that, and a failed one ended the wait of none.

When a probe fails, the requests that were silent before it leave at once, whatever the upstream usually takes. What would follow is asked with the place of the attempt released, so that a stream at the only, full upstream is reopened as before.

Two new tests of continuation_test fail before; cut_instance, isolated_holder, relay_stop and slow_upstreams pass. Conclusion: silence asks, and only a failed connection decides.

--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -134,7 +134,7 @@
   const ended = _endAttempt(request, attempt, { failure: 'silent', nowMs })
   const reason = _endReason(state, ended, { failure: 'silent', relay: attempt.relay, nowMs })
   if (reason !== undefined) return { kind: 'none', reason: reason === REASONS.silent ? 'no attempts left' : reason }
-  const upstream = nextReceiver(state, ended, nowMs)
+  const upstream = nextReceiver(releaseSlot(state, request, nowMs), ended, nowMs)
   return upstream === undefined ? { kind: 'none', reason: 'nothing else can be sent to' } : { kind: 'sent', upstream }
 }
 
--- a/packages/serving/continuation.ts
+++ b/packages/serving/continuation.ts
@@ -59,7 +59,7 @@
 export function weighSilence (state: ServingState, request: Request, nowMs: number): SilenceVerdict {
   const attempt = currentAttempt(request)
   if (attempt === undefined) return GIVEN_UP
-  if (request.phase === 'sent' && nowMs - attempt.sentAtMs < patienceOf(state, request, nowMs).patienceMs) return { isGivenUp: false, reason: 'usually as slow', isUsual: true }
+  if (request.phase === 'sent' && !state.unreachable.has(attempt.upstream) && nowMs - attempt.sentAtMs < patienceOf(state, request, nowMs).patienceMs) return { isGivenUp: false, reason: 'usually as slow', isUsual: true }
   if (attempt.relay !== undefined && _hasRunSince(state, attempt.relay, attempt.sentAtMs)) return _goesOn(`${attempt.relay.instance} runs`)
   const followUp = followUpOf(state, request, nowMs)
   if (followUp.kind === 'none') return _goesOn(followUp.reason)
--- a/packages/serving/continuation_test.ts
+++ b/packages/serving/continuation_test.ts
@@ -64,18 +64,18 @@
   paused.apply({ kind: 'upstream_announced', upstream: 'u2', leaving: false, retryAfterMs: 2000, maxRejectionsPerS: undefined, nowMs: 100 })
   t.false(isGivenUp(paused), 'the other upstream wants no requests')
   const stopping = startRequest()
-  stopping.apply({ kind: 'shutdown_announced', closesAtMs: 2000, nowMs: 100 })
+  stopping.apply({ kind: 'received', request: testRequest('b', { deadlineMs: 3000 }), nowMs: 0 })
+  stopping.apply({ kind: 'shutdown_announced', closesAtMs: 1900, nowMs: 100 })
   stopping.apply({ kind: 'shutdown_started', nowMs: 900 })
-  t.false(isGivenUp(stopping), 'the instance is stopping and would refuse another attempt')
+  t.false(isGivenUp(stopping), 'the instance is stopping, and several requests have run for longer than is left')
 })
 
-test('an attempt whose upstream turns out to be out of reach is given up for another instance', (t) => {
+test('an attempt whose upstream turns out to be out of reach is given up at once for another instance', (t) => {
   const harness = startRequest({ upstreams: 1 })
   t.false(isGivenUp(harness))
-  harness.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 1000 })
-  t.true(isGivenUp(harness))
+  t.deepEqual(harness.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 1000 }), ['cancel a#1', 'send a#2 to relay b'])
   const handedOver = startRequest({ upstreams: 1, handedOver: true })
-  handedOver.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 1000 })
+  t.deepEqual(handedOver.apply({ kind: 'upstream_probed', upstream: 'u1', reached: false, nowMs: 1000 }), [])
   t.false(isGivenUp(handedOver), 'a request is handed over once')
 })
 
@@ -117,3 +117,22 @@
   t.true(isGivenUp(harness, 2200))
   t.false(isGivenUp(harness, 2400))
 })
+
+test('a silent stream goes on over a new connection to the only upstream although all of its places are taken, its own among them', (t) => {
+  const harness = newServingHarness([testTarget('u1', { slots: 1 })])
+  for (const id of ['a', 'b', 'c']) {
+    t.deepEqual(harness.apply({ kind: 'received', request: stream(id), nowMs: 0 }), [`send ${id}#1 to u1`])
+    harness.apply({ kind: 'response_started', id, attempt: 1, nowMs: 100 })
+  }
+  t.true(mayContinueStream(harness.state(), 'a', 1800))
+})
+
+test('an attempt at an upstream that turns out to be out of reach is given up whatever it usually takes', (t) => {
+  const harness = newServingHarness([testTarget('u1'), testTarget('u2')])
+  for (let n = 0; n < 4; n += 1) harness.apply({ kind: 'received', request: testRequest(`before${n}`, { arrivedAtMs: n, deadlineMs: 3000 }), nowMs: n })
+  for (let n = 0; n < 4; n += 1) harness.apply({ kind: 'response_ended', id: `before${n}`, attempt: 1, status: 200, nowMs: 500 })
+  const [sent = ''] = harness.apply({ kind: 'received', request: testRequest('a', { arrivedAtMs: 1000, deadlineMs: 4000 }), nowMs: 1000 })
+  const [first, second] = sent.endsWith('u1') ? ['u1', 'u2'] : ['u2', 'u1']
+  t.deepEqual(harness.apply({ kind: 'ticked', nowMs: 1160 }), [`probe ${first}`])
+  t.deepEqual(harness.apply({ kind: 'upstream_probed', upstream: first, reached: false, nowMs: 1410 }), ['cancel a#1', `send a#2 to ${second}`])
+})
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -22,6 +22,9 @@
 
 type _Step = Step<ServingState, ServingEffect>
 
+/** Time without a response of an upstream after which a new connection shows whether it can be reached, in ms; with the time of a failed one it is over before requests are given up. */
+const PROBE_AFTER_MS = 150
+
 /**
  * Applies an event to the requests of an instance.
  *
@@ -206,8 +209,42 @@
   const next = reached ? markReached(state, upstream, nowMs) : markUnreachable(state, upstream, nowMs)
   if (next.unreachable === state.unreachable) return step(next)
   const record: ServingEffect = { kind: 'record', record: { what: reached ? 'upstream_reached' : 'upstream_unreachable', upstream, detail: 'probe' } }
-  const dispatched = dispatchAll(next, nowMs)
-  return step(dispatched.state, [record, ...dispatched.effects])
+  const left = reached ? step<ServingState, ServingEffect>(next) : _leaveUnreachable(next, upstream, nowMs)
+  const dispatched = dispatchAll(left.state, nowMs)
+  return step(dispatched.state, [record, ...left.effects, ...dispatched.effects])
+}
+
+// Attempts that were silent before the probe began are given up now rather than when their time is over.
+function _leaveUnreachable (state: ServingState, upstream: string, nowMs: number): _Step {
+  const silent = [...HashMap.values(state.requests)].filter((request) => {
+    const attempt = currentAttempt(request)
+    return request.phase === 'sent' && attempt?.upstream === upstream && nowMs - attempt.sentAtMs >= PROBE_AFTER_MS
+  })
+  return silent.reduce<_Step>((result, request) => {
+    const attempt = currentAttempt(request)
+    if (attempt === undefined || !weighSilence(result.state, request, nowMs).isGivenUp) return result
+    const failed = failAttempt(result.state, request, { attempt: attempt.number, failure: 'silent', detail: 'its upstream is out of reach', nowMs })
+    return step(failed.state, [...result.effects, { kind: 'cancel', id: request.id, attempt: attempt.number }, ...failed.effects])
+  }, step(state))
+}
+
+// Returns the upstreams at which a request waits for its first byte, and that have responded to none for some time.
+function _silentUpstreams (state: ServingState, nowMs: number): readonly string[] {
+  const silent = new Set<string>()
+  for (const request of HashMap.values(state.requests)) {
+    const attempt = currentAttempt(request)
+    if (request.phase !== 'sent' || attempt === undefined || attempt.relay !== undefined) continue
+    const sinceMs = Math.max(attempt.sentAtMs, targetLoad(state, attempt.upstream).answeredAtMs)
+    if (nowMs - sinceMs >= PROBE_AFTER_MS) silent.add(attempt.upstream)
+  }
+  return [...silent]
+}
+
+function _probeSilent (state: ServingState, nowMs: number): _Step {
+  return _silentUpstreams(state, nowMs).reduce<_Step>((result, upstream) => {
+    const probed = probeSilent(result.state, upstream, nowMs)
+    return step(probed.state, [...result.effects, ...probed.effects])
+  }, step(state))
 }
 
 type _PeerLoadsReceived = Extract<ServingEvent, { kind: 'peer_loads_received' }>
@@ -256,7 +293,8 @@
     return step(refused.state, [...result.effects, ...refused.effects])
   }, step(state))
   const weighed = changeEvidence(ended.state, quarantineCulprits(ended.state.evidence, nowMs), nowMs)
-  const probed = probeUnreachable(weighed.state, nowMs)
+  const silent = _probeSilent(weighed.state, nowMs)
+  const probed = probeUnreachable(silent.state, nowMs)
   const dispatched = dispatchAll(maintainOrigins(probed.state, nowMs), nowMs)
-  return step(dispatched.state, [...ended.effects, ...weighed.effects, ...probed.effects, ...dispatched.effects])
+  return step(dispatched.state, [...ended.effects, ...weighed.effects, ...silent.effects, ...probed.effects, ...dispatched.effects])
 }
