Weigh requests in a stop once, and let accepted ones try again

What callers may see, found by the review and the tests of handovers: a request accepted 2.3 s after SIGTERM whose upstream broke at 2.7 s got 502 beside an idle one; one whose upstream hung stayed there until 7 s; callers of instances that go on were refused for 2.3 s while the owner of their upstreams and the lease holder stopped (93 of 193 requests); each event cost 50 ms with 200 waiting and 300 running requests.

Cause: the rule for requests that arrive late also held for further attempts and for plain requests that are handed over, and each waiting request counted all open ones again.

Change: the rule is for what is accepted; further attempts go by what recent requests took, as early ones do, and so do plain requests that are handed over, whose sender answers its caller whatever becomes of them. Streams that are handed over are refused as before. Nothing is sent once requests end. What recent requests took is counted once for each route and round.

Conclusion: what was accepted is served to its end as far as there is time.

--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -26,7 +26,7 @@
 const MIN_WAIT_MS = 900
 /** Time that a load may exceed its estimate before waiting requests are refused, in ms. */
 const LOAD_SLACK_MS = 400
-/** Maximum wait of an interrupted stream for another upstream, or for its origin, in ms; callers disconnect after two seconds without an event. */
+/** Wait for the origin of a stream, and the least one of an interrupted stream for another upstream, in ms; callers disconnect after two seconds or more without an event. */
 const MAX_INTERRUPTION_MS = 1500
 /** Time from sending a request to an idle engine until its first event reaches the caller, in ms. */
 const FIRST_EVENT_MS = 200
@@ -58,9 +58,9 @@
 export function dispatchService (state: ServingState, service: string, nowMs: number): _Step {
   let next = state
   const effects: ServingEffect[] = []
-  const futile: _FutileSearches = new Map()
+  const round: _Round = { futile: new Map(), longer: new Map(), nowMs }
   for (const request of _byUrgency(state, service)) {
-    const dispatched = _dispatchRequest(next, request, { futile, nowMs })
+    const dispatched = _dispatchRequest(next, request, round)
     next = dispatched.state
     effects.push(...dispatched.effects)
   }
@@ -70,7 +70,7 @@
 
 /** Returns the upstream or relay to which a waiting request would be sent now, ahead of all others; undefined if it would wait or end. */
 export function nextReceiver (state: ServingState, request: Request, nowMs: number): string | undefined {
-  const { effects } = _dispatchRequest(state, request, { futile: new Map(), nowMs })
+  const { effects } = _dispatchRequest(state, request, { futile: new Map(), longer: new Map(), nowMs })
   return effects.flatMap((effect) => effect.kind === 'send' ? [effect.upstream] : [])[0]
 }
 
@@ -79,20 +79,23 @@
 
 interface _Round {
   readonly futile: _FutileSearches
+  /** Requests that lately took longer than the time until the end of a stop, by route. */
+  readonly longer: Map<string, number>
   readonly nowMs: number
 }
 
-function _dispatchRequest (before: ServingState, queued: Request, { futile, nowMs }: _Round): _Step {
+function _dispatchRequest (before: ServingState, queued: Request, round: _Round): _Step {
+  const { nowMs } = round
   const request = pinRequest(before, queued, nowMs)
   const state = request === queued ? before : putRequest(before, request)
   if (request.deadlineMs - nowMs <= MIN_REMAINING_MS) return refuseRequest(state, request, { reason: 'deadline_waiting', nowMs })
   const quarantined = request.phase === 'interrupted' ? undefined : quarantinedKey(state.evidence, request, nowMs)
   if (quarantined !== undefined) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
   if (isVersionUnavailable(state, request)) return refuseRequest(state, request, { reason: 'no_software_version', nowMs, retryAfterMs: DEFAULT_RETRY_AFTER_MS })
-  if (_mayOutlastShutdown(state, request, nowMs)) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS, fields: _shutdownFields(state, request, nowMs) })
-  const search = _search(state, request, { futile, nowMs })
+  if (_mayOutlastShutdown(state, request, round)) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS, fields: _shutdownFields(state, request, round) })
+  const search = _search(state, request, round)
   if (search.kind === 'chosen' && search.choice.owner !== undefined) return _handOver(state, request, { relay: search.choice.owner, reason: `owner of ${search.choice.target.upstream}`, nowMs })
-  if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, nowMs })
+  if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, round })
   const relay = search.kind === 'absent' && _isOnlyOutOfReach(state, request, nowMs) ? chooseRelay(state, request, nowMs) : undefined
   if (relay !== undefined) return _handOver(state, request, { relay, reason: `${state.unreachable.size} of ${state.targets.size} upstreams cannot be reached`, nowMs })
   return _waitOrRefuse(state, request, { search, nowMs })
@@ -101,26 +104,35 @@
 // Reports whether a request may still run when the instance ends its requests; another instance can serve it to its end.
 //
 // Only its deadline bounds a request, as what others took tells nothing of it. While the balancer may still send new callers, who would have
-// to come back one and all, requests are accepted nevertheless unless several of their route have lately taken longer than the time left.
-// The instance that hands a request over does not stop, so that the connection of its caller has no reason to end.
-function _mayOutlastShutdown (state: ServingState, request: Request, nowMs: number): boolean {
-  if (request.deadlineMs <= state.closesAtMs || request.phase === 'interrupted') return false
-  if (request.handover !== undefined || state.shuttingDown || nowMs >= state.newCallersUntilMs) return true
-  return _countLonger(state, request, nowMs) > MAX_LONGER_REQUESTS
+// to come back one and all, requests are accepted nevertheless unless several of their route have lately taken longer than the time left. The
+// same holds for further attempts of requests that were accepted. The instance that hands a stream over does not stop, so that the connection of
+// its caller has no reason to end.
+function _mayOutlastShutdown (state: ServingState, request: Request, round: _Round): boolean {
+  if (request.phase === 'interrupted') return false
+  if (round.nowMs >= state.closesAtMs) return true
+  if (request.deadlineMs <= state.closesAtMs) return false
+  if (request.handover !== undefined && request.stream) return true
+  const isNew = request.attempts.length === 0
+  if (isNew && (state.shuttingDown || round.nowMs >= state.newCallersUntilMs)) return true
+  return _countLonger(state, request.route, round) > MAX_LONGER_REQUESTS
 }
 
 // Counts the latest and the running requests of a route that took, or have been running for, longer than the time left.
-function _countLonger (state: ServingState, { route }: Request, nowMs: number): number {
+function _countLonger (state: ServingState, route: string, { longer, nowMs }: _Round): number {
+  const known = longer.get(route)
+  if (known !== undefined) return known
   const leftMs = state.closesAtMs - nowMs
   const endedMs = latestDurationsMs(state.routeDurations, route)
   const runningMs = [...HashMap.values(state.requests)].flatMap(({ route: other, attempts: [first] }) => other === route && first !== undefined ? [nowMs - first.sentAtMs] : [])
-  return [...endedMs, ...runningMs].filter((durationMs) => durationMs > leftMs).length
+  const count = [...endedMs, ...runningMs].filter((durationMs) => durationMs > leftMs).length
+  longer.set(route, count)
+  return count
 }
 
 // Names what decides whether a request is sent while the instance is about to shut down.
-function _shutdownFields (state: ServingState, request: Request, nowMs: number): Pick<ServingRecord, 'closesInMs' | 'longerRequests'> {
+function _shutdownFields (state: ServingState, request: Request, round: _Round): Pick<ServingRecord, 'closesInMs' | 'longerRequests'> {
   if (state.closesAtMs === Infinity) return {}
-  return { closesInMs: state.closesAtMs - nowMs, longerRequests: _countLonger(state, request, nowMs) }
+  return { closesInMs: state.closesAtMs - round.nowMs, longerRequests: _countLonger(state, request.route, round) }
 }
 
 function _refuseQuarantined (state: ServingState, request: Request, options: { readonly key: string, readonly nowMs: number }): _Step {
@@ -197,11 +209,11 @@
 
 interface _SendOptions {
   readonly choice: UpstreamChoice
-  readonly nowMs: number
+  readonly round: _Round
 }
 
 function _send (state: ServingState, request: Request, options: _SendOptions): _Step {
-  const { nowMs, choice } = options
+  const { choice, round, round: { nowMs } } = options
   const { upstream } = choice.target
   const attempt: Attempt = { number: request.attempts.length + 1, upstream, relay: undefined, softwareVersion: choice.target.softwareVersion, sentAtMs: nowMs }
   const next = _sentRequest(request, attempt)
@@ -214,7 +226,7 @@
   return step(countAgainstLimit(marked, upstream, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream, relay: undefined, patienceMs: patienceOf(marked, next, nowMs).patienceMs },
     requestRecord('sent', next, {
-      nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion, ..._shutdownFields(state, request, nowMs)
+      nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion, ..._shutdownFields(state, request, round)
     })
   ])
 }
