Let an interrupted stream wait for as long as its caller does

Change: it waits for the time that its caller does, less the time of a first event, and 1.5 s at least.

Figures: the new test of interrupted_stream_test fails before and passes. Conclusion: the caller's patience is known, so it need not be guessed.

--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -276,9 +276,14 @@
   return nowMs + (ownedWaitMs(state, request, { ahead, nowMs }) ?? 0) > waitUntilMs
 }
 
+// Returns how long the caller waits for an event, in ms; 0 if that is not known.
+function _patienceMs ({ leavesAtMs, arrivedAtMs }: Request): number {
+  return leavesAtMs === undefined ? 0 : leavesAtMs - arrivedAtMs
+}
+
 // A late response is worth more to the caller than a refusal, but a refusal must leave the caller time to retry.
 function _waitUntilMs (state: ServingState, request: Request, { search, nowMs }: _WaitOptions): number {
-  if (request.phase === 'interrupted') return request.waitingSinceMs + MAX_INTERRUPTION_MS
+  if (request.phase === 'interrupted') return request.waitingSinceMs + Math.max(MAX_INTERRUPTION_MS, _patienceMs(request) - FIRST_EVENT_MS)
   if (search.kind === 'unknown_origin') return request.arrivedAtMs + MAX_INTERRUPTION_MS
   if (search.kind === 'full' && search.maxWaitMs !== undefined) return request.arrivedAtMs + search.maxWaitMs
   const shareMs = (request.deadlineMs - request.arrivedAtMs) * WAIT_TIMEOUT_SHARE
--- a/packages/serving/interrupted_stream_test.ts
+++ b/packages/serving/interrupted_stream_test.ts
@@ -50,3 +50,14 @@
   harness.apply({ kind: 'shutdown_started', nowMs: 2600 })
   t.deepEqual(harness.apply({ kind: 'attempt_failed', id: 'a', attempt: 1, failure: 'not_connected', detail: '', nowMs: 2700 }), ['refuse a 503 shutting_down not run'])
 })
+
+// `a` was begun at `u1`, which crashed; the only other upstream is full for 1.6 s. Callers of the route leave after a pause of 4 s (`leavesAtMs`).
+test('an interrupted stream waits for another upstream for as long as its caller waits for an event', (t) => {
+  const harness = newServingHarness([testTarget('u1', { slots: 1 }), testTarget('u2', { slots: 1, availabilityZone: 'z' })])
+  harness.apply({ kind: 'received', request: testRequest('a', { stream: true, leavesAtMs: 4000, deadlineMs: 20_000 }), nowMs: 0 })
+  harness.apply({ kind: 'response_started', id: 'a', attempt: 1, nowMs: 100 })
+  harness.apply({ kind: 'peer_loads_received', loads: [{ upstream: 'u2', running: 3 }, { upstream: 'u1', running: 3 }], instances: 1, nowMs: 200 })
+  harness.apply({ kind: 'attempt_failed', id: 'a', attempt: 1, failure: 'broken', detail: '', nowMs: 1000 })
+  const aborted = [2000, 2400, 2520, 2560].flatMap((nowMs) => harness.apply({ kind: 'ticked', nowMs }).filter((effect) => effect === 'abort a').map(() => nowMs))
+  t.deepEqual(aborted, [])
+})
