Let the quick upstreams leave late in a stop, so that late streams are cut in each run

Change: two quick upstreams leave 3.05 s after each third SIGTERM of the series and come back, and the slow ones have few slots.

--- a/packages/edge/late_streams_test.ts
+++ b/packages/edge/late_streams_test.ts
@@ -19,8 +19,8 @@
 /** Callers that stay on their connections, and callers with new ones. */
 const STAYING = 64
 const NEW = 24
-const CALM_MS = 3000
-const STOPS_MS = 22_000
+const CALM_MS = 5000
+const STOPS_MS = 20_000
 const MAX_STOPPING = 3
 const POLL_MS = 20
 /** Maximum time after which a caller opens its next connection, in ms. */
@@ -29,10 +29,9 @@
 const TEST_TIMEOUT_MS = 90_000
 const EVENTS = 12
 /** Upstreams by the times until the first event and between events, in ms, and their slots; streams take 0.7, 2.4 and 4.8 s. The quick ones are chosen while they are there. */
-const PACES = [[60, 60, 60], [60, 60, 60], [400, 180, 15], [400, 400, 15], [400, 400, 15]] as const
-/** The first of them leave together beside each third stop, some time after SIGTERM, and come back; times in ms. */
+const PACES = [[60, 60, 60], [60, 60, 60], [400, 180, 8], [400, 400, 8], [400, 400, 8]] as const
+/** The first of them leave together beside each third stop, some time after its SIGTERM, and come back; times in ms. */
 const QUICK = 2
-const LEAVE_EVERY = 3
 const LEAVE_AFTER_MS = 3050
 const AWAY_MS = 3200
 
@@ -110,7 +109,7 @@
       const instance = instances[stops.length % INSTANCES]
       if (instance !== undefined && stopping.size < MAX_STOPPING && !stopping.has(instance)) {
         stopping.add(instance)
-        if (stops.length % LEAVE_EVERY === 0) changes.push(leaveAndComeBack())
+        if (stops.length % MAX_STOPPING === MAX_STOPPING - 1) changes.push(leaveAndComeBack())
         stops.push(startAgain(instance))
         await pause(350 + random(700))
       } else await pause(POLL_MS)
