Do not count stalls of the soak's own process against instances

The instance's lines say left 13 ms after the request arrived; the upstream, which shares the process of the soak, saw the request at 596 ms and its cancellation at 598 ms, behind a stall of that process from 344 to 491 ms.

The time in which this process did not run (stalls of 100 ms or more, as before) is taken off the half second, and off the slack of connections that end without a run, which this process measures as well. Nothing else changes; without a stall the checks are the same.

--- a/packages/edge/_test_soak_faults.ts
+++ b/packages/edge/_test_soak_faults.ts
@@ -39,6 +39,11 @@
   return { stalls, stop: () => clearInterval(timer) }
 }
 
+// Returns how long this process, and so the upstreams and callers in it, did not run within a time, in ms.
+function stalledMs (stalls: readonly Stall[], fromMs: number, toMs: number): number {
+  return stalls.reduce((sum, stall) => sum + Math.max(0, Math.min(stall.toMs, toMs) - Math.max(stall.fromMs, fromMs)), 0)
+}
+
 /** What calls are judged by. */
 export interface Play {
   readonly instances: readonly ProcessInstance[]
@@ -70,9 +75,9 @@
 }
 
 /** Reports whether a call ended without a complete answer around planned work, and nothing excuses it. */
-export function isLost (call: SoakCall, runs: readonly Run[], { instances, manifests }: Play): boolean {
+export function isLost (call: SoakCall, runs: readonly Run[], { instances, manifests, stalls }: Play): boolean {
   if (!call.isConnected || call.isComplete || call.leftAtMs < Infinity || call.bodySentAtMs === Infinity) return false
-  if (runs.length === 0 && call.endedAtMs - call.bodySentAtMs <= BOUNDS.LossSlackMs) return false
+  if (runs.length === 0 && call.endedAtMs - call.bodySentAtMs - stalledMs(stalls, call.bodySentAtMs, call.endedAtMs) <= BOUNDS.LossSlackMs) return false
   const last = runs.at(-1)
   if (last?.how === 'broke_off' || call.endedAtMs - call.sentAtMs >= limitOf(call, manifests)) return false
   const signalledAtMs = signalOf(call, instances)
@@ -83,7 +88,10 @@
 export function faultsOf (call: SoakCall, runs: readonly Run[], play: Play): readonly string[] {
   const mayRepeat = RETRYABLE.includes(routeOf(call))
   const staysAtWork = mayRepeat || STREAMS.includes(routeOf(call))
-  const outlasts = ({ startedAtMs, endedAtMs }: Run): boolean => (staysAtWork ? endedAtMs : startedAtMs) > call.leftAtMs + GONE_MS
+  const outlasts = ({ startedAtMs, endedAtMs }: Run): boolean => {
+    const seenAtMs = staysAtWork ? endedAtMs : startedAtMs
+    return seenAtMs - call.leftAtMs - stalledMs(play.stalls, call.leftAtMs, seenAtMs) > GONE_MS
+  }
   const hasLastLine = play.instances.some(({ name, lines }) => name === call.instance && lines.some((line) => line.includes(`"request":"${call.id}"`) && LAST_LINE.test(line)))
   return [
     answerFault(call),
