Probe a silent upstream only after what is usual there

Cause: an upstream that had begun no response for 150 ms was probed every 400 ms, though engines usually need longer for a first event while others run: up to 2.5 new connections a second from each instance to each busy engine, which take time there. Found in the last read, not measured.

Change: the probe waits for the longest first byte lately seen of the route there, and 150 ms at least.

Conclusion: no probes while upstreams respond as usual, and a cut is still found out before requests are given up.

--- a/packages/serving/patience.ts
+++ b/packages/serving/patience.ts
@@ -80,15 +80,32 @@
   const minMs = Math.max(MIN_PATIENCE_MS, request.objectiveMs * OBJECTIVE_FACTOR)
   // How soon a stream goes on at another upstream is not known.
   if (request.phase === 'responding') return { patienceMs: minMs, slowestMs: 0 }
-  const { slowest, consecutiveFailures } = targetLoad(state, attempt.upstream)
-  const known = slowest.get(request.route)
-  const slowestMs = known === undefined ? 0 : _slowestOf(known, nowMs)
+  const { consecutiveFailures } = targetLoad(state, attempt.upstream)
+  const slowestMs = slowestFirstByteMs(state, request, nowMs)
   const shareMs = WAIT_SHARE * (firstByteDueMs(request) - attempt.sentAtMs)
   // An upstream that hangs is waited for as well, but not longer each time.
   const silentMs = consecutiveFailures > 0 ? SILENT_FACTOR * minMs : Infinity
   return { patienceMs: Math.max(minMs, Math.min(SLOWEST_FACTOR * slowestMs, shareMs, silentMs)), slowestMs }
 }
 
+/**
+ * Returns the longest first byte that was lately seen of the route of a request at the upstream of its attempt.
+ *
+ * @param state The state of the requests.
+ * @param request The request.
+ * @param nowMs The local time in ms.
+ * @returns The time in ms; 0 if none was seen.
+ *
+ * @example
+ * ```ts
+ * const isUsual = nowMs - attempt.sentAtMs <= slowestFirstByteMs(state, request, nowMs)
+ * ```
+ */
+export function slowestFirstByteMs (state: ServingState, request: Request, nowMs: number): number {
+  const known = targetLoad(state, currentAttempt(request)?.upstream ?? '').slowest.get(request.route)
+  return known === undefined ? 0 : _slowestOf(known, nowMs)
+}
+
 /**
  * Returns the local time after which a response that has not begun no longer reaches the caller.
  *
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -13,7 +13,7 @@
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
-import { noteFirstByte } from './patience.ts'
+import { noteFirstByte, slowestFirstByteMs } from './patience.ts'
 import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
@@ -22,7 +22,7 @@
 
 type _Step = Step<ServingState, ServingEffect>
 
-/** Time without a response of an upstream after which a new connection shows whether it can be reached, in ms; with the time of a failed one it is over before requests are given up. */
+/** Minimum time without a response of an upstream after which it is probed, in ms; a failed probe ends before requests are given up. */
 const PROBE_AFTER_MS = 150
 
 /**
@@ -228,14 +228,14 @@
   }, step(state))
 }
 
-// Returns the upstreams at which a request waits for its first byte, and that have responded to none for some time.
+// Returns the upstreams at which a request waits for its first byte for longer than usual, and that have responded to none meanwhile.
 function _silentUpstreams (state: ServingState, nowMs: number): readonly string[] {
   const silent = new Set<string>()
   for (const request of HashMap.values(state.requests)) {
     const attempt = currentAttempt(request)
     if (request.phase !== 'sent' || attempt === undefined || attempt.relay !== undefined) continue
     const sinceMs = Math.max(attempt.sentAtMs, targetLoad(state, attempt.upstream).answeredAtMs)
-    if (nowMs - sinceMs >= PROBE_AFTER_MS) silent.add(attempt.upstream)
+    if (nowMs - sinceMs >= Math.max(PROBE_AFTER_MS, slowestFirstByteMs(state, request, nowMs))) silent.add(attempt.upstream)
   }
   return [...silent]
 }
