Give the links of tests ports that no outgoing connection takes

The ports come from those below now, as in the tests that start the program. cut_instance and isolated_holder pass.

--- a/packages/edge/_test_link.ts
+++ b/packages/edge/_test_link.ts
@@ -1,4 +1,5 @@
-import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { connect, createServer, type Server, type Socket } from 'node:net'
+import { freePorts } from './_test_program.ts'
 
 /**
  * How a link is cut: open connections are reset or go silent or live on, and new ones are refused, or go silent in the second case.
@@ -31,8 +32,9 @@
     }
   })
   const listen = (port: number): Promise<void> => new Promise((resolve) => server.listen(port, '127.0.0.1', resolve))
-  await listen(0)
-  const { port } = server.address() as AddressInfo
+  // A port that the system gives to outgoing connections could be taken while the link is cut.
+  const { front: port } = await freePorts()
+  await listen(port)
 
   return {
     address: `127.0.0.1:${port}`,
