Say why a model that requests wait for gets no engine

A refused id led to its model, and from there nowhere: no line told why nothing was loaded. The planner now names, for each model that requests wait for and no engine holds, what occupies the engines with a copy and the weight store; the holder writes it once a second for each model (load_deferred).

--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -57,6 +57,7 @@
   const quarantines = new Counter({ name: 'berylshed_quarantines_total', help: 'Requests and parts of prompts that were quarantined as they crash upstreams', labelNames: ['kind'], registers })
   const limits = new Counter({ name: 'berylshed_upstream_limits_total', help: 'Limits that upstreams named or lifted in their responses', labelNames: ['change'], registers })
   const orders = new Counter({ name: 'berylshed_orders_total', help: 'Orders to engines, by operation and outcome', labelNames: ['operation', 'outcome'], registers })
+  const deferredLoads = new Counter({ name: 'berylshed_deferred_loads_total', help: 'Seconds in which a model that requests waited for had no engine and got none, summed over models', registers })
   const leases = new Counter({ name: 'berylshed_lease_changes_total', help: 'Changes of the lease at this instance', labelNames: ['change'], registers })
   const dependencies = new Counter({ name: 'berylshed_dependency_changes_total', help: 'Dependencies lost and regained', labelNames: ['name', 'change'], registers })
   const waitTime = new Histogram({ name: 'berylshed_wait_seconds', help: 'Time from arrival to the first sending', labelNames: ['route'], buckets: LATENCY_BUCKETS_S, registers })
@@ -93,6 +94,7 @@
   function countOrder (record: SchedulerRecord): void {
     const { operation = '', outcome = '' } = record
     if (record.what === 'order_ended') orders.inc({ operation, outcome })
+    else if (record.what === 'load_deferred') deferredLoads.inc()
     else if (record.what.startsWith('lease_')) leases.inc({ change: record.what.slice('lease_'.length) })
   }
 
--- a/packages/scheduler/lost_engine_loads_test.ts
+++ b/packages/scheduler/lost_engine_loads_test.ts
@@ -13,7 +13,7 @@
 
   override plan (input: PlanningInput): Plan {
     this.inputs.push(input)
-    return { orders: [], drains: [] }
+    return { orders: [], drains: [], deferrals: [] }
   }
 }
 
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -1,4 +1,5 @@
 import type { Model } from '@berylshed/fleet'
+import { explainDeferrals } from './_explain_deferral.ts'
 import { hasShortage, isStarving, loadGain, replicaGain, type LoadPlan } from './_model_value.ts'
 import { createPlacementDraft, loadMs, type PlacementDraft } from './_placement_draft.ts'
 import { placementOptions, type PlacementOption } from './_placement_options.ts'
@@ -39,7 +40,7 @@
   for (const { model, gain } of _loadCandidates(draft)) _planLoad(draft, model, gain)
   planCopies(draft)
   planPreloads(draft)
-  return { orders: draft.orders(), drains: draft.drains() }
+  return { orders: draft.orders(), drains: draft.drains(), deferrals: explainDeferrals(draft) }
 }
 
 interface _LoadCandidate {
--- a/packages/scheduler/planning_input.ts
+++ b/packages/scheduler/planning_input.ts
@@ -26,10 +26,25 @@
   readonly replacement: string
 }
 
+/** A model that requests wait for, and that a planning round gives no engine. */
+export interface Deferral {
+  readonly model: string
+  /** Number of waiting requests. */
+  readonly waiting: number
+  /** Requests per second. */
+  readonly ratePerS: number
+  /** Number of engines that have a copy of the model. */
+  readonly copies: number
+  /** What occupies the engines with a copy and the weight store. */
+  readonly detail: string
+}
+
 /** Result of one planning round. */
 export interface Plan {
   /** Orders, at most one for each engine. */
   readonly orders: readonly PlannedOrder[]
   /** Drains to start. */
   readonly drains: readonly PlannedDrain[]
+  /** Models that requests wait for in vain. */
+  readonly deferrals: readonly Deferral[]
 }
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -7,7 +7,7 @@
 import { REPORT_TTL_MS, sumDemand, type ReceivedReport } from './demand.ts'
 import type { EngineView, OpenOrder, PlannedOrder } from './engine_view.ts'
 import type { ExpectedLoad, FleetView } from './fleet_view.ts'
-import type { PlannedDrain } from './planning_input.ts'
+import type { Deferral, PlannedDrain } from './planning_input.ts'
 import type { Instant, SchedulerEvent } from './scheduler_event.ts'
 import type { SchedulerEffect } from './scheduler_effect.ts'
 import type { SchedulerState } from './scheduler_state.ts'
@@ -23,6 +23,8 @@
 const STORE_SHARE = 0.6
 /** Minimum time between two planning rounds, in ms; a fraction of the shortest load. */
 const MIN_PLAN_INTERVAL_MS = 15
+/** Minimum time between two records of a model without an engine, in ms. */
+const DEFERRAL_INTERVAL_MS = 1000
 /** Time for which draining models receive no requests, in ms; most responses finish within it. */
 const DRAIN_TIMEOUT_MS = 1800
 
@@ -184,12 +186,22 @@
       storeLoadsAllowed: service.engine.loadsPerSecond * STORE_WINDOW_MS / MS_PER_SECOND * STORE_SHARE - current.storeLoadStartsMs.length
     })
     const drained = planned.drains.reduce<_Step>((done, drain) => _chain(done, (s) => _startDrain(s, drain, nowMs)), step(current))
-    return planned.orders.reduce<_Step>((done, order) => _chain(done, (s) => _sendOrder(s, order, authority)), drained)
+    const deferred = _chain(drained, (s) => _recordDeferrals(s, planned.deferrals, { service: service.name, nowMs }))
+    return planned.orders.reduce<_Step>((done, order) => _chain(done, (s) => _sendOrder(s, order, authority)), deferred)
   }), step({ ...state, storeLoadStartsMs }))
 }
 
 const MS_PER_SECOND = 1000
 
+// A model that stays without an engine has a line each second, however often that is decided.
+function _recordDeferrals (state: SchedulerState, deferrals: readonly Deferral[], { service, nowMs }: { readonly service: string, readonly nowMs: number }): _Step {
+  const due = deferrals.filter(({ model }) => nowMs - (state.deferredAtMs.get(`${service} ${model}`) ?? -Infinity) >= DEFERRAL_INTERVAL_MS)
+  if (due.length === 0) return step(state)
+  const recent = [...state.deferredAtMs].filter(([, atMs]) => nowMs - atMs < DEFERRAL_INTERVAL_MS)
+  const deferredAtMs = new Map([...recent, ...due.map(({ model }) => [`${service} ${model}`, nowMs] as const)])
+  return step({ ...state, deferredAtMs }, due.map((deferral) => ({ kind: 'record', record: { what: 'load_deferred', ...deferral } })))
+}
+
 function _startDrain (state: SchedulerState, drain: PlannedDrain, nowMs: number): _Step {
   const view = state.engines.get(drain.upstream)
   if (view === undefined) return step(state)
--- a/packages/scheduler/scheduler_effect.ts
+++ b/packages/scheduler/scheduler_effect.ts
@@ -6,7 +6,7 @@
 export interface SchedulerRecord {
   readonly what:
     | 'lease_taken' | 'lease_lost' | 'lease_given_up' | 'lease_overdue' | 'lease_voided'
-    | 'model_closed' | 'order_decided' | 'order_ended' | 'engine_changed' | 'engine_lost' | 'engine_regained'
+    | 'model_closed' | 'load_deferred' | 'order_decided' | 'order_ended' | 'engine_changed' | 'engine_lost' | 'engine_regained'
   readonly fence?: number
   readonly upstream?: string
   readonly model?: string
@@ -14,6 +14,14 @@
   readonly operation?: string
   readonly outcome?: string
   readonly reason?: string
+  /** Requests that wait for the model. */
+  readonly waiting?: number
+  /** Requests per second for the model. */
+  readonly ratePerS?: number
+  /** Engines that have a copy of the model. */
+  readonly copies?: number
+  /** What occupies these engines and the weight store. */
+  readonly detail?: string
   readonly sequence?: number
   /** Age of the information on which the record is based, in ms. */
   readonly ageMs?: number
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -72,6 +72,8 @@
   readonly reports: ReadonlyMap<string, ReceivedReport>
   /** Local start times of recent loads from the weight store, in ms. */
   readonly storeLoadStartsMs: readonly number[]
+  /** Local time at which the lack of a load was last recorded, in ms, by service and model. */
+  readonly deferredAtMs: ReadonlyMap<string, number>
   /** Local time of the last planning round, in ms. */
   readonly plannedAtMs: number
   /** Placement that this process publishes to other instances while it holds the lease. */
@@ -129,6 +131,7 @@
     engines: new Map(),
     reports: new Map(),
     storeLoadStartsMs: [],
+    deferredAtMs: new Map(),
     plannedAtMs: -Infinity,
     published: EMPTY_PLACEMENT,
     nextId: 0,
