Count only replicas that go on serving when others are weighed for eviction

A replica counted for its model while it was still loading, while it was drained, and after its unload had been planned in the same round. Only replicas that are loaded, not drained and not released in the round count now.

--- a/packages/edge/_test_placement_day.ts
+++ b/packages/edge/_test_placement_day.ts
@@ -82,6 +82,9 @@
   /** Calls whose first event came within their latency objective. */
   readonly inTime: number
   readonly calls: number
+  /** Loads of models from the weight store, of all. */
+  readonly storeLoads: number
+  readonly loads: number
   /** Orders that would have ended an engine, and the like. */
   readonly violations: readonly string[]
   /** Records of the instances, each with the time in ms. */
@@ -138,6 +141,8 @@
   let served = 0
   let inTime = 0
   let callCount = 0
+  let loads = 0
+  let storeLoads = 0
 
   const engines = newEngines()
   const list = applyRegistrationChanges(NO_UPSTREAMS, engines.map(({ upstream }) => ({ id: upstream.id, upstream })), { revision: 1 })
@@ -264,6 +269,8 @@
       return 'accepted'
     }
     const known = MODELS.find(({ name }) => name === model)
+    loads += 1
+    if (!engine.disk.includes(model)) storeLoads += 1
     after(engine.disk.includes(model) ? known?.diskLoadMs ?? 0 : known?.storeLoadMs ?? 0, () => {
       engine.isBusy = false
       engine.models.set(model, new Set())
@@ -431,5 +438,5 @@
   }
   const asked = [...subjects].filter(([, { timesMs }]) => timesMs.length >= ASKED_COUNT && (timesMs.at(-1) ?? 0) - (timesMs[0] ?? 0) >= ASKED_SPAN_MS)
   const starved = asked.filter(([, { answered }]) => answered === 0).map(([name, { timesMs }]) => `${name}: ${timesMs.length}`)
-  return { asked: asked.length, starved, served, inTime, calls: callCount, violations, lines }
+  return { asked: asked.length, starved, served, inTime, calls: callCount, loads, storeLoads, violations, lines }
 }
--- a/packages/scheduler/_explain_deferral.ts
+++ b/packages/scheduler/_explain_deferral.ts
@@ -1,5 +1,5 @@
 import type { PlacementDraft } from './_placement_draft.ts'
-import { isDraining } from './_plan_evictions.ts'
+import { isDraining } from './_draining.ts'
 import type { EngineView } from './engine_view.ts'
 import type { Deferral } from './planning_input.ts'
 
--- a/packages/scheduler/_model_value.ts
+++ b/packages/scheduler/_model_value.ts
@@ -121,8 +121,8 @@
 /** Returns the cost of not holding a model on an engine, in late responses; Infinity if the model must stay. */
 export function evictionCost (draft: PlacementDraft, view: EngineView, model: string): number {
   const demand = draft.demandFor(model)
-  const replicas = draft.replicas(model)
-  const otherReplicas = replicas.filter((replica) => replica !== view)
+  // A replica that is still loading or about to go serves nobody in place of this one.
+  const otherReplicas = draft.servingReplicas(model).filter((replica) => replica !== view)
   const others = _capacity(draft, demand, otherReplicas)
   const all = _capacity(draft, demand, [view, ...otherReplicas])
   if (others.replicas > 0) return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S * (_lateShare(draft, demand, others) - _lateShare(draft, demand, all))
--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -1,4 +1,5 @@
 import type { EngineSpec, Model } from '@berylshed/fleet'
+import { isDraining } from './_draining.ts'
 import { noDemand, replicaKey, adapterKey, type ModelDemand } from './demand.ts'
 import type { EngineView, PlannedOrder, ResidentView } from './engine_view.ts'
 import type { PlannedDrain, PlanningInput } from './planning_input.ts'
@@ -22,6 +23,8 @@
   adapterActivity (view: EngineView, model: string, options: { readonly adapter: string }): { readonly running: number, readonly idleMs: number }
   /** Engines that hold a model, are loading it or have a load of it planned. */
   replicas (model: string): readonly EngineView[]
+  /** Engines that hold a model and go on serving it: none that loads it, is drained of it or is to unload it. */
+  servingReplicas (model: string): readonly EngineView[]
   /** Engines that can load a model without the weight store. */
   enginesWithCopy (model: string): readonly EngineView[]
   /** Whether an eviction for the benefit of a model is planned or in progress on some engine. */
@@ -64,6 +67,7 @@
   const drains: PlannedDrain[] = []
   let plannedStoreLoads = 0
   const replicas = _indexReplicas(input.views)
+  const released = new Map<string, readonly EngineView[]>()
   const enginesWithCopy = _indexCopies(input.views)
   const pendingEvictions = new Set(input.views.flatMap(({ open }) => open?.planned.replacement ?? []))
   const freeMb = new Map(input.views.map((view) => [view, input.engine.memoryMb - usedMb(input.engine, view)]))
@@ -74,9 +78,14 @@
     orders.push({ adapter: undefined, fromStore: false, replacement: undefined, expectedMs: UNLOAD_MS, ...order, upstream: id })
     if (order.fromStore === true) plannedStoreLoads += 1
     if (order.replacement !== undefined) pendingEvictions.add(order.replacement)
+    if (order.operation === 'unload' && order.adapter === undefined) release(view, order.model)
     if (order.operation === 'load' && order.adapter === undefined) replicas.set(order.model, [...replicas.get(order.model) ?? NO_ENGINES, view])
   }
 
+  function release (view: EngineView, model: string): void {
+    released.set(model, [...released.get(model) ?? NO_ENGINES, view])
+  }
+
   return {
     input,
     orders: () => orders,
@@ -90,6 +99,9 @@
       return { running: usage?.running ?? 0, idleMs: usage?.idleMs ?? UNREPORTED_ADAPTER_IDLE_MS }
     },
     replicas: (model) => replicas.get(model) ?? NO_ENGINES,
+    servingReplicas: (model) => (replicas.get(model) ?? NO_ENGINES).filter((view) => {
+      return view.residents.get(model)?.phase === 'loaded' && !isDraining(view, model, input.nowMs) && released.get(model)?.includes(view) !== true
+    }),
     enginesWithCopy: (model) => enginesWithCopy.get(model) ?? NO_ENGINES,
     hasPendingEviction: (model) => pendingEvictions.has(model),
     remainingStoreLoads: () => input.storeLoadsAllowed - plannedStoreLoads,
@@ -101,6 +113,8 @@
     drain: (drain) => {
       assigned.add(drain.upstream)
       drains.push(drain)
+      const view = input.views.find(({ upstream }) => upstream.id === drain.upstream)
+      if (view !== undefined) for (const model of drain.models) release(view, model)
     }
   }
 }
--- a/packages/scheduler/_placement_options.ts
+++ b/packages/scheduler/_placement_options.ts
@@ -1,6 +1,7 @@
 import type { Model } from '@berylshed/fleet'
 import { loadMs, UNLOAD_MS, weightSource, type PlacementDraft, type WeightSource } from './_placement_draft.ts'
-import { isDraining, planEvictions, type EvictionSet } from './_plan_evictions.ts'
+import { isDraining } from './_draining.ts'
+import { planEvictions, type EvictionSet } from './_plan_evictions.ts'
 import type { EngineView } from './engine_view.ts'
 
 /** A possible load of a model on an engine, with the evictions that it requires. */
--- a/packages/scheduler/_plan_evictions.ts
+++ b/packages/scheduler/_plan_evictions.ts
@@ -1,4 +1,5 @@
 import type { EngineView } from './engine_view.ts'
+import { isDraining } from './_draining.ts'
 import { evictionCost } from './_model_value.ts'
 import { residentMb, type PlacementDraft } from './_placement_draft.ts'
 
@@ -74,8 +75,3 @@
   const drainedForReplacement = isDraining(view, model, draft.input.nowMs) && view.drain?.replacement === options.replacement
   return { model, sizeMb, running, cost: drainedForReplacement ? 0 : evictionCost(draft, view, model) }
 }
-
-/** Reports whether a model is draining and must receive no new requests. */
-export function isDraining (view: EngineView, model: string, nowMs: number): boolean {
-  return view.drain !== undefined && nowMs < view.drain.untilMs && view.drain.models.includes(model)
-}
--- a/packages/scheduler/published_placement.ts
+++ b/packages/scheduler/published_placement.ts
@@ -1,4 +1,4 @@
-import { isDraining } from './_plan_evictions.ts'
+import { isDraining } from './_draining.ts'
 import type { EngineView, ResidentView } from './engine_view.ts'
 import type { PlacedEngine } from './fleet_view.ts'
 
