Let a model wait for running requests of others by the requests that asked for it in vain

Callers of models that had become popular were refused hundreds of times (no_replica) and no engine was ordered to load them. A model may wait for half as many running requests as it has missed, and each one missed adds to the gain of its load: a busy model gets its turn within a second or two, a rare one when that costs little. The cost of a drain now counts against the gain.

--- a/packages/edge/starved_models_test.ts
+++ b/packages/edge/starved_models_test.ts
@@ -1,7 +1,6 @@
 import test from 'ava'
 import { playPlacementDay, type PlacementDayOptions } from './_test_placement_day.ts'
 
-const knownRed = process.env.KNOWN_RED === '1' ? test : test.skip
 const ALL_SEEDS = process.env.STARVED_SEEDS === undefined ? undefined : Array.from({ length: Number(process.env.STARVED_SEEDS) }, (_, i) => i + 1)
 /** Models and adapters that may go unanswered, besides a tenth of those that are asked for. */
 const MAX_STARVED = 1
@@ -17,10 +16,10 @@
 }
 
 // Requests for a model that had become popular were refused hundreds of times, and no engine was ordered to load it.
-knownRed('models that become popular while the only engines with a copy are occupied are served', (t) => {
+test('models that become popular while the only engines with a copy are occupied are served', (t) => {
   t.deepEqual(badDays([1, 4, 12, 18], { copies: 1 }), [])
 })
 
-knownRed('models with two copies are served as demand shifts', (t) => {
+test('models with two copies are served as demand shifts', (t) => {
   t.deepEqual(badDays([13, 50], { copies: 2 }), [])
 })
--- a/packages/scheduler/_explain_deferral.ts
+++ b/packages/scheduler/_explain_deferral.ts
@@ -14,7 +14,7 @@
     const engines = draft.enginesWithCopy(model)
     const named = engines.slice(0, MAX_ENGINES).map((view) => `${view.upstream.id}: ${_occupation(draft, view, model)}`)
     const store = `${draft.storeLoadsInProgress()} loads from the weight store, ${Math.max(0, Math.floor(draft.remainingStoreLoads()))} more allowed`
-    return [{ model, waiting, ratePerS, copies: engines.length, detail: [...named, store].join('; ') }]
+    return [{ model, waiting, ratePerS, unservedMs: draft.unservedMs(model), missed: draft.missedRequests(model), copies: engines.length, detail: [...named, store].join('; ') }]
   })
 }
 
--- a/packages/scheduler/_model_value.ts
+++ b/packages/scheduler/_model_value.ts
@@ -10,8 +10,10 @@
 const FIRST_EVENT_MS = 120
 /** Value of a late response, as a fraction of one that meets its latency objective. */
 const LATE_RESPONSE_VALUE = 0.25
-/** Lateness from which a waiting request counts as starving, in ms; callers leave or are refused soon after. */
-const STARVATION_MS = 4500
+/** Gain of serving a model for each request that has asked for it in vain, in responses that meet their latency objective. */
+const MISSED_REQUEST_GAIN = 0.25
+/** Running requests whose end may be waited for, for each request that has asked for a model in vain. */
+const DRAINED_PER_MISSED_REQUEST = 0.5
 /** Request rate from which a model counts as busy, per second. */
 const BUSY_RATE_PER_S = 4
 /** Utilization from which the replicas of a busy model are too few. */
@@ -35,14 +37,15 @@
 }
 
 /** Returns the gain of loading a model that no engine holds, in responses that meet their latency objective. */
-export function loadGain (demand: ModelDemand, plan: LoadPlan): number {
-  return _waitingGain(demand, plan.readyInMs) + demand.ratePerS * _usefulDurationS(plan)
+export function loadGain (draft: PlacementDraft, demand: ModelDemand, plan: LoadPlan): number {
+  // The gain grows with the requests that were turned away, so that each model is loaded eventually.
+  const missedGain = draft.missedRequests(demand.model) * MISSED_REQUEST_GAIN
+  return _waitingGain(demand, plan.readyInMs) + demand.ratePerS * _usefulDurationS(plan) + missedGain
 }
 
 function _waitingGain (demand: ModelDemand, readyInMs: number): number {
   const firstEventMs = readyInMs + FIRST_EVENT_MS
-  // Starving requests count in full, so that each model is loaded eventually.
-  const fullValueCount = demand.dueInMs.filter((dueMs) => dueMs >= firstEventMs || dueMs < -STARVATION_MS).length
+  const fullValueCount = demand.dueInMs.filter((dueMs) => dueMs >= firstEventMs).length
   return fullValueCount + (demand.waiting - fullValueCount) * LATE_RESPONSE_VALUE
 }
 
@@ -54,9 +57,9 @@
 
 const MS_PER_SECOND = 1000
 
-/** Reports whether a request for a model has waited so long that models with running requests may be drained for it. */
-export function isStarving (demand: ModelDemand): boolean {
-  return demand.dueInMs.some((dueMs) => dueMs < -STARVATION_MS)
+/** Returns how many running requests of others a model that no engine holds may wait for; more while it is asked for in vain. */
+export function maxDrainedRequests (draft: PlacementDraft, model: string): number {
+  return Math.floor(draft.missedRequests(model) * DRAINED_PER_MISSED_REQUEST)
 }
 
 /** Reports whether a busy model lacks so many replicas that seconds of loading from the weight store pay off. */
--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -11,6 +11,10 @@
   orders (): readonly PlannedOrder[]
   /** Demand of all instances for a model. */
   demandFor (model: string): ModelDemand
+  /** Time for which a model, or an adapter of it while no engine holds the model, has been asked for in vain, in ms; 0 if it is served. */
+  unservedMs (model: string): number
+  /** Number of requests that have asked for a model in vain since it was last served, refused ones included; 0 if it is served. */
+  missedRequests (model: string): number
   /** Whether an engine can take an order in this round. */
   isFree (view: EngineView): boolean
   /** Memory of an engine that is not in use at the start of the round, in MB. */
@@ -70,6 +74,7 @@
   const released = new Map<string, readonly EngineView[]>()
   const enginesWithCopy = _indexCopies(input.views)
   const pendingEvictions = new Set(input.views.flatMap(({ open }) => open?.planned.replacement ?? []))
+  const unserved = _indexUnserved(input)
   const freeMb = new Map(input.views.map((view) => [view, input.engine.memoryMb - usedMb(input.engine, view)]))
 
   function add (view: EngineView, order: DraftOrder): void {
@@ -90,6 +95,8 @@
     input,
     orders: () => orders,
     demandFor: (model) => input.demand.models.get(model) ?? noDemand(model),
+    unservedMs: (model) => unserved.get(model) ?? 0,
+    missedRequests: (model) => input.unserved.get(model)?.missed ?? 0,
     isFree: (view) => view.confirmed && view.open === undefined && input.nowMs >= view.backoffUntilMs && !assigned.has(view.upstream.id),
     freeMb: (view) => freeMb.get(view) ?? 0,
     freeAdapterSlots: (view) => input.engine.adapterPlaces - countAdapters(view),
@@ -137,6 +144,16 @@
   return index
 }
 
+// Adapters need their model first, so that it inherits the time for which they were asked for.
+function _indexUnserved ({ unserved, nowMs }: PlanningInput): ReadonlyMap<string, number> {
+  const index = new Map<string, number>()
+  for (const [key, { sinceMs }] of unserved) {
+    const [model = ''] = key.split('/')
+    if (unserved.has(model)) index.set(model, Math.max(index.get(model) ?? 0, nowMs - sinceMs))
+  }
+  return index
+}
+
 function _append (index: Map<string, EngineView[]>, model: string, view: EngineView): void {
   const existing = index.get(model)
   if (existing === undefined) index.set(model, [view])
--- a/packages/scheduler/_test_fleet.ts
+++ b/packages/scheduler/_test_fleet.ts
@@ -3,6 +3,7 @@
 import { newEngineView } from './engine_view.ts'
 import { noDemand, type ModelDemand, type ServiceDemand } from './demand.ts'
 import type { PlanningInput } from './planning_input.ts'
+import type { UnservedDemand } from './unserved_demand.ts'
 
 /** Returns a model of a given size with typical load times. */
 export function testModel (name: string, memoryMb: number): Model {
@@ -50,6 +51,8 @@
   readonly demand?: readonly Partial<ModelDemand>[]
   readonly running?: Readonly<Record<string, number>>
   readonly storeLoadsInProgress?: number
+  /** Times for which models or adapters have been asked for in vain, in ms. */
+  readonly unservedMs?: Readonly<Record<string, number>>
   readonly limitsPerS?: Readonly<Record<string, number>>
 }
 
@@ -63,7 +66,16 @@
   }
   const engine = testConfiguration(models).services.get('drafts')?.engine
   if (engine === undefined) throw new TypeError('Cannot build the planning input: the test configuration has no engine')
-  return { nowMs: 0, engine, views, demand, limitsPerS: new Map(Object.entries(given.limitsPerS ?? {})), storeLoadsInProgress: given.storeLoadsInProgress ?? 0, storeLoadsAllowed: 9 }
+  return { nowMs: 0, engine, views, demand, unserved: unservedOf(demands, given), limitsPerS: new Map(Object.entries(given.limitsPerS ?? {})), storeLoadsInProgress: given.storeLoadsInProgress ?? 0, storeLoadsAllowed: 9 }
+}
+
+// A request that is late has been waiting for longer than that.
+function unservedOf (demands: readonly ModelDemand[], { unservedMs = {} }: TestDemand): UnservedDemand {
+  const late = demands.flatMap(({ model, dueInMs }) => dueInMs.some((dueMs) => dueMs < 0) ? [[model, -Math.min(...dueInMs)] as const] : [])
+  return new Map([...late, ...Object.entries(unservedMs)].map(([key, ms]) => {
+    const { ratePerS = 0 } = demands.find(({ model }) => model === key) ?? {}
+    return [key, { sinceMs: -ms, askedAtMs: 0, missed: ratePerS * ms / 1000 }]
+  }))
 }
 
 /** Formats an order as one line. */
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -1,18 +1,17 @@
 import type { Model } from '@berylshed/fleet'
 import { explainDeferrals } from './_explain_deferral.ts'
-import { hasShortage, isStarving, loadGain, replicaGain, type LoadPlan } from './_model_value.ts'
+import { hasShortage, loadGain, maxDrainedRequests, replicaGain, type LoadPlan } from './_model_value.ts'
 import { createPlacementDraft, loadMs, type PlacementDraft } from './_placement_draft.ts'
 import { placementOptions, type PlacementOption } from './_placement_options.ts'
 import { planAdapters } from './_plan_adapters.ts'
 import { planCopies, planPreloads } from './_plan_copies.ts'
+import { DRAIN_COST_PER_REQUEST } from './_plan_evictions.ts'
 import type { EngineView } from './engine_view.ts'
 import { PlacementPolicy } from './placement_policy.ts'
 import type { Plan, PlanningInput } from './planning_input.ts'
 
 /** Instant load, used to rank models independently of where they would be loaded. */
 const IMMEDIATE_LOAD: LoadPlan = { source: 'disk', readyInMs: 0, limitPerS: Infinity }
-/** Maximum number of running requests with which a model may be drained; more would take too long to finish. */
-const MAX_DRAINING_REQUESTS = 2
 /** Concurrent loads from the weight store for models with waiting requests; more would slow each other down. */
 const MAX_CONCURRENT_STORE_LOADS = 2
 /** Minimum gain, net of eviction cost, that justifies a load, in responses that meet their latency objective. */
@@ -57,7 +56,7 @@
       if (model === undefined || draft.hasPendingEviction(model.name)) return []
       const hasReplica = draft.replicas(model.name).length > 0
       if (hasReplica) return [{ model, gain: (load) => replicaGain(draft, model.name, load) }]
-      return demand.waiting === 0 ? [] : [{ model, gain: (load) => loadGain(demand, load) }]
+      return demand.waiting === 0 ? [] : [{ model, gain: (load) => loadGain(draft, demand, load) }]
     })
     .sort((a, b) => b.gain(IMMEDIATE_LOAD) - a.gain(IMMEDIATE_LOAD))
 }
@@ -78,10 +77,10 @@
 }
 
 function _bestOption (draft: PlacementDraft, model: Model, { engines, gain }: _Search): PlacementOption | undefined {
-  // Draining a model makes its own requests wait, so it is the last resort.
-  const maxRunning = isStarving(draft.demandFor(model.name)) ? MAX_DRAINING_REQUESTS : 0
+  // Draining a model makes its own requests wait, so only models that no engine holds have others drained.
+  const maxRunning = draft.replicas(model.name).length > 0 ? 0 : maxDrainedRequests(draft, model.name)
   const [best] = placementOptions(draft, model, { engines, maxRunning, includeBusyEngines: true })
-    .map((option): _RatedOption => ({ option, net: gain(option) - option.evictions.cost }))
+    .map((option): _RatedOption => ({ option, net: gain(option) - option.evictions.cost - option.evictions.running * DRAIN_COST_PER_REQUEST }))
     .sort((a, b) => b.net - a.net || a.option.readyInMs - b.option.readyInMs)
   return best !== undefined && best.net >= MIN_NET_GAIN ? best.option : undefined
 }
--- a/packages/scheduler/planning_input.ts
+++ b/packages/scheduler/planning_input.ts
@@ -1,6 +1,7 @@
 import type { EngineSpec } from '@berylshed/fleet'
 import type { ServiceDemand } from './demand.ts'
 import type { EngineView, PlannedOrder } from './engine_view.ts'
+import type { UnservedDemand } from './unserved_demand.ts'
 
 /** Input of a placement policy for the engines of one service. */
 export interface PlanningInput {
@@ -10,6 +11,8 @@
   /** Engines that hold models or can take orders; leaving and lost engines are excluded. */
   readonly views: readonly EngineView[]
   readonly demand: ServiceDemand
+  /** What was asked for while no engine could serve it, including requests that were refused. */
+  readonly unserved: UnservedDemand
   /** Requests per second that engines take from all instances together, for those that name a limit. */
   readonly limitsPerS: ReadonlyMap<string, number>
   /** Loads from the weight store that are under way, over all services. */
@@ -33,6 +36,10 @@
   readonly waiting: number
   /** Requests per second. */
   readonly ratePerS: number
+  /** Time for which the model has been asked for in vain, in ms. */
+  readonly unservedMs: number
+  /** Number of requests that asked for it meanwhile. */
+  readonly missed: number
   /** Number of engines that have a copy of the model. */
   readonly copies: number
   /** What occupies the engines with a copy and the weight store. */
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -12,6 +12,7 @@
 import type { SchedulerEffect } from './scheduler_effect.ts'
 import type { SchedulerState } from './scheduler_state.ts'
 import { EMPTY_PLACEMENT, publishPlacement } from './published_placement.ts'
+import { trackUnserved } from './unserved_demand.ts'
 
 type _Step = Step<SchedulerState, SchedulerEffect>
 
@@ -175,17 +176,20 @@
     const views = [...current.engines.values()].filter((view) => {
       return view.upstream.service === service.name && !view.upstream.leaving && view.missedReports < MAX_MISSED_REPORTS
     })
+    const demand = sumDemand([...current.reports.values()], service.name, { nowMs })
+    const unserved = trackUnserved(current.unserved.get(service.name) ?? new Map(), demand, { views, nowMs })
     const planned = current.policy.plan({
       nowMs,
       engine: service.engine,
       views,
       limitsPerS: current.limitsPerS,
-      demand: sumDemand([...current.reports.values()], service.name, { nowMs }),
+      demand,
+      unserved,
       // A lost engine loads nothing, though its registration takes seconds to lapse.
       storeLoadsInProgress: [...current.engines.values()].filter(({ open, missedReports }) => open?.planned.fromStore === true && missedReports < MAX_MISSED_REPORTS).length,
       storeLoadsAllowed: service.engine.loadsPerSecond * STORE_WINDOW_MS / MS_PER_SECOND * STORE_SHARE - current.storeLoadStartsMs.length
     })
-    const drained = planned.drains.reduce<_Step>((done, drain) => _chain(done, (s) => _startDrain(s, drain, nowMs)), step(current))
+    const drained = planned.drains.reduce<_Step>((done, drain) => _chain(done, (s) => _startDrain(s, drain, nowMs)), step({ ...current, unserved: new Map(current.unserved).set(service.name, unserved) }))
     const deferred = _chain(drained, (s) => _recordDeferrals(s, planned.deferrals, { service: service.name, nowMs }))
     return planned.orders.reduce<_Step>((done, order) => _chain(done, (s) => _sendOrder(s, order, authority)), deferred)
   }), step({ ...state, storeLoadStartsMs }))
--- a/packages/scheduler/scheduler_effect.ts
+++ b/packages/scheduler/scheduler_effect.ts
@@ -18,6 +18,10 @@
   readonly waiting?: number
   /** Requests per second for the model. */
   readonly ratePerS?: number
+  /** Time for which the model has been asked for in vain, in ms. */
+  readonly unservedMs?: number
+  /** Requests that asked for it meanwhile. */
+  readonly missed?: number
   /** Engines that have a copy of the model. */
   readonly copies?: number
   /** What occupies these engines and the weight store. */
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -7,6 +7,7 @@
 import type { Quarantine } from './quarantine.ts'
 import type { Instant } from './scheduler_event.ts'
 import { EMPTY_PLACEMENT, type PublishedPlacement } from './published_placement.ts'
+import type { UnservedDemand } from './unserved_demand.ts'
 
 /** A conditional update of the lease that has no response yet. */
 export interface PendingLeaseWrite {
@@ -72,6 +73,8 @@
   readonly reports: ReadonlyMap<string, ReceivedReport>
   /** Local start times of recent loads from the weight store, in ms. */
   readonly storeLoadStartsMs: readonly number[]
+  /** What was asked for while no engine could serve it, by service. */
+  readonly unserved: ReadonlyMap<string, UnservedDemand>
   /** Local time at which the lack of a load was last recorded, in ms, by service and model. */
   readonly deferredAtMs: ReadonlyMap<string, number>
   /** Local time of the last planning round, in ms. */
@@ -131,6 +134,7 @@
     engines: new Map(),
     reports: new Map(),
     storeLoadStartsMs: [],
+    unserved: new Map(),
     deferredAtMs: new Map(),
     plannedAtMs: -Infinity,
     published: EMPTY_PLACEMENT,
