End a drain with the load it is for, drain one engine at a time for a model, and record a drain once

Drained models take no requests. Those that need not make way in the end stayed closed until the drain ran out (1.8 s), and while one engine was drained for a model another one could seem better and was drained as well. A drain is renewed in each round of planning, and each wrote model_closed, tens of lines a second, now that drains last longer.

--- a/packages/scheduler/_track_engines.ts
+++ b/packages/scheduler/_track_engines.ts
@@ -151,7 +151,9 @@
   const next: ResidentView = adapter === undefined
     ? { phase, sinceMs: nowMs, adapters: resident?.adapters ?? new Map() }
     : withAdapter(resident ?? { phase: 'loaded', sinceMs: nowMs, adapters: new Map() }, adapter, { phase, sinceMs: nowMs })
-  return { ...view, open: order, residents: new Map(view.residents).set(model, next) }
+  // Drained models that need not make way after all serve again.
+  const isDrainOver = operation === 'load' && adapter === undefined && view.drain?.replacement === model
+  return { ...view, open: order, drain: isDrainOver ? undefined : view.drain, residents: new Map(view.residents).set(model, next) }
 }
 
 /** Applies the outcome of sending an order. */
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -80,11 +80,18 @@
   // Draining a model makes its own requests wait, so only models that no engine holds have others drained.
   const maxRunning = draft.replicas(model.name).length > 0 ? 0 : maxDrainedRequests(draft, model.name)
   const [best] = placementOptions(draft, model, { engines, maxRunning, includeBusyEngines: true })
+    .filter(({ view, evictions }) => evictions.running === 0 || _mayDrain(draft, model, view))
     .map((option): _RatedOption => ({ option, net: gain(option) - option.evictions.cost - option.evictions.running * DRAIN_COST_PER_REQUEST }))
     .sort((a, b) => b.net - a.net || a.option.readyInMs - b.option.readyInMs)
   return best !== undefined && best.net >= MIN_NET_GAIN ? best.option : undefined
 }
 
+// One engine at a time is drained for a model.
+function _mayDrain (draft: PlacementDraft, model: Model, view: EngineView): boolean {
+  const { nowMs, views } = draft.input
+  return views.every((other) => other === view || other.drain?.replacement !== model.name || nowMs >= other.drain.untilMs)
+}
+
 // A load from the weight store occupies an engine for seconds, displaces a copy on its disk and uses store bandwidth.
 function _bestStoreOption (draft: PlacementDraft, model: Model, gain: _LoadCandidate['gain']): PlacementOption | undefined {
   if (draft.enginesWithCopy(model.name).length > 0 && !hasShortage(draft, model.name)) return undefined
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -1,6 +1,7 @@
 import type { Configuration } from '@berylshed/fleet'
 import { step, type Step } from '@berylshed/reducer'
 import { noteGrant, noteStamp } from './_lease_grants.ts'
+import { isDraining } from './_draining.ts'
 import { advanceLease, failWrite, finishWrite, loseLease, mayOrder, observeLease, orderDeadline, resolveConflict, voidLease } from './_hold_lease.ts'
 import { loadMs, weightSource } from './_placement_draft.ts'
 import { applyUpstreamList, applyReport, pollEngines, describeChange, endOrder, MAX_MISSED_REPORTS, openOrder } from './_track_engines.ts'
@@ -211,6 +212,7 @@
   if (view === undefined) return step(state)
   const { upstream, models, replacement } = drain
   const next = _withEngine(state, { ...view, drain: { models, replacement, untilMs: nowMs + DRAIN_TIMEOUT_MS } })
+  if (models.every((model) => isDraining(view, model, nowMs)) && view.drain?.replacement === replacement) return step(next)
   return step(next, [
     { kind: 'record', record: { what: 'model_closed', upstream, model: models.join(' '), reason: `makes way for ${replacement}` } }
   ])
