Load a model from the weight store where engines with a copy stay occupied, on an engine that others can spare

Two busy models had their only copies on one engine, which could hold one of them. The other may be loaded from the weight store, but only at 1.5 s of lateness, before which its requests are refused. It now counts the requests that asked in vain: from 20 on the seconds of a load pay off.

--- a/packages/scheduler/_model_value.ts
+++ b/packages/scheduler/_model_value.ts
@@ -18,8 +18,8 @@
 const BUSY_RATE_PER_S = 4
 /** Utilization from which the replicas of a busy model are too few. */
 const SHORTAGE_UTILIZATION = 1.5
-/** Lateness of a waiting request from which a busy model without a replica has a shortage, in ms. */
-const SHORTAGE_LATENESS_MS = 1500
+/** Number of requests that have asked for a model in vain from which seconds of loading it from the weight store pay off though engines have copies. */
+const SHORTAGE_MISSED_REQUESTS = 20
 /** Fraction of late responses from engines with all slots in use. */
 const LATE_SHARE_AT_CAPACITY = 0.3
 /** Cost of every eviction, which prevents unloads without a benefit; in late responses. */
@@ -62,12 +62,12 @@
   return Math.floor(draft.missedRequests(model) * DRAINED_PER_MISSED_REQUEST)
 }
 
-/** Reports whether a busy model lacks so many replicas that seconds of loading from the weight store pay off. */
+/** Reports whether a model lacks replicas so much that seconds of loading from the weight store pay off. */
 export function hasShortage (draft: PlacementDraft, model: string): boolean {
   const demand = draft.demandFor(model)
-  if (demand.ratePerS < BUSY_RATE_PER_S) return false
   const replicas = draft.replicas(model)
-  return replicas.length > 0 ? _utilization(draft, demand, _capacity(draft, demand, replicas)) >= SHORTAGE_UTILIZATION : demand.dueInMs.some((dueMs) => dueMs < -SHORTAGE_LATENESS_MS)
+  if (replicas.length === 0) return draft.missedRequests(model) >= SHORTAGE_MISSED_REQUESTS
+  return demand.ratePerS >= BUSY_RATE_PER_S && _utilization(draft, demand, _capacity(draft, demand, replicas)) >= SHORTAGE_UTILIZATION
 }
 
 /** Returns the gain of another replica of a loaded model, in responses that meet their latency objective. */
@@ -132,3 +132,15 @@
   if (demand.waiting > 0) return Infinity
   return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S + (draft.enginesWithCopy(model).length > 0 ? 0 : NO_COPY_COST)
 }
+
+/**
+ * Returns the cost of an engine that takes no other order for some time, in late responses.
+ *
+ * It cannot load the models meanwhile of which it has a copy and that no engine holds; they depend on each engine with a copy in equal parts.
+ */
+export function occupationCost (draft: PlacementDraft, view: EngineView, { model, durationMs }: { readonly model: string, readonly durationMs: number }): number {
+  const copied = new Set([...view.copies.inMemory, ...view.copies.onDisk])
+  return [...draft.input.demand.models.values()]
+    .filter((demand) => demand.model !== model && copied.has(demand.model) && draft.replicas(demand.model).length === 0)
+    .reduce((cost, { model: other, waiting, ratePerS }) => cost + (waiting + ratePerS * durationMs / MS_PER_SECOND) / draft.enginesWithCopy(other).length, 0)
+}
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -1,6 +1,6 @@
 import type { Model } from '@berylshed/fleet'
 import { explainDeferrals } from './_explain_deferral.ts'
-import { hasShortage, loadGain, maxDrainedRequests, replicaGain, type LoadPlan } from './_model_value.ts'
+import { hasShortage, loadGain, maxDrainedRequests, occupationCost, replicaGain, type LoadPlan } from './_model_value.ts'
 import { createPlacementDraft, loadMs, type PlacementDraft } from './_placement_draft.ts'
 import { placementOptions, type PlacementOption } from './_placement_options.ts'
 import { planAdapters } from './_plan_adapters.ts'
@@ -81,11 +81,15 @@
   const maxRunning = draft.replicas(model.name).length > 0 ? 0 : maxDrainedRequests(draft, model.name)
   const [best] = placementOptions(draft, model, { engines, maxRunning, includeBusyEngines: true })
     .filter(({ view, evictions }) => evictions.running === 0 || _mayDrain(draft, model, view))
-    .map((option): _RatedOption => ({ option, net: gain(option) - option.evictions.cost - option.evictions.running * DRAIN_COST_PER_REQUEST }))
+    .map((option): _RatedOption => ({ option, net: gain(option) - option.evictions.cost - option.evictions.running * DRAIN_COST_PER_REQUEST - _occupationCost(draft, model, option) }))
     .sort((a, b) => b.net - a.net || a.option.readyInMs - b.option.readyInMs)
   return best !== undefined && best.net >= MIN_NET_GAIN ? best.option : undefined
 }
 
+function _occupationCost (draft: PlacementDraft, model: Model, { view, source }: PlacementOption): number {
+  return source === 'store' ? occupationCost(draft, view, { model: model.name, durationMs: model.storeLoadMs }) : 0
+}
+
 // One engine at a time is drained for a model.
 function _mayDrain (draft: PlacementDraft, model: Model, view: EngineView): boolean {
   const { nowMs, views } = draft.input
