Let the last replica of a model make way although requests wait for it, at their price

It never did, so that one waiting request, as for an adapter that had no place, kept an engine from all others: on a single engine the second of two busy models was refused for ever. A waiting request now counts as late, like those that come in the next seconds.

--- a/packages/scheduler/_model_value.ts
+++ b/packages/scheduler/_model_value.ts
@@ -121,7 +121,7 @@
   return (demand.running + demand.waiting) / (draft.input.engine.slots * Math.max(1, replicas))
 }
 
-/** Returns the cost of not holding a model on an engine, in late responses; Infinity if the model must stay. */
+/** Returns the cost of not holding a model on an engine, in late responses. */
 export function evictionCost (draft: PlacementDraft, view: EngineView, model: string): number {
   const demand = draft.demandFor(model)
   // A replica that is still loading or about to go serves nobody in place of this one.
@@ -129,8 +129,7 @@
   const others = _capacity(draft, demand, otherReplicas)
   const all = _capacity(draft, demand, [view, ...otherReplicas])
   if (others.replicas > 0) return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S * (_lateShare(draft, demand, others) - _lateShare(draft, demand, all))
-  if (demand.waiting > 0) return Infinity
-  return BASE_EVICTION_COST + demand.ratePerS * HORIZON_S + (draft.enginesWithCopy(model).length > 0 ? 0 : NO_COPY_COST)
+  return BASE_EVICTION_COST + demand.waiting + demand.ratePerS * HORIZON_S + (draft.enginesWithCopy(model).length > 0 ? 0 : NO_COPY_COST)
 }
 
 /**
