Load an adapter where its model goes on serving, the one asked for in vain for longest first

An adapter counted as loaded while the replica that holds it was drained or was unloading it, so that no other replica got it and its requests were refused. And an engine that loads one adapter a round took those with most waiting requests first; what was refused did not count, so that the same adapter could come last each time.

--- a/packages/scheduler/_plan_adapters.ts
+++ b/packages/scheduler/_plan_adapters.ts
@@ -1,20 +1,24 @@
 import type { EngineView } from './engine_view.ts'
 import type { PlacementDraft } from './_placement_draft.ts'
+import { subjectKey, unservedMs } from './unserved_demand.ts'
 
 /** Minimum idle time before an adapter is unloaded, in ms, so that requests in transit still find it. */
 const MIN_ADAPTER_IDLE_MS = 150
 
 /** Plans loads of adapters with waiting requests, on engines that hold their model. */
 export function planAdapters (draft: PlacementDraft): void {
-  for (const { model, adapters } of draft.input.demand.models.values()) {
-    const byDemand = [...adapters].sort((a, b) => b[1] - a[1])
-    for (const [adapter] of byDemand) _planAdapter(draft, model, adapter)
-  }
+  const { demand, unserved, nowMs } = draft.input
+  const awaited = [...demand.models.values()].flatMap(({ model, adapters }) => [...adapters].map(([adapter, waiting]) => {
+    return { model, adapter, waiting, unservedMs: unservedMs(unserved, subjectKey(model, adapter), nowMs) }
+  }))
+  // An engine loads one adapter a round, so the one that was asked for in vain for longest comes first.
+  for (const { model, adapter } of awaited.sort((a, b) => b.unservedMs - a.unservedMs || b.waiting - a.waiting)) _planAdapter(draft, model, adapter)
 }
 
 function _planAdapter (draft: PlacementDraft, model: string, adapter: string): void {
-  const replicas = draft.replicas(model).filter((view) => view.residents.get(model)?.phase === 'loaded')
-  if (replicas.some((view) => view.residents.get(model)?.adapters.has(adapter) === true)) return
+  // A replica that is drained or about to go takes no requests for the adapter.
+  const replicas = draft.servingReplicas(model)
+  if (replicas.some((view) => _holds(view, model, { adapter }))) return
   const adapterMb = draft.input.engine.models.get(model)?.adapterMb ?? 0
   const free = replicas.filter((view) => draft.isFree(view))
   const withFreeSlot = free.filter((view) => draft.freeAdapterSlots(view) > 0 && draft.freeMb(view) >= adapterMb)
@@ -31,6 +35,11 @@
   })
 }
 
+function _holds (view: EngineView, model: string, { adapter }: { readonly adapter: string }): boolean {
+  const held = view.residents.get(model)?.adapters.get(adapter)
+  return held !== undefined && held.phase !== 'unloading'
+}
+
 interface _IdleAdapter {
   readonly view: EngineView
   readonly model: string
--- a/packages/scheduler/unserved_demand.ts
+++ b/packages/scheduler/unserved_demand.ts
@@ -88,3 +88,21 @@
     return [...isAsked ? [{ key: model, ratePerS }] : [], ...[...adapters.keys()].map((adapter) => ({ key: subjectKey(model, adapter), ratePerS: 0 }))]
   })
 }
+
+/**
+ * Returns the time for which a model or an adapter has been asked for in vain.
+ *
+ * @param unserved What is asked for in vain.
+ * @param key The key of the model or adapter.
+ * @param nowMs The local time in ms.
+ * @returns The time in ms; 0 if it is served or not asked for.
+ *
+ * @example
+ * ```ts
+ * const isOverdue = unservedMs(unserved, subjectKey('m'), nowMs) > 1000
+ * ```
+ */
+export function unservedMs (unserved: UnservedDemand, key: string, nowMs: number): number {
+  const subject = unserved.get(key)
+  return subject === undefined ? 0 : nowMs - subject.sinceMs
+}
