Keep one function for the key of a model or adapter

The holder's count of what is asked for in vain had its own copy of demandKey; it moves to the scheduler's demand, beside the keys of replicas and adapters.

--- a/packages/scheduler/_plan_adapters.ts
+++ b/packages/scheduler/_plan_adapters.ts
@@ -1,6 +1,7 @@
+import { demandKey } from './demand.ts'
 import type { EngineView } from './engine_view.ts'
 import type { PlacementDraft } from './_placement_draft.ts'
-import { subjectKey, unservedMs } from './unserved_demand.ts'
+import { unservedMs } from './unserved_demand.ts'
 
 /** Minimum idle time before an adapter is unloaded, in ms, so that requests in transit still find it. */
 const MIN_ADAPTER_IDLE_MS = 150
@@ -9,7 +10,7 @@
 export function planAdapters (draft: PlacementDraft): void {
   const { demand, unserved, nowMs } = draft.input
   const awaited = [...demand.models.values()].flatMap(({ model, adapters }) => [...adapters].map(([adapter, waiting]) => {
-    return { model, adapter, waiting, unservedMs: unservedMs(unserved, subjectKey(model, adapter), nowMs) }
+    return { model, adapter, waiting, unservedMs: unservedMs(unserved, demandKey(model, adapter), nowMs) }
   }))
   // An engine loads one adapter a round, so the one that was asked for in vain for longest comes first.
   for (const { model, adapter } of awaited.sort((a, b) => b.unservedMs - a.unservedMs || b.waiting - a.waiting)) _planAdapter(draft, model, adapter)
--- a/packages/scheduler/demand.ts
+++ b/packages/scheduler/demand.ts
@@ -117,6 +117,22 @@
   return `${upstream} ${model} ${options.adapter}`
 }
 
+/**
+ * Returns the key of a model, or of an adapter of a model.
+ *
+ * @param model The model.
+ * @param adapter The adapter, or undefined for the model itself.
+ * @returns The key.
+ *
+ * @example
+ * ```ts
+ * console.log(demandKey('m', 'a1')) // 'm/a1'
+ * ```
+ */
+export function demandKey (model: string, adapter: string | undefined): string {
+  return adapter === undefined ? model : `${model}/${adapter}`
+}
+
 /**
  * Sums up the demand of all instances for one service.
  *
--- a/packages/scheduler/unserved_demand.ts
+++ b/packages/scheduler/unserved_demand.ts
@@ -1,4 +1,4 @@
-import type { ServiceDemand } from './demand.ts'
+import { demandKey, type ServiceDemand } from './demand.ts'
 import type { EngineView } from './engine_view.ts'
 
 /** A model or an adapter that is asked for while no engine can serve it. */
@@ -11,7 +11,7 @@
   readonly missed: number
 }
 
-/** What is asked for in vain, by {@linkcode subjectKey}. */
+/** What is asked for in vain, by {@linkcode demandKey}. */
 export type UnservedDemand = ReadonlyMap<string, UnservedSubject>
 
 /** Time after the last request from which nobody is expected to ask again, in ms: longer than callers stay away after a refusal. */
@@ -20,22 +20,6 @@
 const MAX_COUNTED_MS = 1500
 const MS_PER_SECOND = 1000
 
-/**
- * Returns the key of a model, or of an adapter of a model.
- *
- * @param model The model's name.
- * @param adapter The adapter's name; undefined for the model itself.
- * @returns The key.
- *
- * @example
- * ```ts
- * console.log(subjectKey('m', 'a1')) // 'm/a1'
- * ```
- */
-export function subjectKey (model: string, adapter?: string): string {
-  return adapter === undefined ? model : `${model}/${adapter}`
-}
-
 /**
  * Updates what is asked for in vain.
  *
@@ -71,7 +55,7 @@
 function _servedSubjects (view: EngineView): readonly string[] {
   return [...view.residents].flatMap(([model, { phase, adapters }]) => {
     if (phase !== 'loaded') return []
-    const held = [...adapters].flatMap(([adapter, { phase: adapterPhase }]) => adapterPhase === 'unloading' ? [] : [subjectKey(model, adapter)])
+    const held = [...adapters].flatMap(([adapter, { phase: adapterPhase }]) => adapterPhase === 'unloading' ? [] : [demandKey(model, adapter)])
     return [model, ...held]
   })
 }
@@ -85,7 +69,7 @@
 function _askedSubjects (demand: ServiceDemand): readonly _AskedSubject[] {
   return [...demand.models.values()].flatMap(({ model, waiting, ratePerS, adapters }): readonly _AskedSubject[] => {
     const isAsked = waiting > 0 || ratePerS > 0
-    return [...isAsked ? [{ key: model, ratePerS }] : [], ...[...adapters.keys()].map((adapter) => ({ key: subjectKey(model, adapter), ratePerS: 0 }))]
+    return [...isAsked ? [{ key: model, ratePerS }] : [], ...[...adapters.keys()].map((adapter) => ({ key: demandKey(model, adapter), ratePerS: 0 }))]
   })
 }
 
@@ -99,7 +83,7 @@
  *
  * @example
  * ```ts
- * const isOverdue = unservedMs(unserved, subjectKey('m'), nowMs) > 1000
+ * const isOverdue = unservedMs(unserved, demandKey('m'), nowMs) > 1000
  * ```
  */
 export function unservedMs (unserved: UnservedDemand, key: string, nowMs: number): number {
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -1,4 +1,5 @@
-import { demandKey, type RoutingTarget } from './routing_target.ts'
+import { demandKey } from '@berylshed/scheduler'
+import type { RoutingTarget } from './routing_target.ts'
 import type { Request } from './request.ts'
 import { mayHandOver, relayKey, type Relay } from './relay.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
--- a/packages/serving/instance_report.ts
+++ b/packages/serving/instance_report.ts
@@ -1,7 +1,6 @@
 import { HashMap, Option } from 'effect'
-import { adapterKey, replicaKey, type AdapterUsage, type InstanceReport, type ReplicaLoad, type UnmetDemand, type RequestRate } from '@berylshed/scheduler'
+import { adapterKey, demandKey, replicaKey, type AdapterUsage, type InstanceReport, type ReplicaLoad, type UnmetDemand, type RequestRate } from '@berylshed/scheduler'
 import { isIsolated } from './reach.ts'
-import { demandKey } from './routing_target.ts'
 import { currentAttempt, type Request } from './request.ts'
 import type { DecayingRate, ServingState } from './serving_state.ts'
 
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -82,19 +82,3 @@
   consecutiveFailures: 0,
   absentUntilMs: new Map()
 }
-
-/**
- * Returns the key of a model, or of an adapter of a model, on an upstream.
- *
- * @param model The model.
- * @param adapter The adapter, or undefined for the model itself.
- * @returns The key.
- *
- * @example
- * ```ts
- * console.log(demandKey('m', 'a1')) // 'm/a1'
- * ```
- */
-export function demandKey (model: string, adapter: string | undefined): string {
-  return adapter === undefined ? model : `${model}/${adapter}`
-}
