--- a/packages/scheduler/_plan_evictions.ts
+++ b/packages/scheduler/_plan_evictions.ts
@@ -30,7 +30,7 @@
 const SPARE_VALUE_PER_GB = 0.01
 const MB_PER_GB = 1000
 /** Cost of waiting for one running request of an evicted model, in late responses. */
-export const DRAIN_COST_PER_REQUEST = 0.4
+export const DRAIN_COST_PER_REQUEST = 1
 
 /** Returns the cheapest set of models to unload to free the required memory, or undefined if there is none. */
 export function planEvictions (draft: PlacementDraft, view: EngineView, options: EvictionOptions): EvictionSet | undefined {
