--- a/packages/scheduler/_placement_draft.ts
+++ b/packages/scheduler/_placement_draft.ts
@@ -11,8 +11,6 @@
   orders (): readonly PlannedOrder[]
   /** Demand of all instances for a model. */
   demandFor (model: string): ModelDemand
-  /** Time for which a model, or an adapter of it while no engine holds the model, has been asked for in vain, in ms; 0 if it is served. */
-  unservedMs (model: string): number
   /** Number of requests that have asked for a model in vain since it was last served, refused ones included; 0 if it is served. */
   missedRequests (model: string): number
   /** Whether an engine can take an order in this round. */
@@ -71,10 +69,9 @@
   const drains: PlannedDrain[] = []
   let plannedStoreLoads = 0
   const replicas = _indexReplicas(input.views)
-  const released = new Map<string, readonly EngineView[]>()
+  const released = new Set<string>()
   const enginesWithCopy = _indexCopies(input.views)
   const pendingEvictions = new Set(input.views.flatMap(({ open }) => open?.planned.replacement ?? []))
-  const unserved = _indexUnserved(input)
   const freeMb = new Map(input.views.map((view) => [view, input.engine.memoryMb - usedMb(input.engine, view)]))
 
   function add (view: EngineView, order: DraftOrder): void {
@@ -83,19 +80,14 @@
     orders.push({ adapter: undefined, fromStore: false, replacement: undefined, expectedMs: UNLOAD_MS, ...order, upstream: id })
     if (order.fromStore === true) plannedStoreLoads += 1
     if (order.replacement !== undefined) pendingEvictions.add(order.replacement)
-    if (order.operation === 'unload' && order.adapter === undefined) release(view, order.model)
+    if (order.operation === 'unload' && order.adapter === undefined) released.add(replicaKey(id, order.model))
     if (order.operation === 'load' && order.adapter === undefined) replicas.set(order.model, [...replicas.get(order.model) ?? NO_ENGINES, view])
   }
 
-  function release (view: EngineView, model: string): void {
-    released.set(model, [...released.get(model) ?? NO_ENGINES, view])
-  }
-
   return {
     input,
     orders: () => orders,
     demandFor: (model) => input.demand.models.get(model) ?? noDemand(model),
-    unservedMs: (model) => unserved.get(model) ?? 0,
     missedRequests: (model) => input.unserved.get(model)?.missed ?? 0,
     isFree: (view) => view.confirmed && view.open === undefined && input.nowMs >= view.backoffUntilMs && !assigned.has(view.upstream.id),
     freeMb: (view) => freeMb.get(view) ?? 0,
@@ -107,7 +99,7 @@
     },
     replicas: (model) => replicas.get(model) ?? NO_ENGINES,
     servingReplicas: (model) => (replicas.get(model) ?? NO_ENGINES).filter((view) => {
-      return view.residents.get(model)?.phase === 'loaded' && !isDraining(view, model, input.nowMs) && released.get(model)?.includes(view) !== true
+      return view.residents.get(model)?.phase === 'loaded' && !isDraining(view, model, input.nowMs) && !released.has(replicaKey(view.upstream.id, model))
     }),
     enginesWithCopy: (model) => enginesWithCopy.get(model) ?? NO_ENGINES,
     hasPendingEviction: (model) => pendingEvictions.has(model),
@@ -120,8 +112,7 @@
     drain: (drain) => {
       assigned.add(drain.upstream)
       drains.push(drain)
-      const view = input.views.find(({ upstream }) => upstream.id === drain.upstream)
-      if (view !== undefined) for (const model of drain.models) release(view, model)
+      for (const model of drain.models) released.add(replicaKey(drain.upstream, model))
     }
   }
 }
@@ -144,16 +135,6 @@
   return index
 }
 
-// Adapters need their model first, so that it inherits the time for which they were asked for.
-function _indexUnserved ({ unserved, nowMs }: PlanningInput): ReadonlyMap<string, number> {
-  const index = new Map<string, number>()
-  for (const [key, { sinceMs }] of unserved) {
-    const [model = ''] = key.split('/')
-    if (unserved.has(model)) index.set(model, Math.max(index.get(model) ?? 0, nowMs - sinceMs))
-  }
-  return index
-}
-
 function _append (index: Map<string, EngineView[]>, model: string, view: EngineView): void {
   const existing = index.get(model)
   if (existing === undefined) index.set(model, [view])
--- a/packages/scheduler/_placement_options.ts
+++ b/packages/scheduler/_placement_options.ts
@@ -37,7 +37,7 @@
   return search.engines.flatMap((view): readonly PlacementOption[] => {
     const startInMs = _startInMs(draft, view)
     if (startInMs === undefined || (startInMs > 0 && !search.includeBusyEngines)) return []
-    if (view.residents.has(model.name) || _isReserved(draft, view, model)) return []
+    if (view.residents.has(model.name) || reservedFor(draft, view, model.name) !== undefined) return []
     const evictions = planEvictions(draft, view, { requiredMb: model.memoryMb, replacement: model.name, maxRunning: search.maxRunning })
     if (evictions === undefined) return []
     const source = weightSource(view, model.name)
@@ -56,9 +56,11 @@
   return confirmed ? Math.max(MIN_ORDER_MS, backoffUntilMs - nowMs) : undefined
 }
 
-function _isReserved (draft: PlacementDraft, view: EngineView, model: Model): boolean {
+/** Returns the model that the memory of an engine is reserved or drained for, or undefined if another model may take it. */
+export function reservedFor (draft: PlacementDraft, view: EngineView, model: string): string | undefined {
   const { reservation, drain } = view
   const { nowMs } = draft.input
-  if (reservation !== undefined && reservation.model !== model.name && nowMs < reservation.untilMs) return true
-  return drain !== undefined && drain.replacement !== model.name && drain.models.some((name) => isDraining(view, name, nowMs) && view.residents.has(name))
+  if (reservation !== undefined && reservation.model !== model && nowMs < reservation.untilMs) return reservation.model
+  const isDrained = drain !== undefined && drain.replacement !== model && drain.models.some((name) => isDraining(view, name, nowMs) && view.residents.has(name))
+  return isDrained ? drain.replacement : undefined
 }
--- a/packages/scheduler/_plan_evictions.ts
+++ b/packages/scheduler/_plan_evictions.ts
@@ -6,7 +6,7 @@
 /** Models to unload from one engine, with the expected cost. */
 export interface EvictionSet {
   readonly models: readonly string[]
-  /** Expected cost, in late responses. */
+  /** Expected cost, in late responses, with that of waiting for running requests. */
   readonly cost: number
   /** Number of requests that run on these models. */
   readonly running: number
@@ -30,7 +30,7 @@
 const SPARE_VALUE_PER_GB = 0.01
 const MB_PER_GB = 1000
 /** Cost of waiting for one running request of an evicted model, in late responses. */
-export const DRAIN_COST_PER_REQUEST = 1
+const DRAIN_COST_PER_REQUEST = 1
 
 /** Returns the cheapest set of models to unload to free the required memory, or undefined if there is none. */
 export function planEvictions (draft: PlacementDraft, view: EngineView, options: EvictionOptions): EvictionSet | undefined {
@@ -47,9 +47,9 @@
     const chosen = candidates.filter((_, i) => (subset >> i) % 2 === 1)
     const freedMb = chosen.reduce((sum, { sizeMb }) => sum + sizeMb, 0)
     if (freedMb < missingMb) continue
-    const cost = chosen.reduce((sum, candidate) => sum + candidate.cost, 0)
     const running = chosen.reduce((sum, candidate) => sum + candidate.running, 0)
-    const score = cost + running * DRAIN_COST_PER_REQUEST - (freedMb - missingMb) / MB_PER_GB * SPARE_VALUE_PER_GB
+    const cost = chosen.reduce((sum, candidate) => sum + candidate.cost, 0) + running * DRAIN_COST_PER_REQUEST
+    const score = cost - (freedMb - missingMb) / MB_PER_GB * SPARE_VALUE_PER_GB
     if (score >= bestScore) continue
     best = { models: chosen.map(({ model }) => model), cost, running }
     bestScore = score
--- a/packages/scheduler/drain_test.ts
+++ b/packages/scheduler/drain_test.ts
@@ -1,13 +1,12 @@
 import test from 'ava'
-import { testConfiguration, testModel, testPlanningInput, testView } from './_test_fleet.ts'
+import { testModel, testPlanningInput, testView } from './_test_fleet.ts'
+import { testHolder } from './_test_holder.ts'
 import { openOrder } from './_track_engines.ts'
 import type { Drain, EngineView, OpenOrder } from './engine_view.ts'
-import { leaseTimes } from './lease.ts'
 import { PlacementPolicy } from './placement_policy.ts'
 import { planOrders } from './plan_orders.ts'
 import type { Plan } from './planning_input.ts'
 import { reduceScheduler } from './reduce_scheduler.ts'
-import { newSchedulerState } from './scheduler_state.ts'
 
 const MODELS = [testModel('wanted', 34), testModel('busy', 34), testModel('other', 34)]
 const DRAIN: Drain = { models: ['busy', 'other'], replacement: 'wanted', untilMs: 1000 }
@@ -46,18 +45,11 @@
 
 // Each round of planning wrote a line, tens of them a second.
 test('a drain that goes on is recorded once', (t) => {
-  const initial = newSchedulerState({ instance: 'entry-1', incarnation: 'x', address: '' }, { times: leaseTimes({ enginesCheckFence: true, holderChangeMs: 3000 }), policy: new DrainingPolicy() })
-  const taken = [
-    { kind: 'configured' as const, configuration: testConfiguration(MODELS) },
-    { kind: 'lease_read' as const, era: 0, version: 1, lease: { fence: 0, holder: null, writeId: '' } },
-    { kind: 'ticked' as const }
-  ].reduce((state, event) => reduceScheduler(state, { ...event, nowMs: 0, clockMs: 0 }).state, initial)
-  const held = reduceScheduler(taken, { kind: 'lease_written', writeId: taken.pending?.lease.writeId ?? '', version: 2, nowMs: 5, clockMs: 5 }).state
-  let state = { ...held, engines: new Map([['a', testView('a', ['busy'], ['wanted'])]]) }
+  let state = testHolder(new DrainingPolicy(), MODELS, [testView('a', ['busy'], ['wanted'])])
   let records = 0
   for (let nowMs = 40; nowMs <= 2000; nowMs += 40) {
     const reduced = reduceScheduler(state, { kind: 'ticked', nowMs, clockMs: nowMs })
-    state = { ...reduced.state, engines: new Map(reduced.state.engines) }
+    state = reduced.state
     records += reduced.effects.filter((effect) => effect.kind === 'record' && effect.record.what === 'model_closed').length
   }
   t.is(records, 1)
--- a/packages/scheduler/plan_orders.ts
+++ b/packages/scheduler/plan_orders.ts
@@ -5,7 +5,6 @@
 import { placementOptions, type PlacementOption } from './_placement_options.ts'
 import { planAdapters } from './_plan_adapters.ts'
 import { planCopies, planPreloads } from './_plan_copies.ts'
-import { DRAIN_COST_PER_REQUEST } from './_plan_evictions.ts'
 import type { EngineView } from './engine_view.ts'
 import { PlacementPolicy } from './placement_policy.ts'
 import type { Plan, PlanningInput } from './planning_input.ts'
@@ -81,7 +80,7 @@
   const maxRunning = draft.replicas(model.name).length > 0 ? 0 : maxDrainedRequests(draft, model.name)
   const [best] = placementOptions(draft, model, { engines, maxRunning, includeBusyEngines: true })
     .filter(({ view, evictions }) => evictions.running === 0 || _mayDrain(draft, model, view))
-    .map((option): _RatedOption => ({ option, net: gain(option) - option.evictions.cost - option.evictions.running * DRAIN_COST_PER_REQUEST - _occupationCost(draft, model, option) }))
+    .map((option): _RatedOption => ({ option, net: gain(option) - option.evictions.cost - _occupationCost(draft, model, option) }))
     .sort((a, b) => b.net - a.net || a.option.readyInMs - b.option.readyInMs)
   return best !== undefined && best.net >= MIN_NET_GAIN ? best.option : undefined
 }
--- a/packages/scheduler/unserved_demand.ts
+++ b/packages/scheduler/unserved_demand.ts
@@ -1,4 +1,4 @@
-import { demandKey, type ServiceDemand } from './demand.ts'
+import { demandKey, REPORT_TTL_MS, type ServiceDemand } from './demand.ts'
 import type { EngineView } from './engine_view.ts'
 
 /** A model or an adapter that is asked for while no engine can serve it. */
@@ -16,8 +16,6 @@
 
 /** Time after the last request from which nobody is expected to ask again, in ms: longer than callers stay away after a refusal. */
 const FORGET_AFTER_MS = 10_000
-/** Longest time between two updates for which requests are counted, in ms: that of a report, beyond which its rates are not known. */
-const MAX_COUNTED_MS = 1500
 const MS_PER_SECOND = 1000
 
 /**
@@ -48,7 +46,8 @@
 
 function _count (known: UnservedSubject | undefined, ratePerS: number, nowMs: number): UnservedSubject {
   if (known === undefined) return { sinceMs: nowMs, askedAtMs: nowMs, missed: 0 }
-  const countedMs = Math.min(MAX_COUNTED_MS, nowMs - known.askedAtMs)
+  // Rates are not known beyond the age of a report.
+  const countedMs = Math.min(REPORT_TTL_MS, nowMs - known.askedAtMs)
   return { sinceMs: known.sinceMs, askedAtMs: nowMs, missed: known.missed + ratePerS * countedMs / MS_PER_SECOND }
 }
 
@@ -83,7 +82,7 @@
  *
  * @example
  * ```ts
- * const isOverdue = unservedMs(unserved, demandKey('m'), nowMs) > 1000
+ * const isOverdue = unservedMs(unserved, demandKey('m', 'a1'), nowMs) > 1000
  * ```
  */
 export function unservedMs (unserved: UnservedDemand, key: string, nowMs: number): number {
