Lay out the work for customers, overload and prefix caches, and the types that its parts share

Cause: two deployments join whose load the system cannot serve: keyed callers (no customer is known on the platform's path), and uneven engines.

--- /dev/null
+++ b/packages/customers/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Identity of customers: keys, ranks and checks.
+ *
+ * @module
+ */
+export {}
--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -149,6 +149,8 @@
       callerId: facts.id,
       fingerprint: _fingerprint(call.request, identified.body),
       promptParts: facts.promptParts,
+      promptPartTokens: facts.promptPartTokens,
+      ...facts.tokens === undefined ? {} : { promptTokens: facts.tokens.prompt, outputTokens: facts.tokens.output },
       resumedAttempt: facts.lastEventId === undefined ? undefined : facts.resumedAttempt ?? '',
       route: route.name,
       service: chooseService(route, options.random()),
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -28,6 +28,31 @@
   /** Whether an interrupted stream can be resumed on another upstream. */
   readonly resumable: boolean
   readonly services: readonly WeightedService[]
+  /** Whether callers need no key; false by default. */
+  readonly anonymous?: boolean
+}
+
+/** Rate that a customer may use on all instances together. */
+export interface Quota {
+  /** What is counted: requests, or the tokens of their prompts and answers. */
+  readonly unit: 'requests' | 'tokens'
+  /** Units per second. */
+  readonly perS: number
+  /** Units that may be used at once after a pause. */
+  readonly burst: number
+  /** Units of a request that does not state its tokens, if tokens are counted. */
+  readonly plainTokens: number
+}
+
+/** A customer whose callers identify themselves with a key. */
+export interface Customer {
+  readonly name: string
+  /** SHA-256 digests of the customer's keys, in hexadecimal. */
+  readonly keyDigests: readonly string[]
+  /** Priority rank, which goes before that of the route; 0 is the highest priority. */
+  readonly rank?: number
+  /** Absent if the customer's requests are not limited. */
+  readonly quota?: Quota
 }
 
 /** A model that the engines of a service can load. */
@@ -81,4 +106,6 @@
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<string, Service>
   readonly limits: CallerLimits
+  /** Customers by name; absent if callers need no key. */
+  readonly customers?: ReadonlyMap<string, Customer>
 }
--- /dev/null
+++ b/packages/limits/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Token buckets, and quotas of customers that all instances share.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/outliers/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Upstreams that fail far more often than the others of their service.
+ *
+ * @module
+ */
+export {}
--- a/packages/platform/http_headers.ts
+++ b/packages/platform/http_headers.ts
@@ -12,6 +12,10 @@
   readonly resumedAttempt: string | undefined
   /** Ids of the parts of the prompt, in order; the last one belongs to the request or its session alone. */
   readonly promptParts: readonly string[]
+  /** Tokens of each part, in the order of `promptParts`; 0 if the caller does not state them. */
+  readonly promptPartTokens: readonly number[]
+  /** Tokens of the prompt and maximum number of tokens of the response; undefined if the caller does not state them. */
+  readonly tokens: { readonly prompt: number, readonly output: number } | undefined
 }
 
 /** One attempt to forward a request to an upstream. */
@@ -106,7 +110,8 @@
     callerTimeoutMs: _positive(_firstValue(headers, 'deadline-ms')),
     lastEventId: _firstValue(headers, 'last-event-id'),
     resumedAttempt: _firstValue(headers, 'resumes'),
-    promptParts: _promptParts(_firstValue(headers, 'prompt-prefix'))
+    ..._promptParts(_firstValue(headers, 'prompt-prefix')),
+    tokens: _tokens(_firstValue(headers, 'token-count'))
   }
 }
 
@@ -301,9 +306,16 @@
 }
 
 // Each part is an id, a colon and the number of its tokens.
-function _promptParts (text: string | undefined): readonly string[] {
-  if (text === undefined) return []
-  return text.split(',').map((part) => part.split(':')[0]?.trim() ?? '').filter((id) => id !== '')
+function _promptParts (text: string | undefined): Pick<RequestMetadata, 'promptParts' | 'promptPartTokens'> {
+  const parts = (text ?? '').split(',').map((part) => part.split(':')).map(([id = '', tokens]) => ({ id: id.trim(), tokens: _positive(tokens) ?? 0 })).filter(({ id }) => id !== '')
+  return { promptParts: parts.map(({ id }) => id), promptPartTokens: parts.map(({ tokens }) => tokens) }
+}
+
+// The first number counts the prompt, the second one limits the response.
+function _tokens (text: string | undefined): RequestMetadata['tokens'] {
+  const [prompt, output, ...rest] = (text ?? '').split(',').map((count) => count.trim() === '' ? NaN : Number(count))
+  if (prompt === undefined || output === undefined || rest.length > 0) return undefined
+  return Number.isFinite(prompt) && Number.isFinite(output) && prompt >= 0 && output >= 0 ? { prompt, output } : undefined
 }
 
 function _milliseconds (seconds: string | undefined): number | undefined {
--- a/packages/platform/platform_wire_test.ts
+++ b/packages/platform/platform_wire_test.ts
@@ -37,9 +37,11 @@
   const callerHeaders = ['Host', 'h', 'Attempt-Id', 'a1', 'Model', 'm/a1', 'Hold', 'x', 'Pin-Ms', '9', 'Kv-From', 'y', 'Deadline-Ms', '9000', 'Connection', 'keep-alive', 'Last-Event-Id', '3']
   const attempt = { callerHeaders, upstream: 'i-1', remainingMs: 812.7, rank: 1, bodyBytes: 4, keepAlive: false }
   t.snapshot({ first: attemptHeaders({ ...attempt, lastEventId: undefined }).join(' '), resumed: attemptHeaders({ ...attempt, lastEventId: '12' }).join(' ') })
-  t.deepEqual(readRequestHeaders({ 'attempt-id': 'a1', model: 'm/a1', 'deadline-ms': '250' }), { id: 'a1', model: 'm', adapter: 'a1', callerTimeoutMs: 250, lastEventId: undefined, resumedAttempt: undefined, promptParts: [] })
+  t.deepEqual(readRequestHeaders({ 'attempt-id': 'a1', model: 'm/a1', 'deadline-ms': '250' }), { id: 'a1', model: 'm', adapter: 'a1', callerTimeoutMs: 250, lastEventId: undefined, resumedAttempt: undefined, promptParts: [], promptPartTokens: [], tokens: undefined })
   t.is(readRequestHeaders({ resumes: 'a0' }).resumedAttempt, 'a0')
   t.deepEqual(readRequestHeaders({ 'prompt-prefix': '5c1e07a2:800, 91bd3f06:410,e4402b7d:250' }).promptParts, ['5c1e07a2', '91bd3f06', 'e4402b7d'])
+  t.deepEqual(readRequestHeaders({ 'prompt-prefix': '5c1e07a2:800,91bd3f06,e4402b7d:x' }).promptPartTokens, [800, 0, 0])
+  t.deepEqual(['1460,80', '1460, 80', '1460', '1,2,3', ',5', '-1,5', 'x,y'].map((count) => readRequestHeaders({ 'token-count': count }).tokens), [{ prompt: 1460, output: 80 }, { prompt: 1460, output: 80 }, undefined, undefined, undefined, undefined, undefined])
   t.deepEqual(readResponseHeaders(421, {}), { id: undefined, notRun: true, misdirected: true, signed: false, unencoded: true, requestLimitPerS: undefined, leaving: false, retryAfterMs: undefined, maxRejectionsPerS: undefined })
   t.like(readResponseHeaders(503, { 'retry-after': '0.5', 'server-leaving': '1', 'server-brittle': '4' }), { retryAfterMs: 500, leaving: true, maxRejectionsPerS: 4 })
   t.is(readResponseHeaders(429, { 'retry-after': '0.5' }).retryAfterMs, undefined)
--- /dev/null
+++ b/packages/prompt_cache/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * What is known of the prompts that engines still hold.
+ *
+ * @module
+ */
+export {}
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -10,6 +10,16 @@
   readonly fingerprint: string
   /** Ids of the parts of the prompt, in order; the last one belongs to the request or its session alone. */
   readonly promptParts: readonly string[]
+  /** Tokens of each part of the prompt, in the order of `promptParts`; absent if they are not known. */
+  readonly promptPartTokens?: readonly number[]
+  /** Tokens of the prompt; absent if the caller does not state them. */
+  readonly promptTokens?: number
+  /** Maximum number of tokens of the response; absent if the caller does not state it. */
+  readonly outputTokens?: number
+  /** Name of the customer; absent if the deployment has no customers or the route is anonymous. */
+  readonly customer?: string
+  /** Units that the request counts against the customer's quota; absent if the customer has none. */
+  readonly quotaUnits?: number
   /** Caller's id of the attempt that brought the first event of the stream that this request resumes, if it does. */
   readonly resumedAttempt: string | undefined
   readonly route: string
@@ -21,8 +31,10 @@
   readonly retryable: boolean
   /** Maximum number of attempts that may have run the request. */
   readonly maxRuns: number
-  /** Priority rank of the route; 0 is the most urgent. */
+  /** Priority rank; 0 is the most urgent. That of the customer goes before that of the route. */
   readonly rank: number
+  /** Priority rank of the route, by which requests of one rank are ordered; absent if it is `rank`. */
+  readonly routeRank?: number
   /** Latency objective of the request, in ms from its arrival. */
   readonly objectiveMs: number
   /** Local time of arrival, in ms. */
