Halve the processor time of a heartbeat, and derive targets and placements only if they changed

Routing targets and the published placement were derived again for each answer. Intervals stay as they are.

--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -52,9 +52,13 @@
   const { list, configuration } = state
   if (list === undefined || configuration === undefined) return step(state)
   const engines = _publishedEngines(state, at)
-  const routingTargets = new Map([...list.upstreams.values()].map((upstream) => [upstream.id, _routingTarget(configuration, upstream, engines.get(upstream.id))]))
-  const version = state.targetsVersion + 1
-  return applyServingEvent({ ...state, targetsVersion: version }, { kind: 'targets_changed', targets: routingTargets, loadEstimatesMs: _expectedLoads(state, at), version, nowMs: at.nowMs })
+  const known = state.serving.targets
+  const current = new Map([...list.upstreams.values()].map((upstream) => [upstream.id, _routingTarget(configuration, upstream, engines.get(upstream.id))]))
+  const isSame = known.size === current.size && [...current].every(([id, target]) => known.get(id) === target)
+  const loadEstimatesMs = _expectedLoads(state, at)
+  if (isSame && loadEstimatesMs.size === 0 && state.serving.loadEstimatesMs.size === 0) return step(state)
+  const version = isSame ? state.targetsVersion : state.targetsVersion + 1
+  return applyServingEvent({ ...state, targetsVersion: version }, { kind: 'targets_changed', targets: isSame ? known : current, loadEstimatesMs, version, nowMs: at.nowMs })
 }
 
 function _isViewFresh (state: EdgeState, at: Instant): boolean {
--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -158,9 +158,18 @@
   return Math.round(ratePerS * 100) / 100
 }
 
-// Configurations contain maps, which plain JSON cannot represent.
+const encodedConfigurations = new WeakMap<object, string>()
+
+// Configurations contain maps, which plain JSON cannot represent. All instances need the same one after a change, and encoding one of hundreds
+// of models takes milliseconds.
 function _encodeUpdate (update: RegistryUpdate): string {
-  return superjson.stringify(update)
+  const { configuration, upstreams } = update
+  if (configuration === undefined || upstreams !== undefined) return superjson.stringify(update)
+  const known = encodedConfigurations.get(configuration)
+  if (known !== undefined) return known
+  const encoded = superjson.stringify(update)
+  encodedConfigurations.set(configuration, encoded)
+  return encoded
 }
 
 function _decodeUpdate (text: string): RegistryUpdate {
--- a/packages/edge/_peer_client.ts
+++ b/packages/edge/_peer_client.ts
@@ -1,8 +1,10 @@
+import { Agent } from 'node:http'
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { ResultAsync } from 'neverthrow'
 import { decodeHeartbeatAnswer, encodeHeartbeat } from './_heartbeat_codec.ts'
 import type { HeartbeatAnswer, HeartbeatRequest } from './heartbeat.ts'
 import type { PeerRouter } from './_peer_router.ts'
+import { postCall } from './_post_call.ts'
 
 /** Timeout of a call to another instance, in ms: two heartbeat intervals. */
 const PEER_TIMEOUT_MS = 400
@@ -23,13 +25,14 @@
 
 /** Creates a client with a timeout on each call. */
 export function createPeerClient (): PeerClient {
+  const agent = new Agent({ keepAlive: true })
   const clients = new Map<string, ReturnType<typeof createClient>>()
 
   function createClient (address: string) {
     return createTRPCClient<PeerRouter>({
       links: [httpLink({
         url: `http://${address}`,
-        fetch: async (url, init) => limitAnswer(await fetch(url, { ...init as RequestInit, signal: AbortSignal.timeout(PEER_TIMEOUT_MS) }))
+        fetch: (url, init) => postCall(String(url), String(init?.body ?? ''), { agent, timeoutMs: PEER_TIMEOUT_MS, maxBytes: MAX_ANSWER_BYTES })
       })]
     })
   }
@@ -48,25 +51,12 @@
   }
 }
 
-// What answers at the address of an instance that has ended may be anything.
-function limitAnswer (response: Response): Response {
-  let bytes = 0
-  const counted = response.body?.pipeThrough(new TransformStream<Uint8Array, Uint8Array>({
-    transform: (chunk, controller) => {
-      bytes += chunk.length
-      if (bytes > MAX_ANSWER_BYTES) controller.error(new Error(`Answer exceeds ${MAX_ANSWER_BYTES} bytes`))
-      else controller.enqueue(chunk)
-    }
-  }))
-  return new Response(counted ?? null, response)
-}
-
 function _toPeerFailure (error: unknown): PeerFailure {
   const message = error instanceof Error ? error.message : String(error)
   return { refused: _errorCodes(error).includes('ECONNREFUSED'), message }
 }
 
-// A failed fetch carries the system error code in its chain of causes.
+// tRPC wraps the error of a failed call, which carries the system error code.
 function _errorCodes (error: unknown): readonly string[] {
   if (!(error instanceof Error)) return []
   const code = 'code' in error && typeof error.code === 'string' ? [error.code] : []
--- a/packages/edge/_peer_router.ts
+++ b/packages/edge/_peer_router.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { initTRPC } from '@trpc/server'
-import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { readBody } from '@berylshed/platform'
+import { initTRPC, TRPCError } from '@trpc/server'
+import { getHTTPStatusCodeFromError } from '@trpc/server/http'
+import { TRPC_ERROR_CODES_BY_KEY } from '@trpc/server/rpc'
 import { Schema } from 'effect'
 import { decodeHeartbeat, encodeHeartbeatAnswer, HeartbeatWire } from './_heartbeat_codec.ts'
 import { createLimitedServer } from './_limited_server.ts'
@@ -20,9 +22,12 @@
 /** Keep-alive timeout of connections between instances, in ms: several heartbeat intervals. */
 const KEEP_ALIVE_MS = 5000
 
+const OK = 200
 const LENGTH_REQUIRED = 411
 const PAYLOAD_TOO_LARGE = 413
 const SERVICE_UNAVAILABLE = 503
+/** Name of the procedure. */
+const EXCHANGE = 'exchange'
 
 /** Calls that an instance serves to other instances. */
 export interface PeerService {
@@ -43,17 +48,53 @@
 /** Type of the router, for clients. */
 export type PeerRouter = ReturnType<typeof createPeerRouter>
 
-/** Creates the server for other instances; it does not listen yet. */
+/**
+ * Creates the server for other instances; it does not listen yet.
+ *
+ * It answers like tRPC's own handler, which converts each request to that of `fetch` and back. A holder answers hundreds a second.
+ */
 export function createPeerServer (service: PeerService): Server {
-  const handler = createHTTPHandler({ router: createPeerRouter(service), maxBodySize: MAX_BODY_BYTES, allowBatching: false })
+  const caller = trpc.createCallerFactory(createPeerRouter(service))({})
   const admit = createAdmission()
+
+  async function answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      const input = await readInput(request)
+      // The sender of a call that waited in this process may have given up and sent another one.
+      if (request.socket.destroyed) return
+      respond(response, OK, { result: { data: await caller.exchange(input) } })
+    } catch (error) {
+      const failure = error instanceof TRPCError ? error : new TRPCError({ code: 'INTERNAL_SERVER_ERROR', cause: error })
+      const status = getHTTPStatusCodeFromError(failure)
+      respond(response, status, { error: { message: failure.message, code: TRPC_ERROR_CODES_BY_KEY[failure.code], data: { code: failure.code, httpStatus: status, path: EXCHANGE } } })
+    }
+  }
+
   return createLimitedServer({ maxConnections: MAX_CONNECTIONS, exchangeMs: EXCHANGE_MS, keepAliveMs: KEEP_ALIVE_MS }, (request, response) => {
     const refusedStatus = admit(request, response)
-    if (refusedStatus === undefined) handler(request, response)
-    else response.writeHead(refusedStatus, { connection: 'close' }).end()
+    if (refusedStatus !== undefined) return response.writeHead(refusedStatus, { connection: 'close' }).end()
+    answer(request, response).catch(() => response.destroy())
   })
 }
 
+function respond (response: ServerResponse, status: number, value: unknown): void {
+  if (response.destroyed || response.headersSent) return
+  const body = JSON.stringify(value)
+  response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
+}
+
+// The procedure checks the input.
+async function readInput (request: IncomingMessage): Promise<typeof HeartbeatWire.Type> {
+  if (request.method !== 'POST' || request.url?.split('?')[0] !== `/${EXCHANGE}`) throw new TRPCError({ code: 'NOT_FOUND', message: `No procedure at ${request.method} ${request.url}` })
+  const body = await readBody(request, MAX_BODY_BYTES)
+  if (body === undefined) throw new TRPCError({ code: 'PAYLOAD_TOO_LARGE', message: `The call exceeds ${MAX_BODY_BYTES} bytes` })
+  try {
+    return JSON.parse(body.toString('utf8')) as typeof HeartbeatWire.Type
+  } catch (error) {
+    throw new TRPCError({ code: 'PARSE_ERROR', message: 'The call is not JSON', cause: error })
+  }
+}
+
 // Returns a function that admits a request, or returns the status with which it is refused.
 function createAdmission (): (request: IncomingMessage, response: ServerResponse) => number | undefined {
   // Large ones, of which a few are due after a change, must not keep the others out.
--- /dev/null
+++ b/packages/edge/peer_call_test.ts
@@ -0,0 +1,97 @@
+import { createServer, type AddressInfo } from 'node:net'
+import { createTRPCClient, httpLink } from '@trpc/client'
+import { createHTTPServer } from '@trpc/server/adapters/standalone'
+import test, { type ExecutionContext } from 'ava'
+import { answerHeartbeat } from './_peer_heartbeat.ts'
+import { decodeHeartbeatAnswer, encodeHeartbeat } from './_heartbeat_codec.ts'
+import { closeServer, listenAt } from './_listen.ts'
+import { createPeerClient } from './_peer_client.ts'
+import { createPeerRouter, createPeerServer, type PeerRouter, type PeerService } from './_peer_router.ts'
+import type { HeartbeatRequest } from './heartbeat.ts'
+import { at, startHolder } from './_test_instances.ts'
+
+const ANY_PORT = '127.0.0.1:0'
+const REQUEST: HeartbeatRequest = {
+  report: { instance: 'other', incarnation: 'other', unmetDemand: [], requestRates: [], loads: [], adapters: [] },
+  configurationVersion: 0,
+  listRevision: 0,
+  receivedView: { holder: '', version: 0 },
+  receivedEvidence: { origin: '', version: 0 },
+  receivedOrigins: { origin: '', version: 0 },
+  origins: undefined,
+  wantedOrigins: [],
+  historyKnown: true,
+  evidence: undefined,
+  limits: [],
+  brittle: [],
+  members: '',
+  grant: undefined,
+  update: undefined
+}
+const SERVICE: PeerService = { heartbeat: (request) => answerHeartbeat(startHolder(), request, at(1200)) }
+
+async function startServer (t: ExecutionContext): Promise<string> {
+  const server = createPeerServer(SERVICE)
+  const address = await listenAt(server, ANY_PORT)
+  t.teardown(() => {
+    server.closeAllConnections()
+    return closeServer(server)
+  })
+  return address
+}
+
+test('a heartbeat is answered over a connection', async (t) => {
+  const address = await startServer(t)
+  const client = createPeerClient()
+  t.deepEqual((await client.heartbeat(address, REQUEST))._unsafeUnwrap(), SERVICE.heartbeat(REQUEST))
+  t.deepEqual((await client.heartbeat(address, REQUEST))._unsafeUnwrap(), SERVICE.heartbeat(REQUEST))
+})
+
+test('the client of the build before is answered', async (t) => {
+  const address = await startServer(t)
+  const client = createTRPCClient<PeerRouter>({ links: [httpLink({ url: `http://${address}` })] })
+  t.deepEqual(decodeHeartbeatAnswer(await client.exchange.mutate(encodeHeartbeat(REQUEST))), SERVICE.heartbeat(REQUEST))
+  await t.throwsAsync(client.exchange.mutate({ ...encodeHeartbeat(REQUEST), listRevision: 'x' } as never))
+})
+
+test('the server of the build before is understood', async (t) => {
+  const server = createHTTPServer({ router: createPeerRouter(SERVICE) })
+  const address = await listenAt(server, ANY_PORT)
+  t.teardown(() => {
+    server.closeAllConnections()
+    return closeServer(server)
+  })
+  t.deepEqual((await createPeerClient().heartbeat(address, REQUEST))._unsafeUnwrap(), SERVICE.heartbeat(REQUEST))
+})
+
+test('a call that is malformed, too large or of no procedure costs that call alone', async (t) => {
+  const address = await startServer(t)
+  const post = async (path: string, body: string) => (await fetch(`http://${address}${path}`, { method: 'POST', body, headers: { 'content-type': 'application/json' } })).status
+  t.deepEqual(await Promise.all([post('/exchange', '{'), post('/exchange', '{}'), post('/exchange', 'null'), post('/absent', '{}')]), [400, 400, 400, 404])
+  t.is(await post('/exchange', `"${'x'.repeat(5 * 1024 * 1024)}"`).catch(() => 413), 413)
+  t.true((await createPeerClient().heartbeat(address, REQUEST)).isOk())
+})
+
+test('a call to an address where nobody listens is refused, and one without an answer ends', async (t) => {
+  const silent = createServer((socket) => { socket.on('error', () => {}).resume() })
+  await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve))
+  const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`
+  const unanswered = (await createPeerClient().heartbeat(address, REQUEST))._unsafeUnwrapErr()
+  t.false(unanswered.refused)
+  await new Promise((resolve) => silent.close(resolve))
+  const refused = (await createPeerClient().heartbeat(address, REQUEST))._unsafeUnwrapErr()
+  t.true(refused.refused)
+})
+
+test('an answer that is cut off or no answer fails the call', async (t) => {
+  for (const bytes of ['HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"result":', 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno', 'nonsense\r\n\r\n']) {
+    const server = createServer((socket) => {
+      socket.on('error', () => {})
+      socket.once('data', () => socket.end(bytes))
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const failure = (await createPeerClient().heartbeat(`127.0.0.1:${(server.address() as AddressInfo).port}`, REQUEST))._unsafeUnwrapErr()
+    t.false(failure.refused, bytes)
+    server.close()
+  }
+})
--- a/packages/scheduler/_plan_copies.ts
+++ b/packages/scheduler/_plan_copies.ts
@@ -12,19 +12,30 @@
 
 /** Plans loads of models without a copy on any engine, so that later loads from disk take a fraction of a second. */
 export function planCopies (draft: PlacementDraft): void {
+  const maxLoads = draft.input.demand.models.size === 0 ? MAX_COPY_LOADS_WHEN_IDLE : MAX_COPY_LOADS_WHEN_BUSY
+  const reservedFor = _modelsWithReservation(draft)
+  let refusedMb = Infinity
   for (const model of draft.input.engine.models.values()) {
-    if (draft.enginesWithCopy(model.name).length === 0) _planCopy(draft, model)
+    if (draft.storeLoadsInProgress() >= maxLoads || draft.remainingStoreLoads() <= 0) return
+    if (draft.enginesWithCopy(model.name).length > 0 || draft.hasPendingEviction(model.name) || draft.replicas(model.name).length > 0) continue
+    // Engines only fill up within a round, so no engine has room for a larger model either, unless memory is reserved for it.
+    if (model.memoryMb >= refusedMb && !reservedFor.has(model.name)) continue
+    if (!_planCopy(draft, model) && !reservedFor.has(model.name)) refusedMb = Math.min(refusedMb, model.memoryMb)
   }
 }
 
-function _planCopy (draft: PlacementDraft, model: Model): void {
-  const maxLoads = draft.input.demand.models.size === 0 ? MAX_COPY_LOADS_WHEN_IDLE : MAX_COPY_LOADS_WHEN_BUSY
-  if (draft.storeLoadsInProgress() >= maxLoads || draft.remainingStoreLoads() <= 0) return
-  if (draft.hasPendingEviction(model.name) || draft.replicas(model.name).length > 0) return
+function _modelsWithReservation (draft: PlacementDraft): ReadonlySet<string> {
+  return new Set(draft.input.views.flatMap(({ reservation, drain }) => [reservation?.model ?? [], drain?.replacement ?? []].flat()))
+}
+
+// Reports whether some engine has room for the copy.
+function _planCopy (draft: PlacementDraft, model: Model): boolean {
   const best = placementOptions(draft, model, { engines: draft.input.views, maxRunning: 0, includeBusyEngines: false })
     .filter(({ evictions }) => evictions.cost <= MAX_COPY_COST)
     .sort((a, b) => a.evictions.cost - b.evictions.cost || a.view.copies.onDisk.length - b.view.copies.onDisk.length)[0]
-  if (best !== undefined) _addOrder(draft, model, { ...best, reason: 'no copy on any disk' })
+  if (best === undefined) return false
+  _addOrder(draft, model, { ...best, reason: 'no copy on any disk' })
+  return true
 }
 
 /** Preloads models that no engine holds into unused memory, so that their next requests do not wait. */
--- a/packages/scheduler/published_placement.ts
+++ b/packages/scheduler/published_placement.ts
@@ -17,10 +17,14 @@
 export interface PublishedPlacement {
   readonly version: number
   readonly engines: ReadonlyMap<string, PublishedEngine>
+  /** Views from which the placement was derived. */
+  readonly source: ReadonlyMap<string, EngineView>
+  /** Whether the placement can change only with the views, not by the passing of time. */
+  readonly settled: boolean
 }
 
 /** Initial placement without engines. */
-export const EMPTY_PLACEMENT: PublishedPlacement = { version: 0, engines: new Map() }
+export const EMPTY_PLACEMENT: PublishedPlacement = { version: 0, engines: new Map(), source: new Map(), settled: false }
 
 /** Time after which an accepted adapter load counts as finished, in ms; twice the longest load of an adapter. */
 const ADAPTER_LOAD_MS = 14
@@ -39,6 +43,7 @@
  * ```
  */
 export function publishPlacement (previous: PublishedPlacement, views: ReadonlyMap<string, EngineView>, nowMs: number): PublishedPlacement {
+  if (views === previous.source && previous.settled) return previous
   const changed: PublishedEngine[] = []
   const version = previous.version + 1
   let versionChanged = views.size !== previous.engines.size
@@ -51,8 +56,10 @@
     changed.push({ version: isNew ? version : known.version, placed: isNew ? placed : known.placed, source: view, settled: _isSettled(view, nowMs) })
   }
   if (changed.length === 0 && !versionChanged) return previous
+  const settled = changed.every((engine) => engine.settled)
   const kept = [...previous.engines].filter(([id]) => views.has(id))
-  return { version: versionChanged ? version : previous.version, engines: new Map([...kept, ...changed.map((engine) => [engine.placed.upstream, engine] as const)]) }
+  const engines = new Map([...kept, ...changed.map((engine) => [engine.placed.upstream, engine] as const)])
+  return { version: versionChanged ? version : previous.version, engines, source: views, settled }
 }
 
 function _placed (view: EngineView, nowMs: number): PlacedEngine {
