Keep calls of the store from growing with the fleet while it or the lease holder does not answer

Followers read the lease every 300 ms each while the holder was not reached, retried failed reads every 250 to 500 ms each, began reads of their own 0.9 s after the holder's last one, and waited 5.5 s with all of this for a first lease where engines check no fencing tokens. Change: reads of the lease by all instances stay at 100 a second, retries at about 130; a follower relies on the holder for 0.45 of the time in which changes must take effect; on the first start of the whole system the lease is taken at a random time within 2 s, only in the first 8 s of a process and the first era of the store, as a later missing lease may be one that a restored store has lost.

--- a/packages/edge/_follow_registry.ts
+++ b/packages/edge/_follow_registry.ts
@@ -14,6 +14,8 @@
 const BATCH_MS = 250
 /** Delay after a failed call, in ms, plus random jitter of up to the same length. */
 const RETRY_MS = 250
+/** Minimum of that delay for each instance, in ms, so that all instances of a fleet that the store does not answer call it about 130 times per second. */
+const RETRY_PER_INSTANCE_MS = 10
 /** Minimum interval between reads without a delay after the history of the store is gone, in ms. */
 const REREAD_INTERVAL_MS = 1000
 /** Time of consecutive failures that counts as an outage, in ms. */
@@ -25,6 +27,8 @@
 export interface RegistryHooks {
   nowMs (): number
   random (): number
+  /** Returns the number of instances that follow the store. */
+  instances (): number
   configured (configuration: Configuration): void
   listed (list: UpstreamList): void
   /** Returns the newest known list, from the store or from another instance. */
@@ -80,7 +84,8 @@
 }
 
 function retryDelay (hooks: RegistryHooks): Effect.Effect<void> {
-  return Effect.sleep(RETRY_MS + hooks.random() * RETRY_MS)
+  const delayMs = Math.max(RETRY_MS, RETRY_PER_INSTANCE_MS * hooks.instances())
+  return Effect.sleep(delayMs + hooks.random() * delayMs)
 }
 
 // A store that does not wait would be called without a pause.
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -24,13 +24,6 @@
 const MEMBER_LIFE_MS = 1500
 /** Time after which an instance that reported nothing no longer counts, in ms. */
 const INSTANCE_LIFE_MS = 4000
-/**
- * Maximum age of the holder's last read of the store, in ms, at which this instance makes no calls of its own.
- *
- * It allows for one watch, one heartbeat and some delay, and stays below half of the time within which a leaving upstream
- * must stop receiving work.
- */
-const MAX_RELAY_AGE_MS = 900
 
 /** Sends a heartbeat to the lease holder if one is due; the holder applies its own report directly. */
 export function sendHeartbeat (state: EdgeState, at: Instant): EdgeStep {
@@ -349,5 +342,5 @@
  */
 export function isRegistryRelayed (state: EdgeState, nowMs: number): boolean {
   if (state.scheduler.held !== undefined || state.received === undefined) return false
-  return nowMs - state.received.registryReadAtMs < MAX_RELAY_AGE_MS
+  return nowMs - state.received.registryReadAtMs < state.maxRelayAgeMs
 }
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -120,6 +120,7 @@
     metricsAddress: anyPort,
     storeAddress: '',
     storeWritesPerS: 400,
+    firstStart: false,
     memoryBytes: 480 * 1024 * 1024,
     maxDescriptors: 6300,
     bounds: {
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -35,6 +35,10 @@
 
 /** Writes per second of the store of the smallest deployments. */
 const DEFAULT_STORE_WRITES_PER_S = 400
+/** Time within which changes of the registry must take effect in the smallest deployments, in ms. */
+const DEFAULT_REGISTRY_DELAY_MS = 2000
+/** Part of that time after which an instance reads the store itself; the rest is for its first reads. */
+const RELAY_AGE_SHARE = 0.45
 const NO_EXCHANGE: HolderExchange = { holder: '', receivedVersion: 0, acknowledgedVersion: 0, sentVersion: 0 }
 
 /** State of an entry instance. */
@@ -71,6 +75,8 @@
   readonly draining: boolean
   /** Writes per second that the store takes from all instances together. */
   readonly storeWritesPerS: number
+  /** Maximum age of the holder's last read of the store at which this instance makes no calls of its own, in ms. */
+  readonly maxRelayAgeMs: number
   /** Number of instances that shared limits when the newest lease was written; 1 if it does not tell. */
   readonly leasedInstances: number
   /** Local time since which this instance has held the lease without a break, in ms; undefined if it does not hold it. */
@@ -91,6 +97,10 @@
   readonly startedAtMs?: number
   /** Writes per second that the store takes from all instances together; those of the smallest deployment by default. */
   readonly storeWritesPerS?: number
+  /** Time after which this process takes a lease that nobody ever held, in ms; only if the whole system starts for the first time. */
+  readonly firstTakeoverMs?: number
+  /** Time within which changes of the configuration and of the upstreams must take effect, in ms; that of the smallest deployment by default. */
+  readonly registryDelayMs?: number
   /** Host and port at which other instances hand over requests; none by default. */
   readonly relayAddress?: string
   /** Placement policy; defaults to the one used in production. */
@@ -116,7 +126,7 @@
     configuration: undefined,
     routes: buildRouteTable({ version: 0, routes: [], services: new Map(), limits: { maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 } }),
     list: undefined,
-    scheduler: newSchedulerState(self, { times: leaseTimes(options.leaseBounds), ...options.policy === undefined ? {} : { policy: options.policy } }),
+    scheduler: newSchedulerState(self, { times: leaseTimes(options.leaseBounds), ...options.policy === undefined ? {} : { policy: options.policy }, ...options.firstTakeoverMs === undefined ? {} : { firstTakeoverMs: options.firstTakeoverMs }, ...options.startedAtMs === undefined ? {} : { startedAtMs: options.startedAtMs } }),
     serving: { ...newServingState({ ...options, instance: self.instance }), historyKnown: false, versionsConfirmedAtMs: -Infinity },
     received: undefined,
     heartbeatInFlight: false,
@@ -132,6 +142,7 @@
     tickedAt: { nowMs: 0, clockMs: 0 },
     draining: false,
     storeWritesPerS: options.storeWritesPerS ?? DEFAULT_STORE_WRITES_PER_S,
+    maxRelayAgeMs: RELAY_AGE_SHARE * (options.registryDelayMs ?? DEFAULT_REGISTRY_DELAY_MS),
     leasedInstances: 1,
     heldSinceMs: undefined,
     relayAddress: options.relayAddress ?? ''
--- a/packages/edge/ends_test.ts
+++ b/packages/edge/ends_test.ts
@@ -42,6 +42,7 @@
     metricsAddress: ANY_PORT,
     storeAddress: '',
     storeWritesPerS: 400,
+    firstStart: false,
     memoryBytes: 480 * 1024 * 1024,
     maxDescriptors: 6300,
     bounds: { upstreamDrainMs: 2000, registrationTtlMs: 3600, configurationMs: 2000, shutdownGraceMs: GRACE_MS, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000 }
--- a/packages/edge/follow_registry_test.ts
+++ b/packages/edge/follow_registry_test.ts
@@ -56,6 +56,7 @@
   const fiber = Effect.runFork(followUpstreams(registry, {
     nowMs: () => now,
     random: () => 0,
+    instances: () => 1,
     configured: () => {},
     listed: (list) => { newest = list },
     newestList: () => newest,
@@ -103,6 +104,7 @@
   const hooks: RegistryHooks = {
     nowMs: () => performance.now(),
     random: () => 0,
+    instances: () => 1,
     configured: () => {},
     listed: (list) => {
       listed.push(list.upstreams.size)
@@ -171,7 +173,7 @@
   test(`a store that ${name} is not called without a pause`, async (t) => {
     const registry = create()
     const hooks: RegistryHooks = {
-      nowMs: () => performance.now(), random: () => 0, configured: () => {}, listed: () => {}, newestList: () => undefined, isRelayed: () => false, read: () => {}, lost: () => {}, regained: () => {}, registrationTtlMs: 3600
+      nowMs: () => performance.now(), random: () => 0, instances: () => 1, configured: () => {}, listed: () => {}, newestList: () => undefined, isRelayed: () => false, read: () => {}, lost: () => {}, regained: () => {}, registrationTtlMs: 3600
     }
     const fibers = [followConfiguration(registry, hooks), followUpstreams(registry, hooks)].map((follow) => Effect.runFork(follow))
     await new Promise((resolve) => setTimeout(resolve, 1500))
--- a/packages/edge/restored_store_test.ts
+++ b/packages/edge/restored_store_test.ts
@@ -37,6 +37,7 @@
   const hooks: RegistryHooks = {
     nowMs: () => performance.now(),
     random: () => 0,
+    instances: () => 1,
     registrationTtlMs: REGISTRATION_TTL_MS,
     configured: (known: Configuration) => { state = apply(state, { subject: 'configured', configuration: known, from: 'store', at: at(performance.now()) }) },
     listed: (list: UpstreamList) => { state = apply(state, { subject: 'listed', list, at: at(performance.now()) }) },
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -39,6 +39,8 @@
  * readiness probes, one second apart.
  */
 const READINESS_DELAY_MS = 2600
+/** Time over which the instances of a system that starts for the first time spread their attempts to take the lease, in ms; an instance reads it several times meanwhile. */
+const FIRST_TAKEOVER_SPREAD_MS = 2000
 /** Maximum part of the grace period reserved for the exit of the process, in ms. */
 const EXIT_RESERVE_MS = 700
 /** Maximum part of the grace period in which the last responses are delivered, in ms: many round trips within a region. */
@@ -111,6 +113,8 @@
       leaseBounds: bounds,
       phase: Math.random(),
       startedAtMs: nowMs(),
+      ...settings.firstStart ? { firstTakeoverMs: Math.random() * FIRST_TAKEOVER_SPREAD_MS } : {},
+      registryDelayMs: Math.min(bounds.upstreamDrainMs, bounds.configurationMs),
       storeWritesPerS: settings.storeWritesPerS
     }),
     reduce: reduceEdge,
@@ -329,6 +333,7 @@
     nowMs,
     registrationTtlMs: bounds.registrationTtlMs + REMOVAL_DELAY_MS,
     random: () => Math.random(),
+    instances: () => loop.state().serving.instances,
     configured: (configuration) => applyConfiguration(configuration, 'store'),
     listed: (list) => loop.dispatch({ subject: 'listed', list, at: at() }),
     newestList: () => loop.state().list,
--- a/packages/platform/host_settings.ts
+++ b/packages/platform/host_settings.ts
@@ -42,6 +42,8 @@
   readonly storeAddress: string
   /** Writes per second that the store takes from all instances together. */
   readonly storeWritesPerS: number
+  /** Whether the whole system starts for the first time, so that no earlier process has left anything in the store. */
+  readonly firstStart: boolean
   /** Resident memory above which the platform ends the process, in bytes. */
   readonly memoryBytes: number
   /** Number of file descriptors that the process may hold, of which the platform reserves some for files. */
@@ -59,6 +61,7 @@
   // `Front` accepts callers, `Ready` the load balancer, `Control` the other instances.
   Listen: Schema.Struct({ Front: Schema.NonEmptyString, Ready: Schema.NonEmptyString, Control: Schema.NonEmptyString }),
   InternalPorts: Schema.Tuple([Schema.Int, Schema.Int]),
+  Bootstrap: Schema.optionalKey(Schema.NullOr(Schema.Boolean)),
   // Interval between the heartbeats of an upstream to the store.
   HeartbeatMs: OptionalNumber,
   Limits: Schema.optionalKey(Schema.NullOr(Schema.Struct({ MemoryMb: OptionalNumber, MaxFds: OptionalNumber }))),
@@ -112,6 +115,7 @@
     relayAddress: `${wire.Ip}:${wire.InternalPorts[0] + 1}`,
     metricsAddress: `${wire.Ip}:${wire.InternalPorts[0]}`,
     storeAddress: wire.Platform.Address,
+    firstStart: wire.Bootstrap ?? false,
     storeWritesPerS: wire.Platform.WritesPerS ?? DEFAULT_STORE_WRITES_PER_S,
     memoryBytes: _positiveOr(wire.Limits?.MemoryMb, DEFAULT_MEMORY_MB) * BYTES_PER_MB,
     maxDescriptors: Math.floor(_positiveOr(wire.Limits?.MaxFds, DEFAULT_MAX_DESCRIPTORS)),
--- a/packages/scheduler/_hold_lease.ts
+++ b/packages/scheduler/_hold_lease.ts
@@ -10,8 +10,12 @@
 
 type _Step = Step<SchedulerState, SchedulerEffect>
 
+/** Time after the start of a process in which the system may still be starting for the first time, in ms; instances start within a second of each other. */
+const FIRST_START_MS = 8000
 /** Interval between reads of the lease while its holder cannot be reached, in ms. */
 const READ_INTERVAL_MS = 300
+/** Minimum of that interval for each instance, in ms, so that all instances together make up to 100 reads per second. */
+const READ_INTERVAL_PER_INSTANCE_MS = 10
 /** Time without contact after which the lease is read from the store, in ms; two heartbeats. */
 const HOLDER_CONTACT_TIMEOUT_MS = 600
 /** Time after which a holder that has ended, or that nobody knows, is replaced if engines check fencing tokens, in ms. */
@@ -108,7 +112,8 @@
 function _followHolder (state: SchedulerState, at: Instant): _Step {
   if (_isLeaseVacant(state, at)) return _startWrite(state, { fence: _nextFence(state), holder: state.self }, at)
   const contacted = at.nowMs - state.holderReachedAtMs < HOLDER_CONTACT_TIMEOUT_MS
-  if (contacted || at.nowMs - state.leaseReadAtMs < READ_INTERVAL_MS) return step(state)
+  const intervalMs = Math.max(READ_INTERVAL_MS, READ_INTERVAL_PER_INSTANCE_MS * state.instances)
+  if (contacted || at.nowMs - state.leaseReadAtMs < intervalMs) return step(state)
   return step({ ...state, leaseReadAtMs: at.nowMs }, [{ kind: 'read_lease' }])
 }
 
@@ -120,6 +125,7 @@
   if (holder === undefined && state.leaseVersion > 0) return true
   // A missing lease object may be one that a restored store has lost, while its holder is still active.
   const quietMs = at.nowMs - state.quietSinceMs
+  if (_isFirstStart(state, at) && quietMs >= state.firstTakeoverMs) return true
   // The holder of an earlier build knows nothing of the object of this era, so two would give orders.
   if (state.legacyLease && holder !== undefined) return quietMs >= state.times.takeoverMs + LEGACY_MARGIN_MS
   // A holder with the name of this instance is an earlier process of it, which has ended.
@@ -129,6 +135,11 @@
   return quietMs >= state.times.takeoverMs + (mayBridge ? state.times.bridgeMs : 0)
 }
 
+// Later, a missing lease object may be one that a restored store has lost.
+function _isFirstStart (state: SchedulerState, at: Instant): boolean {
+  return state.lease === undefined && state.leaseVersion === 0 && state.leaseEra === 0 && at.nowMs < state.startedAtMs + FIRST_START_MS
+}
+
 /** Applies the lease read from the store. */
 export function observeLease (state: SchedulerState, observed: ObservedLease, at: Instant): _Step {
   const legacyLease = observed.legacy === true
--- a/packages/scheduler/scheduler_state.ts
+++ b/packages/scheduler/scheduler_state.ts
@@ -86,6 +86,10 @@
   readonly stopping: boolean
   /** Whether this instance reaches none of several upstreams. */
   readonly isolated: boolean
+  /** Time after which this process takes a lease that nobody ever held, in ms; Infinity unless the whole system starts for the first time. */
+  readonly firstTakeoverMs: number
+  /** Local time at which this process started, in ms. */
+  readonly startedAtMs: number
   /** Requests per second that engines take from all instances together, for those that name a limit. */
   readonly limitsPerS: ReadonlyMap<string, number>
 }
@@ -94,6 +98,10 @@
 export interface SchedulerOptions {
   readonly times: LeaseTimes
   readonly policy?: PlacementPolicy
+  /** Time after which the process takes a lease that nobody ever held, in ms; by default it waits like for any other lease. */
+  readonly firstTakeoverMs?: number
+  /** Local time at which the process started, in ms; 0 by default. */
+  readonly startedAtMs?: number
 }
 
 /**
@@ -141,6 +149,8 @@
     nextId: 0,
     stopping: false,
     isolated: false,
+    firstTakeoverMs: options.firstTakeoverMs ?? Infinity,
+    startedAtMs: options.startedAtMs ?? 0,
     limitsPerS: new Map()
   }
 }
