Order waiting requests by what callers lose, and refuse early what waits in vain

In overload the most overdue request was always the next, so nearly all were served late. A customer at 20 times its usual load took what the others were owed.

Change: the decisions are in packages/queueing. A request whose model no upstream lists is refused 1.2 s after it began to wait, if the lease holder announced its loads meanwhile and expects none of it. A request that meets full upstreams is refused on arrival if the backlog ahead, divided by the rate of granted slots, outlasts its caller; one that will be sent late waits beyond the maximum of before. Late requests go behind those of their rank and route rank that are in time, except for each eighth slot. Customers of one rank share by rounds of 1,000 tokens. Retry-After is spread by a hash of the request's id.

--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -54,7 +54,14 @@
   const engines = _publishedEngines(state, at)
   const routingTargets = new Map([...list.upstreams.values()].map((upstream) => [upstream.id, _routingTarget(configuration, upstream, engines.get(upstream.id))]))
   const version = state.targetsVersion + 1
-  return applyServingEvent({ ...state, targetsVersion: version }, { kind: 'targets_changed', targets: routingTargets, loadEstimatesMs: _expectedLoads(state, at), version, nowMs: at.nowMs })
+  const announcement = _announcement(state)
+  return applyServingEvent({ ...state, targetsVersion: version }, { kind: 'targets_changed', targets: routingTargets, loadEstimatesMs: _expectedLoads(state, at), version, ...announcement === undefined ? {} : { announcement }, nowMs: at.nowMs })
+}
+
+// Names the lease holder that told which loads are expected, and when. The holder itself learns of its own orders at once.
+function _announcement ({ scheduler, self, received }: EdgeState): { readonly holder: string, readonly atMs: number } | undefined {
+  if (scheduler.held !== undefined) return { holder: self.incarnation, atMs: Infinity }
+  return received === undefined ? undefined : { holder: received.view.holder.incarnation, atMs: received.receivedAtMs }
 }
 
 function _isViewFresh (state: EdgeState, at: Instant): boolean {
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -1,5 +1,6 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
+import { estimateWait, isLoadRuledOut, noteSent, noteWaiting, orderQueue, rateKey, retryAfter, type WaitEstimate } from '@berylshed/queueing'
 import { dequeueRequest, recordAdapterUse, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
 import { isVersionUnavailable, pinRequest } from './_pin_streams.ts'
@@ -7,7 +8,6 @@
 import { chooseUpstream, offersModel, ownedWaitMs, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
 import { chooseRelay, relayKey, type Relay } from './relay.ts'
 import { wantedOrigins } from './origin_exchange.ts'
-import { unmetDemand } from './instance_report.ts'
 import { patienceOf } from './patience.ts'
 import type { RefusalReason } from './refusal.ts'
 import type { Request, Attempt } from './request.ts'
@@ -56,21 +56,30 @@
 
 /** Sends the waiting requests of one service, most urgent first, and refuses those that have waited too long. */
 export function dispatchService (state: ServingState, service: string, nowMs: number): _Step {
-  let next = state
+  const ordered = _orderQueue(state, service, nowMs)
+  let next = ordered.state
   const effects: ServingEffect[] = []
-  const round: _Round = { futile: new Map(), longer: new Map(), nowMs }
-  for (const request of _byUrgency(state, service)) {
+  const round = _newRound(nowMs)
+  for (const request of ordered.order) {
     const dispatched = _dispatchRequest(next, request, round)
     next = dispatched.state
-    effects.push(...dispatched.effects)
+    for (const effect of dispatched.effects) effects.push(effect)
   }
-  const reported = _reportDemand(next, nowMs)
+  const queueing = noteWaiting(next.queueing, service, { keys: new Set(Array.from(round.waiting.keys(), (model) => rateKey({ service, model }))), nowMs })
+  const reported = _reportDemand(queueing === next.queueing ? next : { ...next, queueing })
   return step(reported.state, [...effects, ...reported.effects])
 }
 
+// Orders the queue of a service by what callers lose.
+function _orderQueue (state: ServingState, service: string, nowMs: number): { readonly state: ServingState, readonly order: readonly Request[] } {
+  const queue = state.waiting.get(service) ?? []
+  const ordered = orderQueue(state.queueing, service, { queue, find: (id) => Option.getOrUndefined(HashMap.get(state.requests, id)), nowMs })
+  return { state: ordered.state === state.queueing ? state : { ...state, queueing: ordered.state }, order: ordered.order }
+}
+
 /** Returns the upstream or relay to which a waiting request would be sent now, ahead of all others; undefined if it would wait or end. */
 export function nextReceiver (state: ServingState, request: Request, nowMs: number): string | undefined {
-  const { effects } = _dispatchRequest(state, request, { futile: new Map(), longer: new Map(), nowMs })
+  const { effects } = _dispatchRequest(state, request, _newRound(nowMs))
   return effects.flatMap((effect) => effect.kind === 'send' ? [effect.upstream] : [])[0]
 }
 
@@ -81,9 +90,15 @@
   readonly futile: _FutileSearches
   /** Requests that lately took longer than the time until the end of a stop, by route. */
   readonly longer: Map<string, number>
+  /** Requests that this round has left waiting for slots, by model; the empty one stands for none. */
+  readonly waiting: Map<string, number>
   readonly nowMs: number
 }
 
+function _newRound (nowMs: number): _Round {
+  return { futile: new Map(), longer: new Map(), waiting: new Map(), nowMs }
+}
+
 function _dispatchRequest (before: ServingState, queued: Request, round: _Round): _Step {
   const { nowMs } = round
   const request = pinRequest(before, queued, nowMs)
@@ -98,7 +113,7 @@
   if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, round })
   const relay = search.kind === 'absent' && _isOnlyOutOfReach(state, request, nowMs) ? chooseRelay(state, request, nowMs) : undefined
   if (relay !== undefined) return _handOver(state, request, { relay, reason: `${state.unreachable.size} of ${state.targets.size} upstreams cannot be reached`, nowMs })
-  return _waitOrRefuse(state, request, { search, nowMs })
+  return _waitOrRefuse(state, request, { search, waiting: round.waiting, nowMs })
 }
 
 // Reports whether a request may still run when the instance ends its requests; another instance can serve it to its end.
@@ -146,7 +161,7 @@
   if (request.resumedAttempt !== undefined && request.softwareVersion === undefined) return { kind: 'unknown_origin' }
   // Earlier attempts narrow the choice of a request, so its search tells nothing of others.
   if (request.attempts.length > 0) return chooseUpstream(state, request, nowMs)
-  const need = [request.model, request.adapter, request.softwareVersion, request.handover !== undefined].join(' ')
+  const need = _needOf(request)
   const known = futile.get(need)
   if (known !== undefined) return known
   const search = chooseUpstream(state, request, nowMs)
@@ -154,21 +169,17 @@
   return search
 }
 
+// Names what a request needs. Most need a model alone, whose name is hashed once for all rounds; other names are marked to differ from it.
+function _needOf ({ model, adapter, softwareVersion, handover }: Request): string {
+  if (adapter === undefined && softwareVersion === undefined && handover === undefined) return model ?? ''
+  return `\n${model} ${adapter} ${softwareVersion} ${handover !== undefined}`
+}
+
 // A request that may have crashed an upstream waits until the responses to others or further crashes tell whether it did.
 function _isHeldBack (state: ServingState, request: Request): boolean {
   return request.phase === 'waiting' && request.runs > 0 && hasSuspectedPart(state.evidence, request)
 }
 
-// Orders interrupted streams first, then by priority rank, then by the time at which the latency objective is missed.
-function _byUrgency (state: ServingState, service: string): readonly Request[] {
-  const requests = (state.waiting.get(service) ?? []).flatMap((id) => Option.toArray(HashMap.get(state.requests, id)))
-  if (requests.length < 2) return requests
-  return requests.sort((a, b) => {
-    return Number(b.phase === 'interrupted') - Number(a.phase === 'interrupted') || a.rank - b.rank ||
-      a.arrivedAtMs + a.objectiveMs - b.arrivedAtMs - b.objectiveMs
-  })
-}
-
 // Reports whether upstreams offer what a request needs, and only this instance has no path to any of them.
 function _isOnlyOutOfReach (state: ServingState, request: Request, nowMs: number): boolean {
   return [...state.unreachable.keys()].some((upstream) => {
@@ -189,7 +200,7 @@
   const upstream = relayKey(relay)
   const attempt: Attempt = { number: request.attempts.length + 1, upstream, relay, softwareVersion: '', sentAtMs: nowMs }
   const next = _sentRequest(request, attempt)
-  const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
+  const counted = updateTargetLoad(putRequest(_leaveQueue(state, request, nowMs), next), upstream, (load) => ({ ...load, ownRequests: load.ownRequests + 1 }))
   return step(_countHandover(counted, request, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream, relay, patienceMs: patienceOf(counted, next, nowMs).patienceMs },
     requestRecord('sent', next, { nowMs, upstream, relay: relay.instance, sending: attempt.number, detail: reason })
@@ -203,6 +214,13 @@
   return { ...state, retryWindows: new Map(state.retryWindows).set(request.service, window) }
 }
 
+// Takes a request that is sent out of its queue, and counts the slot that it was granted.
+function _leaveQueue (state: ServingState, request: Request, nowMs: number): ServingState {
+  const left = dequeueRequest(state, request)
+  const queueing = noteSent(state.queueing, request, nowMs)
+  return queueing === state.queueing ? left : { ...left, queueing }
+}
+
 function _sentRequest (request: Request, attempt: Attempt): Request {
   return { ...request, phase: request.phase === 'interrupted' ? 'responding' : 'sent', attempts: [...request.attempts, attempt], runs: request.runs + 1, enduredFor: undefined }
 }
@@ -219,7 +237,7 @@
   const next = _sentRequest(request, attempt)
   const before = targetLoad(state, upstream)
   const window = countAttempt(state.retryWindows.get(request.service) ?? EMPTY_RETRY_WINDOW, { isRetry: attempt.number > 1, nowMs })
-  const counted = updateTargetLoad(putRequest(dequeueRequest(state, request), next), upstream, (load) => ({
+  const counted = updateTargetLoad(putRequest(_leaveQueue(state, request, nowMs), next), upstream, (load) => ({
     ...load, ownRequests: load.ownRequests + 1, sentAtMs: nowMs, unanswered: next.phase === 'sent' ? load.unanswered + 1 : load.unanswered
   }))
   const marked = recordAdapterUse({ ...counted, retryWindows: new Map(counted.retryWindows).set(request.service, window) }, request, { upstream, nowMs })
@@ -233,20 +251,76 @@
 
 interface _WaitOptions {
   readonly search: UpstreamSearch
+  /** Requests that this round has left waiting for slots, by model; the empty one stands for none. */
+  readonly waiting: Map<string, number>
   readonly nowMs: number
 }
 
 function _waitOrRefuse (state: ServingState, request: Request, options: _WaitOptions): _Step {
-  const { nowMs } = options
+  const { search, waiting, nowMs } = options
   // The caller of a stream that has begun cannot be told to retry.
   if (state.shuttingDown && request.phase !== 'interrupted') return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS })
-  const waitUntilMs = _waitUntilMs(state, request, options)
-  const resumesAtMs = options.search.kind === 'full' ? options.search.resumesAtMs : undefined
+  const resumesAtMs = search.kind === 'full' ? search.resumesAtMs : undefined
+  const untilMs = _waitUntilMs(state, request, options)
+  // Most requests neither have just arrived nor have waited for long, so the estimate is made for the others only.
+  const estimate = request.waitingSinceMs === nowMs || nowMs >= untilMs ? _estimateWait(state, request, options) : undefined
+  const waitUntilMs = estimate === undefined || nowMs < untilMs ? untilMs : _extendWait(request, { untilMs, estimate, nowMs })
   if (_isUnservable(state, request, options)) return refuseRequest(state, request, { reason: 'no_replica', nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
-  if (_isHopeless(state, request, { search: options.search, nowMs, waitUntilMs })) return refuseRequest(state, request, { reason: 'no_capacity', nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
-  if (nowMs < waitUntilMs && (resumesAtMs === undefined || resumesAtMs < waitUntilMs)) return step(state)
+  if (_isLoadRuledOut(state, request, options)) return refuseRequest(state, request, { reason: 'no_replica', nowMs, detail: 'no load is expected', retryAfterMs: _retryAfterMs(state, request, nowMs) })
+  const hasArrived = request.waitingSinceMs === nowMs && request.attempts.length === 0
+  if (hasArrived && _isHopeless(state, request, { search, waiting, nowMs, waitUntilMs })) return refuseRequest(state, request, { reason: 'no_capacity', nowMs, detail: 'owner\'s queue', retryAfterMs: _retryAfterMs(state, request, nowMs) })
+  if (hasArrived && estimate !== undefined && _isBacklogTooLong(request, estimate, nowMs)) return _refuseForCapacity(state, request, { estimate, detail: 'backlog', nowMs })
+  if (nowMs < waitUntilMs && (resumesAtMs === undefined || resumesAtMs < waitUntilMs)) {
+    if (search.kind === 'full') _countWaiting(waiting, request)
+    return step(state)
+  }
   if (resumesAtMs !== undefined && resumesAtMs > nowMs) return refuseRequest(state, request, { reason: 'upstreams_paused', nowMs, retryAfterMs: resumesAtMs - nowMs })
-  return refuseRequest(state, request, { reason: _refusalReason(state, request, options.search), nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
+  if (search.kind === 'full') return _refuseForCapacity(state, request, { estimate, nowMs })
+  return refuseRequest(state, request, { reason: _refusalReason(state, request, search), nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
+}
+
+function _countWaiting (waiting: Map<string, number>, request: Request): void {
+  const model = request.model ?? ''
+  waiting.set(model, (waiting.get(model) ?? 0) + 1)
+}
+
+// Estimates the wait for a slot; requests that the round has left waiting go before this one. Those of owners and pauses have bounds of their own.
+function _estimateWait (state: ServingState, request: Request, { search, waiting, nowMs }: _WaitOptions): WaitEstimate | undefined {
+  if (search.kind !== 'full' || search.maxWaitMs !== undefined || search.resumesAtMs !== undefined || request.phase === 'interrupted') return undefined
+  return estimateWait(state.queueing.rates.get(rateKey(request)), waiting.get(request.model ?? '') ?? 0, nowMs)
+}
+
+interface _EstimateOptions {
+  readonly estimate: WaitEstimate | undefined
+  readonly nowMs: number
+}
+
+// A backlog is judged on arrival: later the caller has spent its time, and a rate that dips for a moment would end many waits at once.
+function _isBacklogTooLong (request: Request, estimate: WaitEstimate, nowMs: number): boolean {
+  return nowMs + estimate.waitMs > _latestSendMs(request)
+}
+
+// A request that is expected to be sent in time for its caller goes on waiting, as a late response is worth more than a refusal.
+function _extendWait (request: Request, { untilMs, estimate, nowMs }: { readonly untilMs: number, readonly estimate: WaitEstimate, readonly nowMs: number }): number {
+  const latestMs = _latestSendMs(request)
+  return nowMs + estimate.waitMs <= latestMs ? latestMs : untilMs
+}
+
+function _refuseForCapacity (state: ServingState, request: Request, { estimate, detail, nowMs }: _EstimateOptions & { readonly detail?: string }): _Step {
+  const retryAfterMs = retryAfter(request.id, { roomInMs: estimate?.waitMs, minMs: DEFAULT_RETRY_AFTER_MS })
+  const fields = estimate === undefined ? {} : { waitMs: Math.round(estimate.waitMs), ahead: estimate.ahead, grantedPerS: Math.round(estimate.perS * 100) / 100 }
+  return refuseRequest(state, request, { reason: 'no_capacity', nowMs, retryAfterMs, fields, ...detail === undefined ? {} : { detail } })
+}
+
+// A request whose model no upstream lists waits only until the lease holder has had the time to announce a load of it.
+function _isLoadRuledOut (state: ServingState, request: Request, { search, nowMs }: _WaitOptions): boolean {
+  const { model, service } = request
+  if (search.kind !== 'absent' || request.phase === 'interrupted' || request.softwareVersion !== undefined || model === undefined) return false
+  const { announcements } = state.queueing
+  const isExpected = _readyAtMs(state, request) !== undefined
+  if (!isLoadRuledOut({ waitingSinceMs: request.waitingSinceMs, announcements, isExpected }, nowMs)) return false
+  const services = [...state.targets.values()].filter((target) => target.service === service && !target.leaving)
+  return services.length > 0 && services.every(({ models }) => models !== undefined && !models.has(model))
 }
 
 // A request whose model is held nowhere is refused once its load is known to end after the caller has left; the caller may return.
@@ -269,10 +343,9 @@
 
 // A request that has just arrived at the only instance which sends to its upstreams is refused if those ahead of it take too long.
 function _isHopeless (state: ServingState, request: Request, options: _WaitOptions & { readonly waitUntilMs: number }): boolean {
-  const { search, nowMs, waitUntilMs } = options
-  if (search.kind !== 'full' || request.attempts.length > 0 || request.waitingSinceMs !== nowMs) return false
-  const queue = state.waiting.get(request.service) ?? []
-  const ahead = queue.flatMap((id) => Option.toArray(HashMap.get(state.requests, id))).filter(({ id, model, rank }) => id !== request.id && model === request.model && rank <= request.rank).length
+  const { search, waiting, nowMs, waitUntilMs } = options
+  if (search.kind !== 'full') return false
+  const ahead = waiting.get(request.model ?? '') ?? 0
   return nowMs + (ownedWaitMs(state, request, { ahead, nowMs }) ?? 0) > waitUntilMs
 }
 
@@ -305,15 +378,36 @@
 
 function _retryAfterMs (state: ServingState, request: Request, nowMs: number): number {
   const readyAtMs = _readyAtMs(state, request)
-  return readyAtMs === undefined ? DEFAULT_RETRY_AFTER_MS : Math.max(DEFAULT_RETRY_AFTER_MS, readyAtMs - nowMs)
+  return retryAfter(request.id, { roomInMs: readyAtMs === undefined ? undefined : readyAtMs - nowMs, minMs: DEFAULT_RETRY_AFTER_MS })
 }
 
 // Changes of unmet demand are reported to the lease holder immediately unless none is left; the rest follows with the
-// next heartbeat.
-function _reportDemand (state: ServingState, nowMs: number): _Step {
-  const current = unmetDemand(state, nowMs).map((demand) => `${demand.service} ${demand.model} ${demand.adapter ?? ''}`).sort().join(';')
-  const wanted: readonly ServingEffect[] = wantedOrigins(state).length === 0 ? [] : [{ kind: 'origin_wanted' }]
-  if (current === state.reportedDemand) return step(state, wanted)
-  const changed = { ...state, reportedDemand: current }
+// next heartbeat. The same queues have the same demand, unless a request of them may yet learn its software version.
+function _reportDemand (state: ServingState): _Step {
+  if (state.waiting === state.queueing.reported) return step(state)
+  const demand = _demandOf(state)
+  const wanted: readonly ServingEffect[] = demand.isFinal || wantedOrigins(state).length === 0 ? [] : [{ kind: 'origin_wanted' }]
+  const noted: ServingState = { ...state, queueing: { ...state.queueing, reported: demand.isFinal ? state.waiting : undefined } }
+  const current = [...demand.keys].sort().join(';')
+  if (current === state.reportedDemand) return step(noted, wanted)
+  const changed = { ...noted, reportedDemand: current }
   return current === '' ? step(changed, wanted) : step(changed, [...wanted, { kind: 'demand_changed' }])
 }
+
+// Lists the models and adapters of the unmet demand, and tells whether every waiting request is known to be part of it or not.
+function _demandOf (state: ServingState): { readonly keys: ReadonlySet<string>, readonly isFinal: boolean } {
+  const keys = new Set<string>()
+  let isFinal = true
+  for (const queue of state.waiting.values()) {
+    const models = new Set<string>()
+    for (const id of queue) {
+      const request = Option.getOrUndefined(HashMap.get(state.requests, id))
+      if (request === undefined || (request.adapter === undefined && request.resumedAttempt === undefined && models.has(request.model ?? ''))) continue
+      const isUnknown = request.resumedAttempt !== undefined && request.softwareVersion === undefined
+      if (!isUnknown && request.adapter === undefined) models.add(request.model ?? '')
+      if (isUnknown) isFinal = false
+      else if (request.model !== undefined) keys.add(`${request.service} ${request.model} ${request.adapter ?? ''}`)
+    }
+  }
+  return { keys, isFinal }
+}
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -1,5 +1,6 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
+import { noteAnnouncement } from '@berylshed/queueing'
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { applyAnnouncement, applyBrittleServices } from './_apply_announcement.ts'
 import { changeEvidence } from './_change_evidence.ts'
@@ -196,7 +197,8 @@
     return before !== undefined && before.incarnation < target.incarnation
   })
   const unreachable = new Map([...state.unreachable].filter(([id]) => targets.has(id) && !restarted.some(({ upstream }) => upstream === id)))
-  const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
+  const queueing = event.announcement === undefined ? state.queueing : { ...state.queueing, announcements: noteAnnouncement(state.queueing.announcements, event.announcement, nowMs) }
+  const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, queueing, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
     ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -58,6 +58,12 @@
   readonly closesInMs?: number
   /** Recent requests of the route that took longer than that; absent if the instance is not about to shut down. */
   readonly longerRequests?: number
+  /** Expected wait for a slot, in ms, if a request is refused for it or was not sent in time. */
+  readonly waitMs?: number
+  /** Requests that would have gone before it. */
+  readonly ahead?: number
+  /** Slots per second that the upstreams of its model lately granted to this instance. */
+  readonly grantedPerS?: number
   /** Time since the response started when the attempt failed, in ms; absent if it had not started. */
   readonly respondingMs?: number
 }
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,3 +1,4 @@
+import type { LoadAnnouncements } from '@berylshed/queueing'
 import type { EvidenceUpdate } from './evidence_update.ts'
 import type { Relay } from './relay.ts'
 import type { OriginUpdate } from './stream_origins.ts'
@@ -53,7 +54,8 @@
   | { readonly kind: 'caller_left', readonly id: string }
   /** An exception kept the request from being handled; its caller has been answered. */
   | { readonly kind: 'exchange_failed', readonly id: string }
-  | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number }
+  /** The upstreams, their models or the expected loads have changed; `announcement` says which lease holder told it when, if one did. */
+  | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number, readonly announcement?: Pick<LoadAnnouncements, 'holder' | 'atMs'> }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
   /** Another instance sent changes of its crash evidence, or the lease names quarantines. */
   | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines'> }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -1,4 +1,5 @@
 import { HashMap, Option } from 'effect'
+import { NO_QUEUES, type QueueingState } from '@berylshed/queueing'
 import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
@@ -42,6 +43,8 @@
   readonly requests: HashMap.HashMap<string, Request>
   /** Ids of the waiting requests, by service. */
   readonly waiting: ReadonlyMap<string, readonly string[]>
+  /** Order of the waiting requests, and what was observed of their waits. */
+  readonly queueing: QueueingState
   readonly targets: ReadonlyMap<string, RoutingTarget>
   readonly placementVersion: number
   /** Estimated time until a model is loaded, in ms from `estimatedAtMs`, by model. */
@@ -125,6 +128,7 @@
     instances: 1,
     requests: HashMap.empty(),
     waiting: new Map(),
+    queueing: NO_QUEUES,
     targets: new Map(),
     placementVersion: 0,
     loadEstimatesMs: new Map(),
