--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -14,6 +14,7 @@
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
+import { noteLoadAnnouncement } from './load_announcement.ts'
 import { noteFirstByte, slowestFirstByteMs } from './patience.ts'
 import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
@@ -196,7 +197,8 @@
     return before !== undefined && before.incarnation < target.incarnation
   })
   const unreachable = new Map([...state.unreachable].filter(([id]) => targets.has(id) && !restarted.some(({ upstream }) => upstream === id)))
-  const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
+  const announced = event.announcement === undefined ? state : noteLoadAnnouncement(state, event.announcement, nowMs)
+  const changed: ServingState = { ...announced, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
     ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
