Add quotas of customers that all instances share, and move the token bucket to packages/limits

Cause: no quota is enforced on the platform's path, and equal shares of a small quota are smaller than one request at 32 instances. Change: packages/limits holds the token bucket, the lease holder's ledger (one bucket per customer, cumulative counters per process), the allowances that it hands out, and an instance's side: admission, the first request beyond a share, fallback turns without an allowance, refunds.

--- a/packages/limits/mod.ts
+++ b/packages/limits/mod.ts
@@ -3,4 +3,7 @@
  *
  * @module
  */
-export {}
+export * from './instance_quotas.ts'
+export * from './quota_ledger.ts'
+export * from './quota_message.ts'
+export * from './token_bucket.ts'
--- a/packages/requests/_customer_load.ts
+++ b/packages/requests/_customer_load.ts
@@ -1,7 +1,7 @@
 import { HashMap, Option } from 'effect'
 import type { CustomerLoad, RequestsState } from './requests_state.ts'
 import type { CustomerRules } from './rules.ts'
-import { fullBucket, refillBucket, type BucketLimit } from './token_bucket.ts'
+import { fullBucket, refillBucket, type BucketLimit } from '@berylshed/limits'
 
 /** Returns the share of a customer's limit that one of the live instances enforces. */
 export function divideLimit (limit: BucketLimit, instanceCount: number): BucketLimit {
--- a/packages/requests/requests_state.ts
+++ b/packages/requests/requests_state.ts
@@ -3,7 +3,7 @@
 import type { RetryBudget } from './retry_budget.ts'
 import { fullRetryBudget } from './retry_budget.ts'
 import type { Rules } from './rules.ts'
-import type { TokenBucket } from './token_bucket.ts'
+import type { TokenBucket } from '@berylshed/limits'
 import { INITIAL_LOAD, type UpstreamLoad } from './upstream_load.ts'
 
 /** Usage of one customer on this instance. */
--- a/packages/requests/rules.ts
+++ b/packages/requests/rules.ts
@@ -1,4 +1,4 @@
-import type { BucketLimit } from './token_bucket.ts'
+import type { BucketLimit } from '@berylshed/limits'
 
 /** Limits and weight of one customer, resolved from its template. */
 export interface CustomerRules {
