Refuse requests over their customer's quota with 429, and give back what did not run

Cause: requests beyond a customer's quota ran. Change: reduceServing charges a request on arrival (_charge_quota.ts); a refusal is `quota_exceeded`, status 429, not run, with the time until the bucket admits it. A request that ends without a run is given back where it is removed. Requests that were handed over and retries are not charged again. Lines name the customer, its units, the units left and the age of the allowance.

--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -1,4 +1,5 @@
 import { HashMap } from 'effect'
+import { refundRequest } from '@berylshed/limits'
 import { step, type Step } from '@berylshed/reducer'
 import { adapterKey } from '@berylshed/scheduler'
 import type { TargetLoad } from './routing_target.ts'
@@ -66,7 +67,14 @@
   const released = releaseSlot(dequeueRequest(state, request), request, nowMs)
   const [first] = request.attempts
   const routeDurations = first === undefined ? released.routeDurations : observeDuration(released.routeDurations, request.route, nowMs - first.sentAtMs)
-  return { ...released, routeDurations, requests: HashMap.remove(released.requests, request.id) }
+  return _refundUnrun({ ...released, routeDurations, requests: HashMap.remove(released.requests, request.id) }, request)
+}
+
+// A request that certainly has not run does not count against its customer's quota.
+function _refundUnrun (state: ServingState, request: Request): ServingState {
+  const { customer, chargedUnits = 0, runs } = request
+  if (customer === undefined || chargedUnits === 0 || runs > 0) return state
+  return { ...state, quotas: refundRequest(state.quotas, { customer, units: chargedUnits }) }
 }
 
 /** Updates the observed load of an upstream with the outcome of an attempt. */
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -2,6 +2,7 @@
 import { step, type Step } from '@berylshed/reducer'
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { applyAnnouncement, applyBrittleServices } from './_apply_announcement.ts'
+import { applyQuotas, changeQuotas, chargeQuota, endAllowances, noteFallback } from './_charge_quota.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { forgetUnused } from './_forget_unused.ts'
 import { weighSilence } from './continuation.ts'
@@ -55,6 +56,9 @@
     case 'upstream_announced': return applyAnnouncement(state, event)
     case 'relays_received': return dispatchAll({ ...state, relays: event.relays }, event.nowMs)
     case 'models_changed': return step({ ...state, models: event.models })
+    case 'quotas_changed': return step(changeQuotas(state, event.quotas))
+    case 'quotas_answered': return applyQuotas(state, event.answer, event.nowMs)
+    case 'allowances_expired': return step(endAllowances(state, event.nowMs))
     case 'shutdown_announced': return dispatchAll({ ...state, closesAtMs: event.closesAtMs, newCallersUntilMs: event.newCallersUntilMs ?? Infinity }, event.nowMs)
     case 'shutdown_started': return dispatchAll({ ...state, shuttingDown: true }, event.nowMs)
     case 'closed': return _cutAll(state, event.nowMs)
@@ -95,7 +99,9 @@
   if (model !== undefined && models !== undefined && !models.has(model)) return refuseRequest(state, request, { reason: 'unknown_model', nowMs })
   // The instance that handed a request over has counted it.
   const counted = model === undefined || received.handover !== undefined ? state : _countRequest(state, `${service} ${models === undefined ? '' : model}`, nowMs)
-  return enqueueRequest(counted, request, nowMs)
+  const charge = chargeQuota(counted, received, nowMs)
+  if (charge.refusal !== undefined) return refuseRequest(charge.state, request, charge.refusal)
+  return enqueueRequest(charge.state, charge.chargedUnits === undefined ? request : { ...request, chargedUnits: charge.chargedUnits }, nowMs)
 }
 
 function _countRequest (state: ServingState, key: string, nowMs: number): ServingState {
@@ -297,6 +303,7 @@
   const weighed = changeEvidence(ended.state, quarantineCulprits(ended.state.evidence, nowMs), nowMs)
   const silent = _probeSilent(weighed.state, nowMs)
   const probed = probeUnreachable(silent.state, nowMs)
-  const dispatched = dispatchAll(forgetUnused(maintainOrigins(probed.state, nowMs), nowMs), nowMs)
-  return step(dispatched.state, [...ended.effects, ...weighed.effects, ...silent.effects, ...probed.effects, ...dispatched.effects])
+  const quotas = noteFallback(probed.state, nowMs)
+  const dispatched = dispatchAll(forgetUnused(maintainOrigins(quotas.state, nowMs), nowMs), nowMs)
+  return step(dispatched.state, [...ended.effects, ...weighed.effects, ...silent.effects, ...probed.effects, ...quotas.effects, ...dispatched.effects])
 }
--- a/packages/serving/refusal.ts
+++ b/packages/serving/refusal.ts
@@ -26,6 +26,8 @@
   | 'no_software_version'
   /** Requests with this fingerprint are suspected of having crashed several upstreams. */
   | 'suspected_crash'
+  /** The customer has used its quota. */
+  | 'quota_exceeded'
   /** The instance has no memory for the request. */
   | 'memory_short'
   /** The instance has no descriptors for the request's connections. */
@@ -44,6 +46,7 @@
   readonly retryAfterMs: number | undefined
 }
 
+const TOO_MANY_REQUESTS = 429
 const SERVICE_UNAVAILABLE = 503
 const BAD_GATEWAY = 502
 const GATEWAY_TIMEOUT = 504
@@ -72,7 +75,7 @@
  * ```
  */
 export function refusal (reason: RefusalReason, facts: RefusalFacts): Refusal {
-  if (!facts.mayHaveRun) return { reason, notRun: true, status: SERVICE_UNAVAILABLE, retryAfterMs: facts.retryAfterMs }
+  if (!facts.mayHaveRun) return { reason, notRun: true, status: reason === 'quota_exceeded' ? TOO_MANY_REQUESTS : SERVICE_UNAVAILABLE, retryAfterMs: facts.retryAfterMs }
   const status = TIMEOUT_REASONS.includes(reason) ? GATEWAY_TIMEOUT : BAD_GATEWAY
   return { reason, notRun: false, status, retryAfterMs: undefined }
 }
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -99,6 +99,8 @@
   readonly respondingSinceMs: number | undefined
   /** Why the attempt in progress was not given up for its silence when that was last decided; undefined if it was not. */
   readonly enduredFor: string | undefined
+  /** Units charged against the customer's quota on this instance; absent if there are none. */
+  readonly chargedUnits?: number
   /** Whether an upstream's error response is kept, to be delivered if no later attempt succeeds. */
   readonly hasErrorResponse: boolean
 }
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -9,7 +9,7 @@
  * without its caller has `ended` as well.
  */
 export interface ServingRecord {
-  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'ended' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'upstream_leaving' | 'upstream_paused' | 'service_brittle' | 'members_changed' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
+  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'ended' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'upstream_leaving' | 'upstream_paused' | 'service_brittle' | 'members_changed' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted' | 'quota_exhausted' | 'quota_available' | 'quota_fallback' | 'quota_shared'
   readonly request?: string
   readonly route?: string
   readonly upstream?: string
@@ -40,6 +40,16 @@
   readonly members?: number
   /** Requests per second that an upstream takes from all instances together. */
   readonly perS?: number
+  /** Name of the customer whose quota decided. */
+  readonly customer?: string
+  /** Units that the request counts against the quota. */
+  readonly units?: number
+  /** Units of the quota that were left for it; negative after an overdraft. */
+  readonly unitsLeft?: number
+  /** Time since the lease holder's last answer, in ms; absent if there was none. */
+  readonly allowanceAgeMs?: number
+  /** Delay after which the caller may retry, in ms. */
+  readonly retryAfterMs?: number
   /** How often the same requests were quarantined. */
   readonly offences?: number
   /** Independent crashes on which a quarantine is based. */
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,3 +1,5 @@
+import type { Quota } from '@berylshed/fleet'
+import type { QuotaAnswer } from '@berylshed/limits'
 import type { EvidenceUpdate } from './evidence_update.ts'
 import type { Relay } from './relay.ts'
 import type { OriginUpdate } from './stream_origins.ts'
@@ -66,6 +68,12 @@
   /** The lease holder stands by a list of the instances among which upstreams are divided. */
   | { readonly kind: 'members_received', readonly members: readonly Relay[], readonly confirmedAtMs: number }
   | { readonly kind: 'models_changed', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
+  /** A configuration with other quotas is in force. */
+  | { readonly kind: 'quotas_changed', readonly quotas: ReadonlyMap<string, Quota> }
+  /** The lease holder answers the last report of what was charged. */
+  | { readonly kind: 'quotas_answered', readonly answer: QuotaAnswer }
+  /** The instance may have been suspended, so that its allowances have expired. */
+  | { readonly kind: 'allowances_expired' }
   /** The instance is going to shut down, and ends all its requests at `closesAtMs`. New callers may come until `newCallersUntilMs`, or if absent until it shuts down. */
   | { readonly kind: 'shutdown_announced', readonly closesAtMs: number, readonly newCallersUntilMs?: number }
   /** The instance is shutting down; callers of waiting requests can retry at another one. */
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -1,4 +1,5 @@
 import { HashMap, Option } from 'effect'
+import { newInstanceQuotas, type InstanceQuotas } from '@berylshed/limits'
 import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
@@ -63,6 +64,8 @@
   readonly limits: ReadonlyMap<string, UpstreamLimit>
   /** Services that are brittle or were lately, by name. */
   readonly brittle: ReadonlyMap<string, BrittleService>
+  /** Quotas of customers, and what this instance has charged. */
+  readonly quotas: InstanceQuotas
   readonly retryWindows: ReadonlyMap<string, RetryWindow>
   readonly evidence: CrashEvidence
   /** Origins of streams that callers may resume. */
@@ -137,6 +140,7 @@
     members: NO_MEMBERS,
     limits: new Map(),
     brittle: new Map(),
+    quotas: newInstanceQuotas({ phase: options.phase ?? 1 }),
     retryWindows: new Map(),
     evidence: NO_CRASH_EVIDENCE,
     origins: NO_STREAM_ORIGINS,
