Exchange charges and allowances with heartbeats

Cause: instances knew nothing of what the others charged against a quota. Change: a heartbeat carries the counters of customers in use, its answer the allowances, both optional; the holder applies its own directly. An allowance that runs short sends a heartbeat early, at most each 40 ms or 1 ms per instance. A suspension ends allowances. Refusals and changes are counted, with bounded labels.

--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -11,6 +11,8 @@
 const MS_PER_SECOND = 1000
 /** Maximum number of routes with values of their own: those of several large configurations. */
 const MAX_ROUTES = 1000
+/** Maximum number of customers with values of their own: those of several large configurations. */
+const MAX_CUSTOMERS = 1000
 /** Maximum number of reasons; the code has some tens. */
 const MAX_REASONS = 200
 /** Records whose reasons are counted; that of a quarantine is the key of what is quarantined. */
@@ -56,6 +58,8 @@
   const avoided = new Counter({ name: 'berylshed_upstreams_avoided_total', help: 'Times that an upstream was avoided, by reason', labelNames: ['reason'], registers })
   const quarantines = new Counter({ name: 'berylshed_quarantines_total', help: 'Requests and parts of prompts that were quarantined as they crash upstreams', labelNames: ['kind'], registers })
   const limits = new Counter({ name: 'berylshed_upstream_limits_total', help: 'Limits that upstreams named or lifted in their responses', labelNames: ['change'], registers })
+  const quotaRefusals = new Counter({ name: 'berylshed_quota_refusals_total', help: 'Requests that were refused as over the quota of their customer, by cause', labelNames: ['customer', 'cause'], registers })
+  const quotaChanges = new Counter({ name: 'berylshed_quota_changes_total', help: 'Times that buckets were exhausted or available again, or that allowances expired or came back', labelNames: ['change'], registers })
   const orders = new Counter({ name: 'berylshed_orders_total', help: 'Orders to engines, by operation and outcome', labelNames: ['operation', 'outcome'], registers })
   const deferredLoads = new Counter({ name: 'berylshed_deferred_loads_total', help: 'Seconds in which a model that requests waited for had no engine and got none, summed over models', registers })
   const leases = new Counter({ name: 'berylshed_lease_changes_total', help: 'Changes of the lease at this instance', labelNames: ['change'], registers })
@@ -65,7 +69,7 @@
   _registerGauges(gauges, registers)
 
   // Configurations bring new routes, upstreams odd statuses and callers errors with texts of their own.
-  const [routeLabel, reasonLabel, statusLabel] = [limitLabelValues(MAX_ROUTES), limitLabelValues(MAX_REASONS), limitLabelValues(MAX_STATUSES)]
+  const [routeLabel, reasonLabel, statusLabel, customerLabel] = [limitLabelValues(MAX_ROUTES), limitLabelValues(MAX_REASONS), limitLabelValues(MAX_STATUSES), limitLabelValues(MAX_CUSTOMERS)]
 
   function countRequest (record: ServingRecord): void {
     const { elapsedMs = 0 } = record
@@ -79,11 +83,18 @@
         return
       case 'failed': return failedAttempts.inc({ reason })
       case 'answered': answered.inc({ route, status }); return requestTime.observe({ route, outcome: 'answered' }, elapsedMs / MS_PER_SECOND)
-      case 'refused': refused.inc({ reason, status }); return requestTime.observe({ route, outcome: 'refused' }, elapsedMs / MS_PER_SECOND)
+      case 'refused':
+        refused.inc({ reason, status })
+        if (record.reason === 'quota_exceeded') quotaRefusals.inc({ customer: customerLabel(record.customer ?? ''), cause: reasonLabel(record.detail ?? '') })
+        return requestTime.observe({ route, outcome: 'refused' }, elapsedMs / MS_PER_SECOND)
       case 'broken_off': return brokenOff.inc({ reason })
       case 'left': return callersLeft.inc()
       case 'upstream_unreachable':
       case 'upstream_avoided': return avoided.inc({ reason })
+      case 'quota_exhausted':
+      case 'quota_available':
+      case 'quota_fallback':
+      case 'quota_shared': return quotaChanges.inc({ change: record.what.slice('quota_'.length) })
       case 'limit_named': return limits.inc({ change: 'named' })
       case 'limit_lifted': return limits.inc({ change: 'lifted' })
       case 'quarantined': return quarantines.inc({ kind: isRequestKey(record.reason ?? '') ? 'request' : 'part' })
--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -1,5 +1,6 @@
 import type { AdapterUsage, InstanceReport, Instant, ReplicaLoad, UnmetDemand, RequestRate } from '@berylshed/scheduler'
 import type { EvidenceUpdate, OriginSegment, OriginUpdate } from '@berylshed/serving'
+import type { QuotaAnswer, QuotaReport } from '@berylshed/limits'
 import { Schema } from 'effect'
 import superjson from 'superjson'
 import type { HeartbeatAnswer, HeartbeatRequest, MembersUpdate, RegistryUpdate } from './heartbeat.ts'
@@ -32,6 +33,20 @@
   softwareVersions: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number]))
 })
 
+const QuotasWire = Schema.Struct({
+  // Time since the last acknowledged report in ms; null if there was none.
+  agoMs: Schema.NullOr(Schema.Number),
+  // Customer, units spent, refunded, requested and acknowledged, and the level of the bucket; null if it is not known.
+  usage: Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.NullOr(Schema.Number)]))
+})
+
+type _AllowanceWire = readonly [customer: string, level: number, units: number, perS: number, othersPerS: number]
+
+interface _QuotaAnswerWire {
+  readonly allowances: readonly _AllowanceWire[]
+  readonly isComplete: boolean
+}
+
 /** Wire format of a heartbeat. Tuples keep it small, as an instance sends several per second. */
 export const HeartbeatWire = Schema.Struct({
   report: ReportWire,
@@ -49,13 +64,16 @@
   limits: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.NullOr(Schema.Number), Schema.Number]))),
   brittle: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.Number]))),
   members: Schema.optional(Schema.String),
+  quotas: Schema.optional(QuotasWire),
   // Holder, its monotonic and wall clock in ms, and whether the sender is stopping.
   grant: Schema.optional(Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Boolean])),
   news: Schema.NullOr(Schema.String)
 })
 
 /** Wire format of an answer. The view needs no encoding, as it consists of strings and numbers. */
-export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays' | 'versionHistory' | 'brittle' | 'members' | 'stamp'> & {
+export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays' | 'versionHistory' | 'brittle' | 'members' | 'stamp' | 'quotas'> & {
+  /** Absent if there are no quotas or an earlier release answers. */
+  readonly quotas?: _QuotaAnswerWire
   /** Absent if an earlier release answers. */
   readonly stamp?: Instant
   /** Absent if an earlier release answers. */
@@ -81,7 +99,7 @@
 
 /** Encodes a heartbeat. */
 export function encodeHeartbeat (request: HeartbeatRequest): typeof HeartbeatWire.Type {
-  const { report, receivedView, receivedEvidence, evidence, receivedOrigins, origins, grant, update, ...rest } = request
+  const { report, receivedView, receivedEvidence, evidence, receivedOrigins, origins, grant, update, quotas, ...rest } = request
   return {
     ...rest,
     crashes: [],
@@ -101,6 +119,7 @@
       loads: report.loads.map((load) => [load.upstream, load.model, load.running] as const),
       adapters: report.adapters.map((use) => [use.upstream, use.model, use.adapter, use.running, Math.round(use.idleMs)] as const)
     },
+    ...quotas === undefined ? {} : { quotas: _encodeQuotas(quotas) },
     ...grant === undefined ? {} : { grant: [grant.holder, grant.stamp.nowMs, grant.stamp.clockMs, grant.isFinal] as const },
     news: update === undefined ? null : _encodeUpdate(update)
   }
@@ -123,11 +142,34 @@
     brittle: wire.brittle ?? [],
     members: wire.members ?? '',
     grant: wire.grant === undefined ? undefined : { holder: wire.grant[0], stamp: { nowMs: wire.grant[1], clockMs: wire.grant[2] }, isFinal: wire.grant[3] },
+    ...wire.quotas === undefined ? {} : { quotas: _decodeQuotas(wire.quotas) },
     report: _decodeReport(report),
     update: news === null ? undefined : _decodeUpdate(news)
   }
 }
 
+function _encodeQuotas ({ usage, acknowledgedAgoMs }: QuotaReport): typeof QuotasWire.Type {
+  return {
+    agoMs: acknowledgedAgoMs === Infinity ? null : Math.round(acknowledgedAgoMs),
+    usage: usage.map((item) => [item.customer, item.spent, item.refunded, item.requested, item.acknowledged, item.level === undefined ? null : _roundUnits(item.level)] as const)
+  }
+}
+
+function _decodeQuotas ({ agoMs, usage }: typeof QuotasWire.Type): QuotaReport {
+  return {
+    acknowledgedAgoMs: agoMs ?? Infinity,
+    usage: usage.map(([customer, spent, refunded, requested, acknowledged, level]) => ({ customer, spent, refunded, requested, acknowledged, level: level ?? undefined }))
+  }
+}
+
+function _encodeQuotaAnswer ({ allowances, isComplete }: QuotaAnswer): _QuotaAnswerWire {
+  return { isComplete, allowances: allowances.map(({ customer, level, units, perS, othersPerS }) => [customer, _roundUnits(level), _roundUnits(units), _roundUnits(perS), _roundUnits(othersPerS)] as const) }
+}
+
+function _decodeQuotaAnswer ({ allowances, isComplete }: _QuotaAnswerWire): QuotaAnswer {
+  return { isComplete, allowances: allowances.map(([customer, level, units, perS, othersPerS]) => ({ customer, level, units, perS, othersPerS })) }
+}
+
 function _decodeReport (wire: typeof ReportWire.Type): InstanceReport {
   return {
     instance: wire.instance,
@@ -144,14 +186,19 @@
 
 /** Encodes the answer to a heartbeat. */
 export function encodeHeartbeatAnswer (answer: HeartbeatAnswer): AnswerWire {
-  const { update, registryAgeMs, evidence, origins, versionHistory, members, stamp, ...rest } = answer
-  return { ...rest, ...stamp === undefined ? {} : { stamp }, ...members === undefined ? {} : { members }, ...versionHistory === undefined ? {} : { versionHistory }, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
+  const { update, registryAgeMs, evidence, origins, versionHistory, members, stamp, quotas, ...rest } = answer
+  return { ...rest, ...quotas === undefined ? {} : { quotas: _encodeQuotaAnswer(quotas) }, ...stamp === undefined ? {} : { stamp }, ...members === undefined ? {} : { members }, ...versionHistory === undefined ? {} : { versionHistory }, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
 }
 
 /** Decodes the answer to a heartbeat. */
 export function decodeHeartbeatAnswer (wire: AnswerWire): HeartbeatAnswer {
-  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], brittle = [], members, stamp, versionHistory, ...rest } = wire
-  return { ...rest, stamp, versionHistory, relays, brittle, members, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], brittle = [], members, stamp, versionHistory, quotas, ...rest } = wire
+  return { ...rest, ...quotas === undefined ? {} : { quotas: _decodeQuotaAnswer(quotas) }, stamp, versionHistory, relays, brittle, members, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+}
+
+// Three digits suffice for quotas of a few requests per second, and keep messages small.
+function _roundUnits (units: number): number {
+  return Math.round(units * 1000) / 1000
 }
 
 function _roundRate (ratePerS: number): number {
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -2,8 +2,10 @@
 import { step } from '@berylshed/reducer'
 import { fleetView, leaseGrant, type InstanceReport, type Instant, type LeaseGrant, type PlacedEngine } from '@berylshed/scheduler'
 import { brittleRecords, evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, membersDigest, originUpdate, versionHistory, wantedOrigins, type BrittleRecord, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate, type Relay } from '@berylshed/serving'
+import { quotaReport } from '@berylshed/limits'
 import { learnHistory } from './_archive_origins.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
+import { allowancesFor, applyOwnQuotas, applyQuotaAllowances, chargeQuotas } from './_quota_exchange.ts'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { HolderExchange, ReceivedView, EdgeState } from './edge_state.ts'
 import type { HeartbeatAnswer, HeartbeatRequest, MembersUpdate, RegistryUpdate } from './heartbeat.ts'
@@ -16,6 +18,10 @@
 const MAX_BUFFERED_MS = 100
 /** Interval added per instance while requests wait, in ms, which limits the holder to 250 heartbeats per second. */
 const URGENT_MS_PER_INSTANCE = 4
+/** Minimum interval between heartbeats while an allowance runs short, in ms: a fifth of the usual one. */
+const SHORT_ALLOWANCE_MS = 40
+/** Interval added per instance while allowances run short, in ms, which limits the holder to 1,000 such heartbeats per second. */
+const SHORT_ALLOWANCE_MS_PER_INSTANCE = 1
 /** Number of instances to which the holder sends all origins of streams, so that they outlast it; the others get those that they ask for. */
 const ORIGIN_COPIES = 3
 /** Number of instances that the holder names to each other one as relays. */
@@ -42,11 +48,13 @@
     const summed = chain(reported, (s) => step(_sumLimitedRates(s, at)))
     const limited = chain(summed, (s) => _applyLimits(s, _limitShares(s, report, at), at))
     const relayed = chain(limited, (s) => _applyRelays(s, _relaysFor(s, report.instance, at), at))
-    return chain(relayed, (s) => _applyMembers(s, _membersOf(s, at), { nowMs: at.nowMs, confirmedAtMs: at.nowMs }))
+    const charged = chain(relayed, (s) => applyOwnQuotas(s, { report, instances: instancesOf(s, at) }, at))
+    return chain(charged, (s) => _applyMembers(s, _membersOf(s, at), { nowMs: at.nowMs, confirmedAtMs: at.nowMs }))
   }
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
   const { received, updateWantedSince } = state
+  const charged = quotaReport(state.serving.quotas, at.nowMs)
   const evidence = _evidenceUpdate(state, { since: _acknowledgedVersion(state, state.evidenceExchange), relay: false, nowMs: at.nowMs })
   const receiver = state.scheduler.lease?.holder?.incarnation ?? ''
   const origins = originUpdate(state.serving, state.self.incarnation, { since: _acknowledgedVersion(state, state.originExchange), receiver, wanted: [], nowMs: at.nowMs })
@@ -65,11 +73,12 @@
     brittle: brittleRecords(state.serving, at.nowMs),
     members: membersDigest(state.serving.members.relays),
     grant: leaseGrant(state.scheduler),
+    ...charged.report === undefined ? {} : { quotas: charged.report },
     update: updateWantedSince === undefined ? undefined : _update(state, { configurationVersion: 0, listRevision: updateWantedSince })
   }
   const evidenceExchange = { ...state.evidenceExchange, sentVersion: evidence?.version ?? state.serving.evidence.version }
   const originExchange = { ...state.originExchange, sentVersion: origins?.version ?? _acknowledgedVersion(state, state.originExchange) }
-  return step({ ...next, heartbeatInFlight: true, evidenceExchange, originExchange }, [{ subject: 'heartbeat', to, request }])
+  return step({ ...next, serving: { ...next.serving, quotas: charged.quotas }, quotaLedger: undefined, heartbeatInFlight: true, evidenceExchange, originExchange }, [{ subject: 'heartbeat', to, request }])
 }
 
 function _report (state: EdgeState, at: Instant): InstanceReport {
@@ -121,6 +130,10 @@
 
 function _intervalMs (state: EdgeState): number {
   if (state.heartbeatDue) return 0
+  return Math.min(_demandIntervalMs(state), state.serving.quotas.isReportDue ? Math.max(SHORT_ALLOWANCE_MS, SHORT_ALLOWANCE_MS_PER_INSTANCE * state.serving.instances) : HEARTBEAT_MS)
+}
+
+function _demandIntervalMs (state: EdgeState): number {
   if (state.serving.reportedDemand === '') return HEARTBEAT_MS
   return Math.min(HEARTBEAT_MS, Math.max(URGENT_HEARTBEAT_MS, URGENT_MS_PER_INSTANCE * state.serving.instances))
 }
@@ -196,7 +209,8 @@
   const informed = chain(reported, (s) => _applyEvidence(s, request.evidence, at))
   const located = chain(informed, (s) => _applyOrigins(s, request.origins, at))
   const limited = chain(located, (s) => _applyLimits(s, request.limits, at))
-  return chain(limited, (s) => _applyBrittle(s, request.brittle, at))
+  const fragile = chain(limited, (s) => _applyBrittle(s, request.brittle, at))
+  return chain(fragile, (s) => step(chargeQuotas(s, { report: request.report, quotas: request.quotas, instances: instancesOf(s, at) }, at)))
 }
 
 /**
@@ -215,11 +229,14 @@
 export function answerHeartbeat (state: EdgeState, request: HeartbeatRequest, at: Instant): HeartbeatAnswer {
   const { configuration, upstreams } = state.registryReads
   const listRevision = state.list?.revision ?? 0
+  const instances = instancesOf(state, at)
+  const quotas = allowancesFor(state, { report: request.report, instances }, at)
   const since = request.receivedView.holder === state.self.incarnation ? request.receivedView.version : 0
   return {
     view: fleetView(state.scheduler, at, { requester: request.report.instance, since }),
     stamp: at,
-    instances: instancesOf(state, at),
+    instances,
+    ...quotas === undefined ? {} : { quotas },
     limits: _limitShares(state, request.report, at),
     brittle: brittleRecords(state.serving, at.nowMs),
     members: _membersUpdate(state, request.members),
@@ -295,7 +312,8 @@
   const fragile = chain(relayed, (s) => _applyBrittle(s, answer.brittle, at))
   const { members } = answer
   const divided = chain(fragile, (s) => members === undefined || view.validMs <= 0 ? step(s) : _applyMembers(s, members.relays ?? s.serving.members.relays, { nowMs: at.nowMs, confirmedAtMs: state.heartbeatAtMs }))
-  return chain(divided, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
+  const charged = chain(divided, (s) => view.validMs <= 0 ? step(s) : applyQuotaAllowances(s, answer.quotas, at))
+  return chain(charged, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
 }
 
 interface _Exchanged {
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -1,3 +1,4 @@
+import type { QuotaLedger } from '@berylshed/limits'
 import { buildRouteTable, type Configuration, type RouteTable, type UpstreamList } from '@berylshed/fleet'
 import { leaseTimes, newSchedulerState, type FleetView, type Holder, type Instant, type LeaseBounds, type PlacedEngine, type PlacementPolicy, type SchedulerState } from '@berylshed/scheduler'
 import { newServingState, type RetryBudget, type ServingState } from '@berylshed/serving'
@@ -62,6 +63,8 @@
   readonly originExchange: HolderExchange
   /** Requests per second of all instances that each limited upstream could serve, as of the holder's last report. */
   readonly limitedRates: ReadonlyMap<string, number>
+  /** What all instances spend, as this one holds the lease; undefined otherwise, or if there are no quotas. */
+  readonly quotaLedger: QuotaLedger | undefined
   /** Whether demand or crash evidence changed since the last heartbeat, so that the next one is sent without waiting. */
   readonly heartbeatDue: boolean
   /** Counts the updates of the routing targets. */
@@ -127,6 +130,7 @@
     archive: UNREAD_ARCHIVE,
     originExchange: NO_EXCHANGE,
     limitedRates: new Map(),
+    quotaLedger: undefined,
     heartbeatDue: false,
     targetsVersion: 0,
     tickedAt: { nowMs: 0, clockMs: 0 },
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,4 +1,5 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
+import type { QuotaAnswer, QuotaReport } from '@berylshed/limits'
 import type { FleetView, InstanceReport, Instant, LeaseGrant } from '@berylshed/scheduler'
 import type { BrittleRecord, EvidenceUpdate, LimitRecord, LimitShare, OriginSegment, OriginUpdate, Relay } from '@berylshed/serving'
 
@@ -44,6 +45,8 @@
   readonly members: string
   /** Time that the sender grants to the process that it takes for the holder, if it does. */
   readonly grant: (LeaseGrant & { readonly holder: string }) | undefined
+  /** What the sender has charged against quotas; absent if there is nothing to report or an earlier release sends. */
+  readonly quotas?: QuotaReport
   /** Registry update, if the holder requested one. */
   readonly update: RegistryUpdate | undefined
 }
@@ -63,6 +66,8 @@
   readonly brittle: readonly BrittleRecord[]
   /** The instances among which upstreams are divided, if the sender has another list; undefined if the holder runs an earlier release. */
   readonly members: MembersUpdate | undefined
+  /** What the sender may spend; absent if there are no quotas, the answering process does not hold the lease or it runs an earlier release. */
+  readonly quotas?: QuotaAnswer
   /** Changes of the holder's crash evidence that the sender lacks. */
   readonly evidence: EvidenceUpdate | undefined
   /** Origins of streams that the sender lacks or asks for. */
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -3,6 +3,7 @@
 import { noteContact } from '@berylshed/serving'
 import { fleetView, type Instant, type SchedulerEvent } from '@berylshed/scheduler'
 import { applyArchiveEvent, holdStream, maintainArchive } from './_archive_origins.ts'
+import { applyConfiguredQuotas, expireAfterSuspension } from './_quota_exchange.ts'
 import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, confirmVersions, instancesOf } from './_peer_heartbeat.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect, EdgeRecord } from './edge_effect.ts'
@@ -26,7 +27,7 @@
 export function reduceEdge (state: EdgeState, event: EdgeEvent): EdgeStep {
   const reduced = _reduce(state, event)
   const held = _holdStreams(reduced, _instantOf(state, event))
-  if (!held.state.heartbeatDue) return held
+  if (!held.state.heartbeatDue && !held.state.serving.quotas.isReportDue) return held
   return chain(held, (s) => sendHeartbeat(s, _instantOf(s, event)))
 }
 
@@ -115,7 +116,8 @@
   const record: EdgeEffect = { subject: 'record', record: { what: 'configuration_in_force', version: configuration.version, from: event.from, count: configuration.routes.length } }
   const models = new Map([...configuration.services].flatMap(([name, { engine }]) => engine === undefined ? [] : [[name, new Set(engine.models.keys())] as const]))
   const known = chain(step(next, [record]), (s) => applyServingEvent(s, { kind: 'models_changed', models, nowMs: at.nowMs }))
-  return chain(known, (s) => chain(applySchedulerEvent(s, { kind: 'configured', configuration, ...at }), (t) => updateTargets(t, at)))
+  const limited = chain(known, (s) => applyConfiguredQuotas(s, at))
+  return chain(limited, (s) => chain(applySchedulerEvent(s, { kind: 'configured', configuration, ...at }), (t) => updateTargets(t, at)))
 }
 
 function _ignored (state: EdgeState, record: EdgeRecord): EdgeStep {
@@ -167,7 +169,8 @@
 }
 
 function _tick (state: EdgeState, at: Instant): EdgeStep {
-  const ticked = applySchedulerEvent({ ...state, tickedAt: at }, { kind: 'ticked', ...at })
+  const expired = expireAfterSuspension(state, at)
+  const ticked = chain(expired, (s) => applySchedulerEvent({ ...s, tickedAt: at }, { kind: 'ticked', ...at }))
   const others = chain(ticked, (s) => s.scheduler.held === undefined ? step(s) : _applyReportedLoads(s, at))
   const served = chain(others, (s) => applyServingEvent(s, { kind: 'ticked', nowMs: at.nowMs }))
   const archived = chain(served, (s) => maintainArchive(s, at))
