Find customers by their keys, and share the checks of customers

Cause: nothing identifies a customer on the platform's path, and packages/configuration checked names and keys of customers by itself.

--- a/packages/configuration/find_problems.ts
+++ b/packages/configuration/find_problems.ts
@@ -1,3 +1,4 @@
+import { findCustomerProblems } from '@berylshed/customers'
 import type { Finding } from '@berylshed/settings'
 import type { ConfigurationDocument } from './configuration_document.ts'
 import { resolveCustomer } from './resolve_customer.ts'
@@ -31,15 +32,12 @@
 }
 
 function _findDuplicates (document: ConfigurationDocument): readonly _Problem[] {
-  const lists = { upstreams: document.upstreams, models: document.models, services: document.services, templates: document.templates, customers: document.customers }
+  const lists = { upstreams: document.upstreams, models: document.models, services: document.services, templates: document.templates }
   const names = Object.entries(lists).flatMap(([list, entries]) => _repeatedValues(entries.map((entry) => entry.name))
     .map(({ index, value }) => ({ path: `${list}.${index}.name`, message: `Name ${value} is taken; choose another` })))
-  const keys = document.customers.flatMap((customer, index) => customer.key_sha256.map((key) => ({ key, index })))
-  const sharedKeys = _repeatedValues(keys.map(({ key }) => key)).map(({ index }) => ({
-    path: `customers.${keys[index]?.index ?? 0}.key_sha256`,
-    message: 'Another customer has the same key; give each its own'
-  }))
-  return [...names, ...sharedKeys]
+  const customers = findCustomerProblems(document.customers.map(({ name, key_sha256: keyDigests }) => ({ name, keyDigests })))
+    .map(({ index, field, message }) => ({ path: `customers.${index}.${field === 'keyDigests' ? 'key_sha256' : field}`, message }))
+  return [...names, ...customers]
 }
 
 interface _RepeatedValue {
--- a/packages/instance/caller_server.ts
+++ b/packages/instance/caller_server.ts
@@ -1,6 +1,7 @@
 import { createHash, randomBytes } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { ResolvedCustomer } from '@berylshed/configuration'
+import { keyDigest } from '@berylshed/customers'
 import { readBody } from '@berylshed/platform'
 import type { ReceivedRequest, Target } from '@berylshed/requests'
 import { answerError } from './_caller_answers.ts'
@@ -144,8 +145,7 @@
 }
 
 function _keyDigest (request: IncomingMessage): string {
-  const key = (request.headers.authorization ?? '').replace(/^Bearer /, '')
-  return createHash('sha256').update(key).digest('hex')
+  return keyDigest((request.headers.authorization ?? '').replace(/^Bearer /, ''))
 }
 
 function _parseCall (call: _Call, body: Buffer, state: InstanceState): _ParsedCall | _Rejection {
