Decode customers, and keep keys from upstreams where there are customers

Change: Configuration.customers holds digests only. A malformed customer or field is left out with a finding that quotes no key; a list that cannot be read leaves customers without keys rather than none. With an identity, Authorization and a caller's Tenant are dropped and Tenant is set; Berylshed-Customer names the customer in a handover, empty for a request that needs none. Request-Priority combines the ranks of customer and route. StrictRevocation and RevokeMs are read from Bounds.

--- a/packages/platform/_decode_configuration.ts
+++ b/packages/platform/_decode_configuration.ts
@@ -2,6 +2,7 @@
 import { checkDocument, type Finding } from '@berylshed/settings'
 import { Schema } from 'effect'
 import type { Result } from 'neverthrow'
+import { decodeCustomers } from './_decode_customers.ts'
 
 const MS_PER_SECOND = 1000
 /** Default maximum wait for the headers of a request, in ms; Node's own default. */
@@ -23,7 +24,9 @@
   Split: Schema.optionalKey(Schema.Array(Schema.Struct({ Service: Schema.String, Weight: Schema.Number }))),
   // Number of upstreams that may execute one request, not the number of attempts.
   Attempts: Schema.optionalKey(Schema.Number),
-  Resumable: Schema.optionalKey(Schema.Boolean)
+  Resumable: Schema.optionalKey(Schema.Boolean),
+  // Callers need no key.
+  Anonymous: Schema.optionalKey(Schema.Boolean)
 })
 
 const WireModel = Schema.Struct({
@@ -56,7 +59,9 @@
     MaxBodyBytes: Schema.optionalKey(Schema.Number),
     HeaderTimeoutMs: Schema.optionalKey(Schema.Number),
     IdleTimeoutMs: Schema.optionalKey(Schema.Number)
-  }))
+  })),
+  // Customers; decoded apart, as one that is malformed must not make the rest unusable.
+  Tenants: Schema.optionalKey(Schema.Unknown)
 })
 
 /** Default timeout of a route, in ms; the longest timeout that the deployments use. */
@@ -74,9 +79,17 @@
 /** Default time for which a caller can reuse an idle connection, in ms. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 
-/** Decodes the operator's configuration. */
-export function decodeConfiguration (value: unknown, source: string): Result<Configuration, readonly Finding[]> {
-  return checkDocument(value, WireConfiguration, { source, unknownKeys: 'ignored' }).map((wire): Configuration => ({
+/** Decodes the operator's configuration. Findings that leave the configuration usable are passed to `report`. */
+export function decodeConfiguration (value: unknown, source: string, report: (findings: readonly Finding[]) => void = () => {}): Result<Configuration, readonly Finding[]> {
+  return checkDocument(value, WireConfiguration, { source, unknownKeys: 'ignored' }).map((wire) => {
+    const { customers, findings } = decodeCustomers(wire.Tenants, source)
+    if (findings.length > 0) report(findings)
+    return { ..._toConfiguration(wire), ...customers === undefined ? {} : { customers } }
+  })
+}
+
+function _toConfiguration (wire: typeof WireConfiguration.Type): Configuration {
+  return {
     version: wire.Version,
     routes: wire.Routes.map(_toRoute),
     services: new Map(wire.Services.map((service): [string, Service] => [service.Name, {
@@ -88,7 +101,7 @@
       headerTimeoutMs: wire.Limits?.HeaderTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS,
       idleTimeoutMs: wire.Limits?.IdleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS
     }
-  }))
+  }
 }
 
 function _toRoute (wire: typeof WireRoute.Type): Route {
@@ -106,6 +119,7 @@
     rank: wire.Priority ?? DEFAULT_RANK,
     maxAttempts: wire.Attempts ?? 1,
     resumable: wire.Resumable ?? false,
+    ...wire.Anonymous === true ? { anonymous: true } : {},
     services: wire.Split?.map(({ Service: service, Weight: weight }) => ({ service, weight })) ?? single
   }
 }
--- a/packages/platform/host_settings.ts
+++ b/packages/platform/host_settings.ts
@@ -22,6 +22,8 @@
   readonly enginesCheckFence: boolean
   /** Minimum time between the orders of two successive lease holders if engines do not check fencing tokens, in ms. */
   readonly holderChangeMs: number
+  /** Time after a key's removal is in force within which running requests of the key must end, in ms; absent if they continue. */
+  readonly revocationMs?: number
 }
 
 /** Identity, addresses and limits that the platform assigns to a process. */
@@ -70,7 +72,10 @@
     RetrySlack: Schema.Number,
     BudgetWindowS: Schema.Number,
     FencingEnforced: Schema.Boolean,
-    LeaseMs: Schema.Number
+    LeaseMs: Schema.Number,
+    // Whether running requests of a removed key end, and within which time.
+    StrictRevocation: Schema.optionalKey(Schema.NullOr(Schema.Boolean)),
+    RevokeMs: OptionalNumber
   }),
   Platform: Schema.Struct({ Address: Schema.NonEmptyString, WritesPerS: OptionalNumber })
 })
@@ -85,6 +90,8 @@
 const DEFAULT_STORE_WRITES_PER_S = 400
 /** Default interval between the heartbeats of an upstream, in ms; the one of all deployments so far. */
 const DEFAULT_HEARTBEAT_MS = 1200
+/** Default time within which running requests of a removed key must end, in ms: the time within which new configurations take effect in the deployments so far. */
+const DEFAULT_REVOCATION_MS = 3000
 /** Missed heartbeats after which the store removes a registration. */
 const MAX_MISSED_HEARTBEATS = 3
 
@@ -124,7 +131,8 @@
       freeRetriesPerWindow: wire.Bounds.RetrySlack,
       retryWindowMs: wire.Bounds.BudgetWindowS * MS_PER_SECOND,
       enginesCheckFence: wire.Bounds.FencingEnforced,
-      holderChangeMs: wire.Bounds.LeaseMs
+      holderChangeMs: wire.Bounds.LeaseMs,
+      ...wire.Bounds.StrictRevocation === true ? { revocationMs: wire.Bounds.RevokeMs ?? DEFAULT_REVOCATION_MS } : {}
     }
   }))
 }
--- a/packages/platform/http_headers.ts
+++ b/packages/platform/http_headers.ts
@@ -18,6 +18,12 @@
   readonly tokens: { readonly prompt: number, readonly output: number } | undefined
 }
 
+/** Customer of a request in a deployment with customers. */
+export interface RequestIdentity {
+  /** Name of the customer; undefined if the request needs none. */
+  readonly customer: string | undefined
+}
+
 /** One attempt to forward a request to an upstream. */
 export interface Attempt {
   /** Alternating header names and values, as sent by the caller. */
@@ -26,8 +32,12 @@
   readonly upstream: string
   /** Time left for the response, in ms. */
   readonly remainingMs: number
-  /** Rank of the route; 0 is the most urgent. */
+  /** Rank of the customer, or of the route if there is none; 0 is the most urgent. */
   readonly rank: number
+  /** Rank of the route in a deployment with customers. */
+  readonly routeRank?: number
+  /** Customer of the request; absent in a deployment without customers. */
+  readonly identity?: RequestIdentity
   /** Last complete event that was forwarded, if a stream is resumed. */
   readonly lastEventId: string | undefined
   /** Length of the body, or undefined if the method has none. */
@@ -37,7 +47,7 @@
 }
 
 /** A request as handed over to another instance. */
-export interface HandedOverRequest extends Pick<Attempt, 'callerHeaders' | 'remainingMs' | 'lastEventId' | 'bodyBytes' | 'keepAlive'> {
+export interface HandedOverRequest extends Pick<Attempt, 'callerHeaders' | 'identity' | 'remainingMs' | 'lastEventId' | 'bodyBytes' | 'keepAlive'> {
   /** Network address of the caller. */
   readonly callerAddress: string
   /** Number of attempts at upstreams that may still run the request. */
@@ -47,7 +57,7 @@
 }
 
 /** What the headers of a handed-over request tell beside those of the caller. */
-export type HandoverMetadata = Pick<HandedOverRequest, 'callerAddress' | 'maxRuns' | 'softwareVersion'>
+export type HandoverMetadata = Pick<HandedOverRequest, 'callerAddress' | 'maxRuns' | 'softwareVersion' | 'identity'>
 
 /** Metadata of an upstream's response. */
 export interface ResponseMetadata {
@@ -84,9 +94,15 @@
 const CALLER_HEADER = 'Berylshed-Caller'
 const RUNS_HEADER = 'Berylshed-Runs'
 const VERSION_HEADER = 'Berylshed-Software-Version'
-const INTERNAL_HEADERS = [CALLER_HEADER, RUNS_HEADER, VERSION_HEADER].map((name) => name.toLowerCase())
+const CUSTOMER_HEADER = 'Berylshed-Customer'
+const INTERNAL_HEADERS = [CALLER_HEADER, RUNS_HEADER, VERSION_HEADER, CUSTOMER_HEADER].map((name) => name.toLowerCase())
 const STRIPPED_REQUEST_HEADERS = new Set([...HOP_HEADERS, ...UPSTREAM_CONTROL_HEADERS, ...INTERNAL_HEADERS])
 const STRIPPED_RESPONSE_HEADERS = new Set([...HOP_HEADERS, ...INTERNAL_HEADERS])
+// Headers of callers that upstreams do not get where there are customers: the key, and a name that only the instance may state.
+const IDENTITY_HEADERS = new Set(['authorization', 'tenant'])
+const MAX_PRIORITY = 9
+/** Priorities per rank of a customer, within which its routes are ordered. */
+const PRIORITIES_PER_CUSTOMER_RANK = 3
 const MISDIRECTED_REQUEST = 421
 const SERVICE_UNAVAILABLE = 503
 
@@ -132,10 +148,16 @@
   return _passedHeaders(attempt, [
     'Expect-Instance', attempt.upstream,
     'Deadline-Ms', _wholeMs(attempt.remainingMs),
-    'Request-Priority', String(Math.min(9, Math.max(0, attempt.rank)))
+    'Request-Priority', String(_priority(attempt))
   ])
 }
 
+// Upstreams know ten priorities, which the ranks of customers and routes share.
+function _priority ({ rank, routeRank }: Attempt): number {
+  const combined = routeRank === undefined ? rank : PRIORITIES_PER_CUSTOMER_RANK * rank + Math.min(PRIORITIES_PER_CUSTOMER_RANK - 1, routeRank)
+  return Math.min(MAX_PRIORITY, Math.max(0, combined))
+}
+
 /**
  * Returns the headers of a request that is handed over to another instance.
  *
@@ -152,6 +174,8 @@
     'Deadline-Ms', _wholeMs(request.remainingMs),
     CALLER_HEADER, request.callerAddress,
     RUNS_HEADER, String(request.maxRuns),
+    // Empty for a request that needs no customer, so that it is not checked again.
+    ...request.identity === undefined ? [] : [CUSTOMER_HEADER, request.identity.customer ?? ''],
     ...request.softwareVersion === undefined ? [] : [VERSION_HEADER, request.softwareVersion]
   ])
 }
@@ -168,7 +192,9 @@
  * ```
  */
 export function readHandoverHeaders (headers: _Headers): HandoverMetadata {
+  const customer = _firstValue(headers, CUSTOMER_HEADER.toLowerCase())
   return {
+    ...customer === undefined ? {} : { identity: { customer: customer === '' ? undefined : customer } },
     callerAddress: _firstValue(headers, CALLER_HEADER.toLowerCase()) ?? '',
     maxRuns: _positive(_firstValue(headers, RUNS_HEADER.toLowerCase())) ?? 1,
     softwareVersion: readSoftwareVersion(headers)
@@ -205,14 +231,31 @@
   return _firstValue(headers, VERSION_HEADER.toLowerCase())
 }
 
-type _PassedRequest = Pick<Attempt, 'callerHeaders' | 'lastEventId' | 'bodyBytes' | 'keepAlive'>
+/**
+ * Returns the values of all `Authorization` headers of a request; Node's own list of headers keeps the first one only.
+ *
+ * @param headers Alternating header names and values, as sent by the caller.
+ * @returns The values.
+ *
+ * @example
+ * ```ts
+ * console.log(authorizationValues(['Authorization', 'Token k'])) // ['Token k']
+ * ```
+ */
+export function authorizationValues (headers: readonly string[]): readonly string[] {
+  return headers.filter((_value, i) => i % 2 === 1 && headers[i - 1]?.toLowerCase() === 'authorization')
+}
+
+type _PassedRequest = Pick<Attempt, 'callerHeaders' | 'identity' | 'lastEventId' | 'bodyBytes' | 'keepAlive'>
 
 function _passedHeaders (request: _PassedRequest, own: readonly string[]): readonly string[] {
   const resumed = request.lastEventId !== undefined
-  const kept = _filter(request.callerHeaders, (name) => !STRIPPED_REQUEST_HEADERS.has(name) && !(resumed && name === 'last-event-id'))
+  const { identity } = request
+  const kept = _filter(request.callerHeaders, (name) => !STRIPPED_REQUEST_HEADERS.has(name) && !(resumed && name === 'last-event-id') && !(identity !== undefined && IDENTITY_HEADERS.has(name)))
+  const tenant = identity?.customer === undefined ? [] : ['Tenant', identity.customer]
   const length = request.bodyBytes === undefined ? [] : ['Content-Length', String(request.bodyBytes)]
   const resume = request.lastEventId === undefined ? [] : ['Last-Event-Id', request.lastEventId]
-  return [...kept, ...own, 'Connection', request.keepAlive ? 'keep-alive' : 'close', ...length, ...resume]
+  return [...kept, ...tenant, ...own, 'Connection', request.keepAlive ? 'keep-alive' : 'close', ...length, ...resume]
 }
 
 function _wholeMs (durationMs: number): string {
@@ -282,7 +325,7 @@
  *
  * @param id Id of the request; empty if the caller sent none.
  * @param retryAfterMs Time after which the caller can retry, in ms, if a retry is useful.
- * @param options Whether another instance is told that the request has not run; callers take it from the status.
+ * @param options Whether another instance is told that the request has not run, which callers take from the status, and whether the caller is asked for a key.
  * @returns The headers.
  *
  * @example
@@ -290,11 +333,12 @@
  * console.log(localResponseHeaders('a1', 250)) // { 'Attempt-Id': 'a1', 'Retry-After': '0.25' }
  * ```
  */
-export function localResponseHeaders (id: string, retryAfterMs: number | undefined, options: { readonly notRun?: boolean } = {}): Readonly<Record<string, string>> {
+export function localResponseHeaders (id: string, retryAfterMs: number | undefined, options: { readonly notRun?: boolean, readonly needsKey?: boolean } = {}): Readonly<Record<string, string>> {
   return {
     ...id === '' ? {} : { 'Attempt-Id': id },
     ...retryAfterMs === undefined ? {} : { 'Retry-After': String(Math.ceil(retryAfterMs) / MS_PER_SECOND) },
-    ...options.notRun === true ? { 'Not-Executed': '1' } : {}
+    ...options.notRun === true ? { 'Not-Executed': '1' } : {},
+    ...options.needsKey === true ? { 'WWW-Authenticate': 'Token' } : {}
   }
 }
 
--- a/packages/platform/platform_store.ts
+++ b/packages/platform/platform_store.ts
@@ -261,7 +261,7 @@
     const objects = items.map(_decodeObject).filter((object) => object?.Metadata.Name === CONFIGURATION_NAME)
     const newest = objects.at(-1)
     if (newest === undefined) return ok({ revision, configuration: undefined })
-    const decoded = decodeConfiguration(newest.Spec, `${CONFIGURATION_KIND}/${CONFIGURATION_NAME}`)
+    const decoded = decodeConfiguration(newest.Spec, `${CONFIGURATION_KIND}/${CONFIGURATION_NAME}`, (findings) => this.#store.reportFindings(findings))
     if (decoded.isOk()) return ok({ revision, configuration: decoded.value })
     this.#store.reportFindings(decoded.error)
     return err({ kind: 'unreadable', message: decoded.error.map(formatFinding).join('; ') })
--- a/packages/platform/platform_wire_test.ts
+++ b/packages/platform/platform_wire_test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { decodeConfiguration } from './_decode_configuration.ts'
 import { decodeReport, decodeUpstream } from './_decode_upstream.ts'
-import { readResponseHeaders, readRequestHeaders, attemptHeaders } from './http_headers.ts'
+import { authorizationValues, handoverHeaders, readHandoverHeaders, readResponseHeaders, readRequestHeaders, attemptHeaders } from './http_headers.ts'
 import { readHostSettings } from './host_settings.ts'
 
 const ENTRY = {
@@ -57,3 +57,81 @@
     ({ memoryBytes, maxDescriptors, storeWritesPerS, bounds }) => ({ memoryMb: memoryBytes / 1024 / 1024, maxDescriptors, storeWritesPerS, registrationTtlMs: bounds.registrationTtlMs }),
     (findings) => findings.map(({ path, message }) => `${path}: ${message}`))))
 })
+
+const ROUTE = { Name: 'r', Hostname: 'h', PathPrefix: '/p/', RouteKind: 'idempotent' }
+
+// Decodes customers and returns them with the findings on them.
+function decodeTenants (tenants: unknown) {
+  const findings: string[] = []
+  const decoded = decodeConfiguration({ Version: 7, Routes: [ROUTE, { ...ROUTE, Name: 'open', Anonymous: true }], Services: [], ...tenants === undefined ? {} : { Tenants: tenants } }, 'config/main', (found) => findings.push(...found.map(({ path, message }) => `${path}: ${message}`)))
+  return { configuration: decoded._unsafeUnwrap(), findings }
+}
+
+test('decodeConfiguration() keeps digests of keys, and the fields of customers', (t) => {
+  const { configuration, findings } = decodeTenants([
+    { Name: 'hule930', ApiKeys: ['asnmgkcuyj8pjbvk9m68', 'k7b2ex5wa5xwyhks8nbk'], Priority: 1, Unit: 'token_based', PlainTokens: 200, RatePerS: 225540, Burst: 225540 },
+    { Name: 'counted', ApiKeys: ['k3'], RatePerS: 4 },
+    { Name: 'bare' },
+    { Name: 'nulls', ApiKeys: null, Priority: null, Unit: null, PlainTokens: null, RatePerS: null, Burst: null }
+  ])
+  t.snapshot({ customers: [...configuration.customers?.values() ?? []], findings, anonymous: configuration.routes.map(({ anonymous }) => anonymous) })
+  t.false(/asnmgkcuyj8pjbvk9m68|k7b2ex5wa5xwyhks8nbk/.test(JSON.stringify([...configuration.customers?.values() ?? []])))
+})
+
+// Without customers, callers need no key: a list that cannot be read must not open a deployment, and an empty one must not close it.
+test('decodeConfiguration() tells a deployment without customers from one whose customers it cannot read', (t) => {
+  t.deepEqual([undefined, null, []].map((tenants) => decodeTenants(tenants).configuration.customers), [undefined, undefined, undefined])
+  t.deepEqual(['none', {}, 3].map((tenants) => decodeTenants(tenants).configuration.customers?.size), [0, 0, 0])
+  t.is(decodeTenants('none').findings.length, 1)
+})
+
+test('a malformed customer leaves the rest of the configuration usable, and its findings name no key', (t) => {
+  const { configuration, findings } = decodeTenants([
+    'secretkey0', { ApiKeys: ['secretkey1'] }, { Name: 'a\r\nb', ApiKeys: ['secretkey2'] }, { Name: 'odd keys', ApiKeys: [81726354, '', { secretkey3: 1 }, 'secretkey4'] }, { Name: 'one key', ApiKeys: 'secretkey5' },
+    { Name: 'odd fields', ApiKeys: ['secretkey6'], Priority: -1, Unit: 'bytes', PlainTokens: 'x', RatePerS: -5, Burst: 9 },
+    { Name: 'small burst', ApiKeys: ['secretkey7', 'secretkey6'], Unit: 'token_based', PlainTokens: 200, RatePerS: 500, Burst: 100 },
+    { Name: 'odd keys', ApiKeys: ['secretkey8'] }, null
+  ])
+  t.snapshot({ findings, customers: [...configuration.customers?.values() ?? []].map(({ keyDigests, ...fields }) => ({ ...fields, keys: keyDigests.length })) })
+  t.false(/secretkey|81726354/.test(JSON.stringify(findings)))
+})
+
+const CALLER_HEADERS = ['Host', 'h', 'AUTHORIZATION', 'Token k1', 'tenant', 'forged', 'Berylshed-Customer', 'forged', 'X-Other', 'kept']
+const PASSED = { callerHeaders: CALLER_HEADERS, remainingMs: 812, bodyBytes: undefined, keepAlive: false, lastEventId: undefined }
+
+// An upstream that sees the key of a customer can call as that customer, and one that trusts the caller's own name serves anybody as anybody.
+test('attemptHeaders() replaces the key and the name that a caller states wherever there are customers', (t) => {
+  const attempt = { ...PASSED, upstream: 'i-1', rank: 1 }
+  t.snapshot({
+    customer: attemptHeaders({ ...attempt, identity: { customer: 'hule930' } }).join(' '),
+    resumed: attemptHeaders({ ...attempt, lastEventId: '12', identity: { customer: 'hule930' } }).join(' '),
+    anonymous: attemptHeaders({ ...attempt, identity: { customer: undefined } }).join(' '),
+    withoutCustomers: attemptHeaders(attempt).join(' ')
+  })
+})
+
+test('attemptHeaders() combines the ranks of customer and route in ten priorities', (t) => {
+  const priority = (rank: number, routeRank?: number) => /Request-Priority (\S+)/.exec(attemptHeaders({ ...PASSED, upstream: 'i-1', rank, ...routeRank === undefined ? {} : { routeRank } }).join(' '))?.[1]
+  t.deepEqual([priority(0, 0), priority(0, 1), priority(0, 5), priority(1, 0), priority(2, 2), priority(3, 0), priority(3, 2), priority(7, 0)], ['0', '1', '2', '3', '8', '9', '9', '9'])
+  t.deepEqual([priority(0), priority(5), priority(12)], ['0', '5', '9'])
+})
+
+// The release before drops neither of both headers at its upstreams, so that the key must not be handed to it.
+test('a handover names the customer to this release and to the one before', (t) => {
+  const request = { ...PASSED, callerAddress: '10.0.0.9', maxRuns: 2, softwareVersion: undefined }
+  const headers = (identity?: { readonly customer: string | undefined }) => handoverHeaders({ ...request, ...identity === undefined ? {} : { identity } })
+  t.snapshot([headers({ customer: 'hule930' }), headers({ customer: undefined }), headers()].map((list) => list.join(' ')))
+  const read = (list: readonly string[]) => readHandoverHeaders(Object.fromEntries(list.flatMap((name, i) => i % 2 === 0 ? [[name.toLowerCase(), list[i + 1]]] : []))).identity
+  t.deepEqual([read(headers({ customer: 'hule930' })), read(headers({ customer: undefined })), read(headers())], [{ customer: 'hule930' }, { customer: undefined }, undefined])
+})
+
+test('authorizationValues() returns each header, of which Node keeps the first only', (t) => {
+  t.deepEqual(authorizationValues(['authorization', 'Token a', 'Host', 'authorization', 'AUTHORIZATION', 'Token b']), ['Token a', 'Token b'])
+})
+
+test('readHostSettings() reads whether running requests of removed keys end', (t) => {
+  const settings = { NodeName: 'edge-1', Ip: '127.0.0.1', Zone: 'a', Listen: { Front: 'a:1', Ready: 'a:2', Control: 'a:3' }, InternalPorts: [4, 5], Platform: { Address: 'a:6' } }
+  const bounds = { DrainMs: 1, ConfigMs: 1, GraceS: 1, RetryBudgetRatio: 1, RetrySlack: 1, BudgetWindowS: 1, FencingEnforced: true, LeaseMs: 1 }
+  const revocationMs = (fields: object) => readHostSettings(JSON.stringify({ ...settings, Bounds: { ...bounds, ...fields } }), 'settings.json')._unsafeUnwrap().bounds.revocationMs
+  t.deepEqual([{}, { StrictRevocation: null, RevokeMs: null }, { StrictRevocation: false, RevokeMs: 800 }, { StrictRevocation: true, RevokeMs: 800 }, { StrictRevocation: true }].map(revocationMs), [undefined, undefined, undefined, 800, 3000])
+})
