Refuse callers without a customer's key, and name customers to upstreams and relays

Change: identifyCaller decides by the configuration in force, before the body is read and again once it has arrived; rejections get 401 with a reason, a line with 8 characters of the digest (at most 10 a second for each reason) and the existing counter. A received request has customer, rank, routeRank and quotaUnits. A relay trusts Berylshed-Customer and charges nothing; without the header it identifies and charges by the key. With StrictRevocation, a new version ends the requests of removed keys (401 if never sent, else 502 or broken off). Heartbeats say whether configurations contain customers (readsCustomers), and those of earlier releases are read from the store instead, as they would let every caller in.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -6,6 +6,7 @@
 import type { Admission } from './_admission.ts'
 import { trackConnections, type Connections } from './_connections.ts'
 import { sendRefusal, type CallerExchange } from './_exchanges.ts'
+import { identifiedFields, identifyCaller, type CallerIdentity } from './_identify_caller.ts'
 import { readRequestBody, type BodyFailure, type BodyLimits } from './_request_body.ts'
 import type { EdgeState } from './edge_state.ts'
 
@@ -31,6 +32,7 @@
 /** Memory of a header's name or value beside its characters, in bytes. */
 const HEADER_TEXT_BYTES = 64
 const TUNNEL_STATUS = 405
+const UNAUTHORIZED = 401
 const REQUEST_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT'
 
 /** Options of {@linkcode createCallerServer}. */
@@ -42,8 +44,11 @@
   random (): number
   state (): EdgeState
   receive (request: ReceivedRequest, exchange: CallerExchange): void
-  /** Called for each request that is rejected before routing; the status is 0 if its connection had been announced to end. */
-  rejected (callerId: string, status: number, reason: string): void
+  /**
+   * Called for each request that is rejected before routing; the status is 0 if its connection had been announced to end. The first characters
+   * of the digest of its key are given if the key is the reason.
+   */
+  rejected (callerId: string, status: number, reason: string, keyDigest?: string): void
   /** Called when a caller has ended its sending side and waits for the response to a request. */
   halfClosed (callerId: string): void
 }
@@ -68,16 +73,26 @@
   readonly handover: HandoverMetadata | undefined
 }
 
+interface _RejectOptions {
+  readonly endsConnection?: boolean
+  readonly keyDigest?: string
+}
+
+interface _RoutedCall {
+  readonly route: Route
+  readonly caller: Exclude<CallerIdentity, { kind: 'rejected' }>
+}
+
 /** Creates the HTTP server for callers; it does not listen yet. */
 export function createCallerServer (options: CallerServerOptions): CallerServer {
   let requestCount = 0
   const arriving = new Set<_Call>()
 
-  function reject (call: _Call, status: number, reason: string, endsConnection = false): void {
-    options.rejected(call.facts.id, status, reason)
+  function reject (call: _Call, status: number, reason: string, { endsConnection = false, keyDigest }: _RejectOptions = {}): void {
+    options.rejected(call.facts.id, status, reason, keyDigest)
     if (call.response.headersSent || call.response.destroyed) return
     const body = JSON.stringify({ error: { reason, outcome: 'not run' } })
-    call.response.writeHead(status, { ...localResponseHeaders(call.facts.id, undefined, { notRun: call.handover !== undefined }), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body), ...mayEnd(call.response, endsConnection) ? { Connection: 'close' } : {} }).end(body)
+    call.response.writeHead(status, { ...localResponseHeaders(call.facts.id, undefined, { notRun: call.handover !== undefined, needsKey: status === UNAUTHORIZED }), 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body), ...mayEnd(call.response, endsConnection) ? { Connection: 'close' } : {} }).end(body)
   }
 
   // A stopping instance asks callers to reconnect to another one.
@@ -97,7 +112,7 @@
     if (failure === 'too_large') return reject(call, 413, 'body_too_large')
     if (failure === 'memory_short') return refuse(call, failure, SHORT_RETRY_MS)
     // The rest of the body would hold the connection.
-    reject(call, 408, 'body_stalled', true)
+    reject(call, 408, 'body_stalled', { endsConnection: true })
   }
 
   function bodyLimits ({ response, facts: { callerTimeoutMs = Infinity } }: _Call, maxBytes: number): BodyLimits {
@@ -109,6 +124,16 @@
     }
   }
 
+  // What still arrives of the body is dropped.
+  function rejectKey (call: _Call, { reason, digestPrefix }: Extract<CallerIdentity, { kind: 'rejected' }>): void {
+    call.request.resume()
+    reject(call, UNAUTHORIZED, reason, digestPrefix === '' ? {} : { keyDigest: digestPrefix })
+  }
+
+  function identify ({ request, handover }: _Call, route: Route | undefined): CallerIdentity {
+    return identifyCaller(options.state(), { route, headers: request.rawHeaders, handedOver: handover?.identity })
+  }
+
   async function handle (call: _Call): Promise<void> {
     const { request, response, facts } = call
     const { socket } = request
@@ -118,6 +143,10 @@
       await _drainBody(request)
       return refuse(call, 'not_configured', NOT_CONFIGURED_RETRY_MS)
     }
+    const path = request.url ?? '/'
+    const findRoute = (): Route | undefined => matchRoute(options.state().routes, request.headers.host ?? '', { path })
+    const claimed = identify(call, findRoute())
+    if (claimed.kind === 'rejected') return rejectKey(call, claimed)
     if (!await connections.mayRead(response)) return options.rejected(facts.id, 0, 'connection_ended')
     const read = await readRequestBody(request, bodyLimits(call, state.configuration.limits.maxBodyBytes))
     if (typeof read !== 'string') connections.whenClosed(response, read.reservation.release)
@@ -129,19 +158,20 @@
     if (typeof read === 'string') return rejectBody(call, read)
     const body = read.bytes
     // Reads the state again, as the configuration may have changed while the body arrived.
-    const path = request.url ?? '/'
-    const route = matchRoute(options.state().routes, request.headers.host ?? '', { path })
+    const route = findRoute()
+    const caller = identify(call, route)
+    if (caller.kind === 'rejected') return rejectKey(call, caller)
     if (route === undefined) return reject(call, 404, 'no_route')
     if (facts.id === '') return reject(call, 400, 'no_request_id')
     requestCount += 1
     const id = `${options.forInstances ? 'r' : 'c'}${requestCount.toString(36)}.${facts.id}`
-    const received = toReceivedRequest(call, route, { id, body })
+    const received = toReceivedRequest(call, { route, caller }, { id, body })
     options.receive(received, {
-      id, callerId: facts.id, callerAddress: call.callerAddress, relayed: call.handover !== undefined, method: request.method ?? 'GET', path, headers: request.rawHeaders, body, deadlineMs: received.deadlineMs, response, hasEndedSending: () => socket.readableEnded, announceEnd: () => connections.announceEnd(response), mustEnd: () => connections.isCrowded(response)
+      id, callerId: facts.id, callerAddress: call.callerAddress, relayed: call.handover !== undefined, ...caller.kind === 'open' ? {} : { identity: caller.identity, keyDigest: caller.keyDigest }, method: request.method ?? 'GET', path, headers: request.rawHeaders, body, deadlineMs: received.deadlineMs, response, hasEndedSending: () => socket.readableEnded, announceEnd: () => connections.announceEnd(response), mustEnd: () => connections.isCrowded(response)
     })
   }
 
-  function toReceivedRequest (call: _Call, route: Route, identified: { readonly id: string, readonly body: Buffer }): ReceivedRequest {
+  function toReceivedRequest (call: _Call, { route, caller }: _RoutedCall, identified: { readonly id: string, readonly body: Buffer }): ReceivedRequest {
     const { facts, arrivedAtMs, handover } = call
     const resumable = route.repetition === 'streaming' && route.resumable
     return {
@@ -159,7 +189,7 @@
       stream: route.repetition === 'streaming',
       retryable: route.repetition === 'idempotent' || resumable,
       maxRuns: Math.max(1, handover?.maxRuns ?? route.maxAttempts),
-      rank: route.rank,
+      ...identifiedFields(options.state(), caller, { route, tokens: facts.tokens }),
       objectiveMs: route.objectiveMs,
       ...route.patienceMs === undefined ? {} : { leavesAtMs: arrivedAtMs + route.patienceMs },
       arrivedAtMs,
--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -38,6 +38,7 @@
   readonly server: Server
   countRequest (record: ServingRecord): void
   countRejected (status: number, reason: string): void
+  countRevoked (): void
   countOrder (record: SchedulerRecord): void
   countDependency (name: string, change: 'lost' | 'regained'): void
 }
@@ -51,6 +52,7 @@
   const brokenOff = new Counter({ name: 'berylshed_broken_off_total', help: 'Answers that were broken off, by reason', labelNames: ['reason'], registers })
   const callersLeft = new Counter({ name: 'berylshed_left_total', help: 'Requests whose caller left', registers })
   const rejected = new Counter({ name: 'berylshed_rejected_total', help: 'Requests turned away before they were routed', labelNames: ['status', 'reason'], registers })
+  const revoked = new Counter({ name: 'berylshed_revoked_total', help: 'Requests that were ended as their key was removed', registers })
   const attempts = new Counter({ name: 'berylshed_sendings_total', help: 'Sendings to upstreams, first ones and repeats', labelNames: ['kind'], registers })
   const failedAttempts = new Counter({ name: 'berylshed_failed_sendings_total', help: 'Sendings that failed, by reason', labelNames: ['reason'], registers })
   const avoided = new Counter({ name: 'berylshed_upstreams_avoided_total', help: 'Times that an upstream was avoided, by reason', labelNames: ['reason'], registers })
@@ -111,6 +113,7 @@
     countRequest,
     countOrder,
     countRejected: (status, reason) => rejected.inc({ status, reason: reasonLabel(reason) }),
+    countRevoked: () => revoked.inc(),
     countDependency: (name, change) => dependencies.inc({ name, change })
   }
 }
--- a/packages/edge/_exchanges.ts
+++ b/packages/edge/_exchanges.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import type { Upstream } from '@berylshed/fleet'
-import { attemptHeaders, forwardedResponseHeaders, handoverAnswerHeaders, handoverHeaders, localResponseHeaders, readSoftwareVersion } from '@berylshed/platform'
+import { attemptHeaders, forwardedResponseHeaders, handoverAnswerHeaders, handoverHeaders, localResponseHeaders, readSoftwareVersion, type RequestIdentity } from '@berylshed/platform'
 import { refusal, type Refusal, type Relay, type Request, type AttemptFailure, type ServingEffect, type ServingEvent } from '@berylshed/serving'
 import { breakOff } from './_break_off.ts'
 import { createDeliveries, type Delivery, type UnreadResponse } from './_deliveries.ts'
@@ -32,6 +32,10 @@
   readonly callerAddress: string
   /** Whether another instance handed the request over. */
   readonly relayed: boolean
+  /** Customer of the request; absent if the deployment had no customers when it arrived. */
+  readonly identity?: RequestIdentity
+  /** Digest of the customer's key; undefined if it was not checked here. */
+  readonly keyDigest?: string | undefined
   readonly method: string
   readonly path: string
   /** Alternating header names and values, as the caller sent them. */
@@ -55,6 +59,8 @@
   nowMs (): number
   /** Returns the registration of an upstream, or undefined if it is no longer registered. */
   upstream (id: string): Upstream | undefined
+  /** Reports whether the deployment has customers, so that no key and no name that a caller states may reach an upstream. */
+  hasCustomers (): boolean
   /** Reports whether callers are asked to reconnect to another instance. */
   isDraining (): boolean
   /** Reports whether the silent attempt of a request is given up for another one. */
@@ -66,6 +72,8 @@
   failed (error: unknown): void
   /** Called when a connection ended before all of a response was written that had been handed to it. */
   undelivered (exchange: CallerExchange): void
+  /** Called when a request has ended because its key was removed. */
+  revoked (exchange: CallerExchange): void
   /** Called when a caller that did not read its response was cut off, as others waited for memory. */
   unread (exchange: CallerExchange, unread: UnreadResponse): void
 }
@@ -88,6 +96,10 @@
   tail: Buffer | undefined
   /** First events of a stream whose origin is being stored. */
   held: _HeldEvents | undefined
+  /** Whether the request was sent at least once, and may have run. */
+  isSent: boolean
+  /** Whether the request has ended because its key was removed. */
+  isRevoked: boolean
 }
 
 /** Open exchanges of an instance with its callers. */
@@ -95,6 +107,8 @@
   open (exchange: CallerExchange): void
   /** Carries out an effect of request serving. An exception ends the exchange that it concerns. */
   perform (effect: ServingEffect): void
+  /** Ends the requests whose keys are no longer those of their customers. */
+  revoke (isHeldBy: (keyDigest: string, customer: string) => boolean): void
   /** Ends an exchange whose request cannot be handled any further. */
   giveUp (id: string): void
   /** Gives up the exchanges whose deadline has passed without an outcome, and cuts off callers that do not read while others wait for memory. */
@@ -115,7 +129,7 @@
   function open (exchange: CallerExchange): void {
     const { id, response } = exchange
     const delivery = deliveries.open(exchange)
-    openExchanges.set(id, { exchange, delivery, running: undefined, buffered: undefined, lastEventId: undefined, softwareVersion: undefined, isRelayed: false, isProbed: false, tail: undefined, held: undefined })
+    openExchanges.set(id, { exchange, delivery, running: undefined, buffered: undefined, lastEventId: undefined, softwareVersion: undefined, isRelayed: false, isProbed: false, tail: undefined, held: undefined, isSent: false, isRevoked: false })
     response.on('drain', () => openExchanges.get(id)?.running?.resume())
     response.on('close', () => {
       const isWhole = response.writableEnded || delivery.isWhole()
@@ -153,7 +167,7 @@
     const passed = passedRequest(entry, effect)
     forward(entry, effect, {
       ..._addressOf(upstream.address),
-      headers: attemptHeaders({ ...passed, upstream: effect.upstream, rank: request.rank }),
+      headers: attemptHeaders({ ...passed, upstream: effect.upstream, rank: request.rank, ...request.routeRank === undefined ? {} : { routeRank: request.routeRank } }),
       reuseConnection: passed.keepAlive,
       firstByteTimeoutMs: effect.patienceMs,
       eventTimeoutMs: _eventTimeoutMs(request)
@@ -179,8 +193,11 @@
   function passedRequest (entry: _OpenExchange, effect: _Send) {
     const { exchange, lastEventId } = entry
     const hasBody = !METHODS_WITHOUT_BODY.includes(exchange.method) || exchange.body.length > 0
+    // A request that arrived before there were customers belongs to none.
+    const identity = exchange.identity ?? (options.hasCustomers() ? { customer: undefined } : undefined)
     return {
       callerHeaders: exchange.headers,
+      ...identity === undefined ? {} : { identity },
       remainingMs: effect.request.deadlineMs - options.nowMs(),
       lastEventId,
       bodyBytes: hasBody ? exchange.body.length : undefined,
@@ -192,6 +209,7 @@
   function forward (entry: _OpenExchange, effect: _Send, target: Pick<ForwardedAttempt, 'host' | 'port' | 'headers' | 'reuseConnection' | 'firstByteTimeoutMs' | 'eventTimeoutMs'>): void {
     const { exchange } = entry
     const { request, attempt, relay } = effect
+    entry.isSent = true
     entry.running = forwardAttempt({
       id: exchange.callerId,
       runsOnce: !request.retryable,
@@ -378,6 +396,24 @@
     options.dispatch({ kind: 'exchange_failed', id, nowMs: options.nowMs() })
   }
 
+  function revoke (isHeldBy: (keyDigest: string, customer: string) => boolean): void {
+    for (const entry of [...openExchanges.values()]) {
+      const { id, keyDigest, identity } = entry.exchange
+      if (entry.isRevoked || keyDigest === undefined || isHeldBy(keyDigest, identity?.customer ?? '')) continue
+      contain(id, () => endRevoked(entry))
+    }
+  }
+
+  // Serving treats the request like one whose caller has left: what may run only once is not cut off at its upstream.
+  function endRevoked (entry: _OpenExchange): void {
+    const { id, callerId, relayed, response, announceEnd } = entry.exchange
+    entry.isRevoked = true
+    sendRefusal(response, refusal('key_revoked', { mayHaveRun: entry.isSent }), { callerId, close: options.isDraining() && announceEnd(), relayed })
+    options.revoked(entry.exchange)
+    options.dispatch({ kind: 'caller_left', id, nowMs: options.nowMs() })
+    if (entry.running === undefined) remove(id)
+  }
+
   function expire (): void {
     deliveries.cutUnread()
     const dueMs = options.nowMs() - EXPIRY_SLACK_MS
@@ -403,7 +439,7 @@
       case 'cancel': {
         const entry = openExchanges.get(effect.id)
         entry?.running?.cancel()
-        if (entry?.exchange.response.destroyed === true) remove(effect.id)
+        if (entry?.exchange.response.destroyed === true || entry?.isRevoked === true) remove(effect.id)
         return
       }
       case 'abort':
@@ -413,7 +449,7 @@
     }
   }
 
-  return { open, perform, giveUp, expire, size: () => openExchanges.size, running: () => runningCount }
+  return { open, perform, revoke, giveUp, expire, size: () => openExchanges.size, running: () => runningCount }
 }
 
 type _Send = Extract<ServingEffect, { kind: 'send' }>
--- a/packages/edge/_follow_registry.ts
+++ b/packages/edge/_follow_registry.ts
@@ -30,7 +30,7 @@
   /** Returns the newest known list, from the store or from another instance. */
   newestList (): UpstreamList | undefined
   /** Reports whether another instance reads the store and passes on its changes. */
-  isRelayed (): boolean
+  isRelayed (what: 'configuration' | 'upstreams'): boolean
   /** Called after a successful read of the store that was sent at a local time in ms, with or without changes. */
   read (what: 'configuration' | 'upstreams', sentAtMs: number): void
   lost (what: string, reason: string): void
@@ -117,7 +117,7 @@
   const follow = Effect.gen(function * () {
     let revision: number | undefined
     while (true) {
-      if (hooks.isRelayed()) {
+      if (hooks.isRelayed('configuration')) {
         revision = undefined
         yield * Effect.sleep(RELAY_POLL_MS)
         continue
@@ -159,7 +159,7 @@
     let [knownRevision, knownSinceMs] = [0, hooks.nowMs()]
     while (true) {
       outages.observed(hooks.newestList()?.revision)
-      if (hooks.isRelayed()) {
+      if (hooks.isRelayed('upstreams')) {
         synchronized = false
         yield * Effect.sleep(RELAY_POLL_MS)
         continue
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -134,7 +134,7 @@
   const { configuration, list } = state
   const newer = (configuration?.version ?? 0) > known.configurationVersion ? configuration : undefined
   const upstreams = (list?.revision ?? 0) > known.listRevision && list !== undefined ? upstreamUpdateSince(list, known.listRevision) : undefined
-  return newer === undefined && upstreams === undefined ? undefined : { configuration: newer, upstreams }
+  return newer === undefined && upstreams === undefined ? undefined : { configuration: newer, upstreams, readsCustomers: true }
 }
 
 // A new holder has acknowledged nothing.
@@ -230,6 +230,7 @@
     update: _update(state, request),
     wantsNews: (state.configuration?.version ?? 0) < request.configurationVersion || listRevision < request.listRevision,
     listRevision,
+    readsCustomers: true,
     registryAgeMs: at.nowMs - Math.min(configuration, upstreams)
   }
 }
@@ -319,7 +320,7 @@
   const { view } = answer
   const base = known?.view.holder.incarnation === view.holder.incarnation ? known.engines : new Map<string, PlacedEngine>()
   const engines = view.engines.length === 0 ? base : new Map([...base, ...view.engines.map((engine) => [engine.upstream, engine] as const)])
-  return { view, engines, receivedAtMs: at.nowMs, registryReadAtMs: at.nowMs - answer.registryAgeMs }
+  return { view, engines, receivedAtMs: at.nowMs, readsCustomers: answer.readsCustomers === true, registryReadAtMs: at.nowMs - answer.registryAgeMs }
 }
 
 /** Load of the other instances. */
@@ -351,3 +352,20 @@
   if (state.scheduler.held !== undefined || state.received === undefined) return false
   return nowMs - state.received.registryReadAtMs < MAX_RELAY_AGE_MS
 }
+
+/**
+ * Reports whether the lease holder relays configurations that this instance can use. Those of an earlier release lack the customers, so that
+ * every caller would be served.
+ *
+ * @param state The state of this instance.
+ * @param nowMs The local time in ms.
+ * @returns Whether this instance need not read the configuration itself.
+ *
+ * @example
+ * ```ts
+ * if (!isConfigurationRelayed(state, performance.now())) await registry.readConfiguration()
+ * ```
+ */
+export function isConfigurationRelayed (state: EdgeState, nowMs: number): boolean {
+  return isRegistryRelayed(state, nowMs) && state.received?.readsCustomers === true
+}
--- a/packages/edge/_test_system.ts
+++ b/packages/edge/_test_system.ts
@@ -107,7 +107,7 @@
 export type LoggedLine = Parameters<Logger['write']>[1]
 
 /** Starts an instance and waits until it is ready; its lines are added to `lines`. */
-export async function startInstance (instance: string, platform: TestPlatform, { lines = [] }: { readonly lines?: LoggedLine[] } = {}): Promise<TestInstance> {
+export async function startInstance (instance: string, platform: TestPlatform, { lines = [], revocationMs }: { readonly lines?: LoggedLine[], readonly revocationMs?: number } = {}): Promise<TestInstance> {
   // The listener binds a free port itself, as one picked ahead may be taken before it listens.
   const anyPort = '127.0.0.1:0'
   const settings: HostSettings = {
@@ -123,7 +123,7 @@
     memoryBytes: 480 * 1024 * 1024,
     maxDescriptors: 6300,
     bounds: {
-      upstreamDrainMs: 2000, registrationTtlMs: 3600, configurationMs: 2000, shutdownGraceMs: TEST_GRACE_MS, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000
+      upstreamDrainMs: 2000, registrationTtlMs: 3600, configurationMs: 2000, shutdownGraceMs: TEST_GRACE_MS, retryBudgetRatio: 0.2, freeRetriesPerWindow: 40, retryWindowMs: 10_000, enginesCheckFence: true, holderChangeMs: 3000, ...revocationMs === undefined ? {} : { revocationMs }
     }
   }
   const logger: Logger = { write: (_topic, line) => { lines.push(line) }, dropped: () => 0, end: async () => {} }
--- a/packages/edge/contained_exception_test.ts
+++ b/packages/edge/contained_exception_test.ts
@@ -21,12 +21,14 @@
     responses: createMemoryBudget(1024 * 1024),
     nowMs: () => 5000,
     upstream: () => undefined,
+    hasCustomers: () => false,
     isDraining: () => false,
     needsStoredOrigin: () => false,
     mayContinue: () => true,
     dispatch: (event) => events.push(event.kind),
     failed: (error) => failures.push(String(error)),
     undelivered: () => failures.push('undelivered'),
+    revoked: () => failures.push('revoked'),
     unread: () => failures.push('unread')
   })
   const server = createServer((request, response) => {
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -1,3 +1,4 @@
+import type { CustomerTable } from '@berylshed/customers'
 import { buildRouteTable, type Configuration, type RouteTable, type UpstreamList } from '@berylshed/fleet'
 import { leaseTimes, newSchedulerState, type FleetView, type Holder, type Instant, type LeaseBounds, type PlacedEngine, type PlacementPolicy, type SchedulerState } from '@berylshed/scheduler'
 import { newServingState, type RetryBudget, type ServingState } from '@berylshed/serving'
@@ -11,6 +12,8 @@
   readonly engines: ReadonlyMap<string, PlacedEngine>
   /** Local time at which the view arrived, in ms. */
   readonly receivedAtMs: number
+  /** Whether the configurations that the holder relays contain customers. */
+  readonly readsCustomers: boolean
   /** Local time of the holder's last successful read of the store, in ms. */
   readonly registryReadAtMs: number
 }
@@ -42,6 +45,8 @@
   readonly self: Holder
   readonly configuration: Configuration | undefined
   readonly routes: RouteTable
+  /** Customers by their keys; undefined if the deployment has none. */
+  readonly customerTable: CustomerTable | undefined
   /** The registered upstreams; undefined before the first listing. */
   readonly list: UpstreamList | undefined
   readonly scheduler: SchedulerState
@@ -115,6 +120,7 @@
     self,
     configuration: undefined,
     routes: buildRouteTable({ version: 0, routes: [], services: new Map(), limits: { maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 } }),
+    customerTable: undefined,
     list: undefined,
     scheduler: newSchedulerState(self, { times: leaseTimes(options.leaseBounds), ...options.policy === undefined ? {} : { policy: options.policy } }),
     serving: { ...newServingState({ ...options, instance: self.instance }), historyKnown: false, versionsConfirmedAtMs: -Infinity },
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -6,6 +6,8 @@
 export interface RegistryUpdate {
   readonly configuration: Configuration | undefined
   readonly upstreams: UpstreamUpdate | undefined
+  /** Whether the sender decodes customers; absent if it runs an earlier release, whose configurations lack them. */
+  readonly readsCustomers?: boolean
 }
 
 /** The holder's list of the instances among which upstreams are divided. */
@@ -73,6 +75,8 @@
   readonly update: RegistryUpdate | undefined
   /** Whether the sender knows something newer and is to send it. */
   readonly wantsNews: boolean
+  /** Whether the holder decodes customers; absent if it runs an earlier release. */
+  readonly readsCustomers?: boolean
   /** Store revision of the holder's list of upstreams. */
   readonly listRevision: number
   /** Time since the holder last read the store, in ms; Infinity if it never did. */
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -1,3 +1,4 @@
+import { buildCustomerTable } from '@berylshed/customers'
 import { applyUpstreamUpdate, buildRouteTable, NO_UPSTREAMS, storeRevision, type Upstream } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
 import { noteContact } from '@berylshed/serving'
@@ -111,7 +112,8 @@
   const knownVersion = state.configuration?.version ?? 0
   if (configuration.version < knownVersion) return _ignored(state, { what: 'configuration_ignored', version: configuration.version, knownVersion, from: event.from })
   if (state.configuration !== undefined && configuration.version === knownVersion) return step(state)
-  const next: EdgeState = { ...state, configuration, routes: buildRouteTable(configuration) }
+  const customerTable = configuration.customers === undefined ? undefined : buildCustomerTable(configuration.customers)
+  const next: EdgeState = { ...state, configuration, routes: buildRouteTable(configuration), customerTable }
   const record: EdgeEffect = { subject: 'record', record: { what: 'configuration_in_force', version: configuration.version, from: event.from, count: configuration.routes.length } }
   const models = new Map([...configuration.services].flatMap(([name, { engine }]) => engine === undefined ? [] : [[name, new Set(engine.models.keys())] as const]))
   const known = chain(step(next, [record]), (s) => applyServingEvent(s, { kind: 'models_changed', models, nowMs: at.nowMs }))
--- a/packages/edge/run_edge.ts
+++ b/packages/edge/run_edge.ts
@@ -12,6 +12,7 @@
 import { createExchanges, type CallerExchange } from './_exchanges.ts'
 import { followConfiguration, followUpstreams, type RegistryHooks } from './_follow_registry.ts'
 import { createLimitedServer, PROBE_LIMITS } from './_limited_server.ts'
+import { limitLines } from './_limit_lines.ts'
 import { closeServer, listenAt, type ListenOptions } from './_listen.ts'
 import { probeAddress } from './_probe_address.ts'
 import { createMemoryWatch } from './_memory_watch.ts'
@@ -25,7 +26,7 @@
 import type { Logger } from './logger.ts'
 import type { ArchiveEffect, ArchiveEvent } from './origin_archive.ts'
 import { HISTORY_NAME } from './_archive_origins.ts'
-import { answerHeartbeat, isRegistryRelayed } from './_peer_heartbeat.ts'
+import { answerHeartbeat, isConfigurationRelayed, isRegistryRelayed } from './_peer_heartbeat.ts'
 import { reduceEdge } from './reduce_edge.ts'
 
 /** Interval between ticks, in ms: a fraction of the shortest latency objective. */
@@ -57,6 +58,12 @@
 /** Time after the end of a registration's validity until its removal is known, in ms: one watch and some delay. */
 const REMOVAL_DELAY_MS = 1000
 
+/** Maximum number of lines per second on rejected keys of one reason; with six reasons some 12 KB, a small part of what may wait for the reader. */
+const MAX_KEY_LINES_PER_S = 10
+const UNAUTHORIZED = 401
+/** Characters of a key's digest that are logged. */
+const LOGGED_DIGEST_LENGTH = 8
+
 /** Platform services and logger that an instance uses. */
 export interface EdgeDependencies {
   readonly store: Store
@@ -145,14 +152,20 @@
     responses: admission.responses,
     nowMs,
     upstream: (id) => loop.state().list?.upstreams.get(id),
+    hasCustomers: () => loop.state().customerTable !== undefined,
     isDraining: () => loop.state().draining,
     mayContinue: (id) => mayContinueStream(loop.state().serving, id, nowMs()),
     needsStoredOrigin: (id) => needsStoredOrigin(loop.state().serving, id, nowMs()),
     dispatch: (event) => loop.dispatch({ subject: 'serving', event }),
     failed: logFailure,
     undelivered: ({ callerId }) => logger.write('callers', { what: 'undelivered', request: callerId }),
+    revoked: ({ callerId, identity, keyDigest = '' }) => {
+      metrics.countRevoked()
+      logger.write('callers', { what: 'revoked', request: callerId, customer: identity?.customer, keyDigest: keyDigest.slice(0, LOGGED_DIGEST_LENGTH), configuration: loop.state().configuration?.version ?? 0 })
+    },
     unread: ({ callerId }, unread) => logger.write('callers', { what: 'unread', request: callerId, bytes: unread.bytes, unreadMs: Math.round(unread.unreadMs), unreported: unread.unreported })
   })
+  const keyLines = limitLines(MAX_KEY_LINES_PER_S, nowMs)
   const callerServerOptions = {
     admission,
     nowMs,
@@ -163,9 +176,11 @@
       loop.dispatch({ subject: 'serving', event: { kind: 'received', request, nowMs: nowMs() } })
     },
     halfClosed: (callerId: string): void => logger.write('callers', { what: 'half_closed', request: callerId }),
-    rejected: (callerId: string, status: number, reason: string): void => {
+    rejected: (callerId: string, status: number, reason: string, keyDigest?: string): void => {
       metrics.countRejected(status, reason)
-      logger.write('callers', { what: 'rejected', request: callerId, status, reason, configuration: loop.state().configuration?.version ?? 0 })
+      const unreported = status === UNAUTHORIZED ? keyLines(reason) : 0
+      if (unreported === undefined) return
+      logger.write('callers', { what: 'rejected', request: callerId, status, reason, ...keyDigest === undefined ? {} : { keyDigest }, configuration: loop.state().configuration?.version ?? 0, ...unreported === 0 ? {} : { unreported } })
     }
   }
   const callerServer = createCallerServer({ ...callerServerOptions, forInstances: false })
@@ -183,13 +198,21 @@
   })
 
   function applyUpdate (update: RegistryUpdate | undefined): void {
-    if (update?.configuration !== undefined) applyConfiguration(update.configuration, 'peer')
+    // One of an earlier release lacks the customers, and would let every caller in; it is read from the store instead.
+    if (update?.configuration !== undefined && update.readsCustomers === true) applyConfiguration(update.configuration, 'peer')
     if (update?.upstreams !== undefined) loop.dispatch({ subject: 'upstreams_updated', update: update.upstreams, at: at() })
   }
 
   function applyConfiguration (configuration: NonNullable<EdgeState['configuration']>, from: 'store' | 'peer'): void {
     loop.dispatch({ subject: 'configured', configuration, from, at: at() })
     for (const server of [callerServer, relayServer]) server.configure(loop.state().configuration ?? configuration)
+    if (bounds.revocationMs !== undefined) revokeRequests()
+  }
+
+  // At once, which is within any time that the platform may name.
+  function revokeRequests (): void {
+    const { customerTable } = loop.state()
+    if (customerTable !== undefined) exchanges.revoke((keyDigest, customer) => customerTable.get(keyDigest)?.name === customer)
   }
 
   function perform (effect: EdgeEffect): void {
@@ -332,7 +355,7 @@
     configured: (configuration) => applyConfiguration(configuration, 'store'),
     listed: (list) => loop.dispatch({ subject: 'listed', list, at: at() }),
     newestList: () => loop.state().list,
-    isRelayed: () => isRegistryRelayed(loop.state(), nowMs()),
+    isRelayed: (what) => what === 'configuration' ? isConfigurationRelayed(loop.state(), nowMs()) : isRegistryRelayed(loop.state(), nowMs()),
     read: (what, sentAtMs) => loop.dispatch({ subject: 'registry_read', what, sentAtMs, at: at() }),
     lost: (name, reason) => {
       metrics.countDependency(name, 'lost')
--- a/packages/serving/refusal.ts
+++ b/packages/serving/refusal.ts
@@ -30,6 +30,8 @@
   | 'memory_short'
   /** The instance has no descriptors for the request's connections. */
   | 'descriptors_short'
+  /** The key of the request was removed while it waited or ran. */
+  | 'key_revoked'
   /** An exception kept the instance from handling the request. */
   | 'internal_error'
 
@@ -44,6 +46,7 @@
   readonly retryAfterMs: number | undefined
 }
 
+const UNAUTHORIZED = 401
 const SERVICE_UNAVAILABLE = 503
 const BAD_GATEWAY = 502
 const GATEWAY_TIMEOUT = 504
@@ -72,7 +75,7 @@
  * ```
  */
 export function refusal (reason: RefusalReason, facts: RefusalFacts): Refusal {
-  if (!facts.mayHaveRun) return { reason, notRun: true, status: SERVICE_UNAVAILABLE, retryAfterMs: facts.retryAfterMs }
+  if (!facts.mayHaveRun) return { reason, notRun: true, status: reason === 'key_revoked' ? UNAUTHORIZED : SERVICE_UNAVAILABLE, retryAfterMs: facts.retryAfterMs }
   const status = TIMEOUT_REASONS.includes(reason) ? GATEWAY_TIMEOUT : BAD_GATEWAY
   return { reason, notRun: false, status, retryAfterMs: undefined }
 }
