Keep the test of resumed streams within the retry budget of a new instance

Change: the requests to break off are named, and the resumed one is not; a retry and an interrupted stream are still broken off.

--- a/packages/edge/_test_keyed_system.ts
+++ b/packages/edge/_test_keyed_system.ts
@@ -38,8 +38,8 @@
 /** Options of {@linkcode startKeyedSystem}. */
 export interface KeyedOptions {
   readonly tenants?: readonly WireTenant[] | undefined
-  /** Whether the first call of each request is broken off. */
-  readonly breaksFirst?: boolean
+  /** Ids of requests whose first call is broken off. */
+  readonly brokenOff?: readonly string[]
   /** Time between the two events of a stream and before other answers, in ms. */
   readonly workMs?: number
   readonly revocationMs?: number
@@ -63,10 +63,10 @@
   }
 }
 
-async function startUpstream (t: ExecutionContext, name: string, { arrived, breaksFirst, workMs }: { readonly arrived: ArrivedCall[], readonly breaksFirst: boolean, readonly workMs: number }): Promise<string> {
+async function startUpstream (t: ExecutionContext, name: string, { arrived, brokenOff, workMs }: { readonly arrived: ArrivedCall[], readonly brokenOff: readonly string[], readonly workMs: number }): Promise<string> {
   const server = createServer((request, response) => {
     const id = String(request.headers['attempt-id'])
-    const isBroken = breaksFirst && !arrived.some((call) => call.id === id)
+    const isBroken = brokenOff.includes(id) && !arrived.some((call) => call.id === id)
     arrived.push({ id, path: request.url ?? '', upstream: name, headers: request.headers })
     const isStream = request.url?.startsWith('/drafts/') === true
     const signed = { 'attempt-id': id, 'server-signature': 's' }
@@ -95,7 +95,7 @@
   let version = 1
   testStore.put('config', 'main', configurationOf(version, 'tenants' in options ? options.tenants : TENANTS))
   for (const name of UPSTREAMS) {
-    const address = await startUpstream(t, name, { arrived, breaksFirst: options.breaksFirst ?? false, workMs: options.workMs ?? 0 })
+    const address = await startUpstream(t, name, { arrived, brokenOff: options.brokenOff ?? [], workMs: options.workMs ?? 0 })
     testStore.put('servers', name, { Service: 'orders', Address: address, Zone: 'a', Version: 'v1', Slots: 8, State: 'ready', born: 1 })
   }
   const store = new PlatformStore(testStore.address, { onUnreadableEntry: (findings) => lines.push({ what: 'entry_skipped', reason: findings.join('; ') }) })
