--- a/packages/serving/refusal.ts
+++ b/packages/serving/refusal.ts
@@ -32,6 +32,8 @@
   | 'memory_short'
   /** The instance has no descriptors for the request's connections. */
   | 'descriptors_short'
+  /** The key of the request was removed while it waited or ran. */
+  | 'key_revoked'
   /** An exception kept the instance from handling the request. */
   | 'internal_error'
 
@@ -46,10 +48,11 @@
   readonly retryAfterMs: number | undefined
 }
 
-const TOO_MANY_REQUESTS = 429
 const SERVICE_UNAVAILABLE = 503
 const BAD_GATEWAY = 502
 const GATEWAY_TIMEOUT = 504
+/** Statuses of requests that have not run, if it is not 503. */
+const NOT_RUN_STATUSES: Readonly<Partial<Record<RefusalReason, number>>> = { quota_exceeded: 429, key_revoked: 401 }
 const TIMEOUT_REASONS: readonly RefusalReason[] = ['deadline_running', 'upstream_silent']
 
 /** Facts about a request that determine its refusal. */
@@ -75,7 +78,7 @@
  * ```
  */
 export function refusal (reason: RefusalReason, facts: RefusalFacts): Refusal {
-  if (!facts.mayHaveRun) return { reason, notRun: true, status: reason === 'quota_exceeded' ? TOO_MANY_REQUESTS : SERVICE_UNAVAILABLE, retryAfterMs: facts.retryAfterMs }
+  if (!facts.mayHaveRun) return { reason, notRun: true, status: NOT_RUN_STATUSES[reason] ?? SERVICE_UNAVAILABLE, retryAfterMs: facts.retryAfterMs }
   const status = TIMEOUT_REASONS.includes(reason) ? GATEWAY_TIMEOUT : BAD_GATEWAY
   return { reason, notRun: false, status, retryAfterMs: undefined }
 }
