Decide which upstreams are ejected for their failures, as pure functions

Cause: seven engines of 87 answered health checks and broke each request after 7 to 20 ms. Nothing counts failures per upstream over all instances, so that each instance has to find out by itself. Change: packages/outliers counts the latest outcomes of an upstream, adds up those of instances, and decides on ejections (three failures, half of the outcomes, an attempt sent after another had failed; at most a third of a service). Nothing reads it yet.

--- a/packages/outliers/mod.ts
+++ b/packages/outliers/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
-export {}
+export * from './ejected_upstreams.ts'
+export * from './outcomes.ts'
