Eject upstreams that break what they get, found out by all instances together

Cause: an upstream that breaks each request after some ms is idle and so chosen again (a failure weighed 0.15 in its share of failures), and each of 64 instances lost requests until it found out by itself. Change: instances count the latest outcomes per upstream, report those of upstreams that failed lately in the heartbeat (optional fields, at most 32 upstreams), and take over what the lease holder ejects on the sum; own ejections stay. A failure makes a heartbeat due at most every 40 ms or 4 ms x instances. An ejected upstream is left out by choose_upstream unless no other one offers what the request needs, and comes back by single requests that may be repeated. A failure weighs 0.5. Records upstream_ejected and upstream_readmitted, counter berylshed_upstream_ejections_total.

--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -14,7 +14,7 @@
 /** Maximum number of reasons; the code has some tens. */
 const MAX_REASONS = 200
 /** Records whose reasons are counted; that of a quarantine is the key of what is quarantined. */
-const COUNTED_REASONS: ReadonlyArray<ServingRecord['what']> = ['failed', 'refused', 'broken_off', 'upstream_unreachable', 'upstream_avoided']
+const COUNTED_REASONS: ReadonlyArray<ServingRecord['what']> = ['failed', 'refused', 'broken_off', 'upstream_unreachable', 'upstream_avoided', 'upstream_ejected', 'upstream_readmitted']
 /** Maximum number of response statuses. */
 const MAX_STATUSES = 40
 
@@ -54,6 +54,7 @@
   const attempts = new Counter({ name: 'berylshed_sendings_total', help: 'Sendings to upstreams, first ones and repeats', labelNames: ['kind'], registers })
   const failedAttempts = new Counter({ name: 'berylshed_failed_sendings_total', help: 'Sendings that failed, by reason', labelNames: ['reason'], registers })
   const avoided = new Counter({ name: 'berylshed_upstreams_avoided_total', help: 'Times that an upstream was avoided, by reason', labelNames: ['reason'], registers })
+  const ejections = new Counter({ name: 'berylshed_upstream_ejections_total', help: 'Upstreams that were ejected for their failures or readmitted, by who found them out', labelNames: ['change', 'source'], registers })
   const quarantines = new Counter({ name: 'berylshed_quarantines_total', help: 'Requests and parts of prompts that were quarantined as they crash upstreams', labelNames: ['kind'], registers })
   const limits = new Counter({ name: 'berylshed_upstream_limits_total', help: 'Limits that upstreams named or lifted in their responses', labelNames: ['change'], registers })
   const orders = new Counter({ name: 'berylshed_orders_total', help: 'Orders to engines, by operation and outcome', labelNames: ['operation', 'outcome'], registers })
@@ -84,6 +85,8 @@
       case 'left': return callersLeft.inc()
       case 'upstream_unreachable':
       case 'upstream_avoided': return avoided.inc({ reason })
+      case 'upstream_ejected': return ejections.inc({ change: 'ejected', source: reason })
+      case 'upstream_readmitted': return ejections.inc({ change: 'readmitted', source: reason })
       case 'limit_named': return limits.inc({ change: 'named' })
       case 'limit_lifted': return limits.inc({ change: 'lifted' })
       case 'quarantined': return quarantines.inc({ kind: isRequestKey(record.reason ?? '') ? 'request' : 'part' })
--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -18,7 +18,7 @@
 }
 
 /** Effects of request serving that only make a heartbeat due. */
-const REPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['demand_changed', 'evidence_changed', 'limits_changed', 'origin_wanted']
+const REPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['demand_changed', 'evidence_changed', 'failure_observed', 'limits_changed', 'origin_wanted']
 
 /** Reduces an event of request serving; a change of demand, crash evidence or limits, or an unknown origin, makes a heartbeat due. */
 export function applyServingEvent (state: EdgeState, event: ServingEvent): EdgeStep {
--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -1,4 +1,4 @@
-import type { AdapterUsage, InstanceReport, Instant, ReplicaLoad, UnmetDemand, RequestRate } from '@berylshed/scheduler'
+import type { AdapterUsage, InstanceReport, Instant, ReplicaLoad, UnmetDemand, RequestRate, UpstreamOutcomes } from '@berylshed/scheduler'
 import type { EvidenceUpdate, OriginSegment, OriginUpdate } from '@berylshed/serving'
 import { Schema } from 'effect'
 import superjson from 'superjson'
@@ -13,7 +13,9 @@
   needs: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.String, Schema.Number, Schema.Array(Schema.Number)])),
   uses: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number])),
   loads: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number])),
-  adapters: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.String, Schema.Number, Schema.Number]))
+  adapters: Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.String, Schema.Number, Schema.Number])),
+  // Upstream, incarnation, attempts answered and failed, and the ages of the first failure and of the last attempt that failed, in ms.
+  outcomes: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number])))
 })
 
 const EvidenceWire = Schema.Struct({
@@ -55,7 +57,9 @@
 })
 
 /** Wire format of an answer. The view needs no encoding, as it consists of strings and numbers. */
-export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays' | 'versionHistory' | 'brittle' | 'members' | 'stamp'> & {
+export type AnswerWire = Omit<HeartbeatAnswer, 'update' | 'registryAgeMs' | 'evidence' | 'limits' | 'origins' | 'relays' | 'versionHistory' | 'brittle' | 'members' | 'stamp' | 'ejections'> & {
+  /** Absent if there are none or an earlier release answers. */
+  readonly ejections?: HeartbeatAnswer['ejections']
   /** Absent if an earlier release answers. */
   readonly stamp?: Instant
   /** Absent if an earlier release answers. */
@@ -99,7 +103,8 @@
       needs: report.unmetDemand.map((demand) => [demand.service, demand.model, demand.adapter ?? '', demand.waiting, demand.dueInMs.map(Math.round)] as const),
       uses: report.requestRates.map((use) => [use.service, use.model, _roundRate(use.ratePerS)] as const),
       loads: report.loads.map((load) => [load.upstream, load.model, load.running] as const),
-      adapters: report.adapters.map((use) => [use.upstream, use.model, use.adapter, use.running, Math.round(use.idleMs)] as const)
+      adapters: report.adapters.map((use) => [use.upstream, use.model, use.adapter, use.running, Math.round(use.idleMs)] as const),
+      ...report.outcomes === undefined ? {} : { outcomes: report.outcomes.map((of) => [of.upstream, of.incarnation, of.answered, of.failed, Math.round(of.firstFailedAgoMs), Math.round(of.lastFailedSentAgoMs)] as const) }
     },
     ...grant === undefined ? {} : { grant: [grant.holder, grant.stamp.nowMs, grant.stamp.clockMs, grant.isFinal] as const },
     news: update === undefined ? null : _encodeUpdate(update)
@@ -138,20 +143,21 @@
     unmetDemand: wire.needs.map(([service, model, adapter, waiting, dueInMs]): UnmetDemand => ({ service, model, adapter: adapter === '' ? undefined : adapter, waiting, dueInMs })),
     requestRates: wire.uses.map(([service, model, ratePerS]): RequestRate => ({ service, model, ratePerS })),
     loads: wire.loads.map(([upstream, model, running]): ReplicaLoad => ({ upstream, model, running })),
-    adapters: wire.adapters.map(([upstream, model, adapter, running, idleMs]): AdapterUsage => ({ upstream, model, adapter, running, idleMs }))
+    adapters: wire.adapters.map(([upstream, model, adapter, running, idleMs]): AdapterUsage => ({ upstream, model, adapter, running, idleMs })),
+    ...wire.outcomes === undefined ? {} : { outcomes: wire.outcomes.map(([upstream, incarnation, answered, failed, firstFailedAgoMs, lastFailedSentAgoMs]): UpstreamOutcomes => ({ upstream, incarnation, answered, failed, firstFailedAgoMs, lastFailedSentAgoMs })) }
   }
 }
 
 /** Encodes the answer to a heartbeat. */
 export function encodeHeartbeatAnswer (answer: HeartbeatAnswer): AnswerWire {
-  const { update, registryAgeMs, evidence, origins, versionHistory, members, stamp, ...rest } = answer
-  return { ...rest, ...stamp === undefined ? {} : { stamp }, ...members === undefined ? {} : { members }, ...versionHistory === undefined ? {} : { versionHistory }, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
+  const { update, registryAgeMs, evidence, origins, versionHistory, members, stamp, ejections, ...rest } = answer
+  return { ...rest, ...ejections.length === 0 ? {} : { ejections }, ...stamp === undefined ? {} : { stamp }, ...members === undefined ? {} : { members }, ...versionHistory === undefined ? {} : { versionHistory }, crashes: [], ...evidence === undefined ? {} : { evidence }, ...origins === undefined ? {} : { origins }, registryAgeMs: registryAgeMs === Infinity ? null : Math.round(registryAgeMs), news: update === undefined ? null : _encodeUpdate(update) }
 }
 
 /** Decodes the answer to a heartbeat. */
 export function decodeHeartbeatAnswer (wire: AnswerWire): HeartbeatAnswer {
-  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], brittle = [], members, stamp, versionHistory, ...rest } = wire
-  return { ...rest, stamp, versionHistory, relays, brittle, members, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
+  const { news, registryAgeMs, crashes: _unused, evidence, origins, limits = [], relays = [], brittle = [], members, stamp, versionHistory, ejections = [], ...rest } = wire
+  return { ...rest, ejections, stamp, versionHistory, relays, brittle, members, evidence, origins, limits, registryAgeMs: registryAgeMs ?? Infinity, update: news === null ? undefined : _decodeUpdate(news) }
 }
 
 function _roundRate (ratePerS: number): number {
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -1,7 +1,7 @@
 import { upstreamUpdateSince } from '@berylshed/fleet'
 import { step } from '@berylshed/reducer'
-import { fleetView, leaseGrant, type InstanceReport, type Instant, type LeaseGrant, type PlacedEngine } from '@berylshed/scheduler'
-import { brittleRecords, evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, membersDigest, originUpdate, versionHistory, wantedOrigins, type BrittleRecord, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate, type Relay } from '@berylshed/serving'
+import { fleetView, leaseGrant, REPORT_TTL_MS, type InstanceReport, type Instant, type LeaseGrant, type PlacedEngine } from '@berylshed/scheduler'
+import { brittleRecords, ejectionRecords, evidenceUpdateSince, instanceReport, limitedRates, limitRecords, limitShares, membersDigest, originUpdate, versionHistory, wantedOrigins, type BrittleRecord, type EjectionRecord, type EvidenceUpdate, type LimitRecord, type LimitShare, type OriginUpdate, type Relay } from '@berylshed/serving'
 import { learnHistory } from './_archive_origins.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect } from './edge_effect.ts'
@@ -113,6 +113,22 @@
   return applyServingEvent(state, { kind: 'brittle_received', services, nowMs: at.nowMs })
 }
 
+// Reports repeat their counts until these lapse, so that the sum is made anew from the newest report of each instance.
+function _applyOutcomes (state: EdgeState, at: Instant): EdgeStep {
+  const outcomes = [...state.scheduler.reports.values()].flatMap(({ report, receivedAtMs }) => {
+    const ageMs = at.nowMs - receivedAtMs
+    if (report.instance === state.self.instance || ageMs > REPORT_TTL_MS) return []
+    return (report.outcomes ?? []).map((of) => ({ ...of, firstFailedAgoMs: of.firstFailedAgoMs + ageMs, lastFailedSentAgoMs: of.lastFailedSentAgoMs + ageMs }))
+  })
+  if (outcomes.length === 0 && state.serving.peerOutcomes.size === 0) return step(state)
+  return applyServingEvent(state, { kind: 'outcomes_received', outcomes, nowMs: at.nowMs })
+}
+
+function _applyEjections (state: EdgeState, ejections: readonly EjectionRecord[], at: Instant): EdgeStep {
+  if (ejections.length === 0) return step(state)
+  return applyServingEvent(state, { kind: 'ejections_received', ejections, nowMs: at.nowMs })
+}
+
 function _applyRelays (state: EdgeState, relays: readonly Relay[], at: Instant): EdgeStep {
   const known = state.serving.relays
   if (relays.length === known.length && relays.every(({ instance, address }, i) => known[i]?.instance === instance && known[i]?.address === address)) return step(state)
@@ -196,7 +212,8 @@
   const informed = chain(reported, (s) => _applyEvidence(s, request.evidence, at))
   const located = chain(informed, (s) => _applyOrigins(s, request.origins, at))
   const limited = chain(located, (s) => _applyLimits(s, request.limits, at))
-  return chain(limited, (s) => _applyBrittle(s, request.brittle, at))
+  const fragile = chain(limited, (s) => _applyBrittle(s, request.brittle, at))
+  return chain(fragile, (s) => _applyOutcomes(s, at))
 }
 
 /**
@@ -222,6 +239,7 @@
     instances: instancesOf(state, at),
     limits: _limitShares(state, request.report, at),
     brittle: brittleRecords(state.serving, at.nowMs),
+    ejections: ejectionRecords(state.serving, at.nowMs),
     members: _membersUpdate(state, request.members),
     relays: _relaysFor(state, request.report.instance, at),
     versionHistory: !request.historyKnown && state.archive.historyKnown ? versionHistory(state.serving, at.nowMs) : undefined,
@@ -293,8 +311,9 @@
   const limited = chain(dated, (s) => _applyLimits(s, answer.limits, at))
   const relayed = chain(limited, (s) => _applyRelays(s, answer.relays, at))
   const fragile = chain(relayed, (s) => _applyBrittle(s, answer.brittle, at))
+  const ejected = chain(fragile, (s) => _applyEjections(s, answer.ejections, at))
   const { members } = answer
-  const divided = chain(fragile, (s) => members === undefined || view.validMs <= 0 ? step(s) : _applyMembers(s, members.relays ?? s.serving.members.relays, { nowMs: at.nowMs, confirmedAtMs: state.heartbeatAtMs }))
+  const divided = chain(ejected, (s) => members === undefined || view.validMs <= 0 ? step(s) : _applyMembers(s, members.relays ?? s.serving.members.relays, { nowMs: at.nowMs, confirmedAtMs: state.heartbeatAtMs }))
   return chain(divided, (s) => applyPeerLoads(s, { running: view.running, instances: answer.instances }, at))
 }
 
--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,6 +1,6 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
 import type { FleetView, InstanceReport, Instant, LeaseGrant } from '@berylshed/scheduler'
-import type { BrittleRecord, EvidenceUpdate, LimitRecord, LimitShare, OriginSegment, OriginUpdate, Relay } from '@berylshed/serving'
+import type { BrittleRecord, EjectionRecord, EvidenceUpdate, LimitRecord, LimitShare, OriginSegment, OriginUpdate, Relay } from '@berylshed/serving'
 
 /** Changes of the registry that one instance relays to another. */
 export interface RegistryUpdate {
@@ -61,6 +61,8 @@
   readonly limits: ReadonlyArray<LimitRecord | LimitShare>
   /** Services that are brittle. */
   readonly brittle: readonly BrittleRecord[]
+  /** Upstreams that are ejected for their failures. */
+  readonly ejections: readonly EjectionRecord[]
   /** The instances among which upstreams are divided, if the sender has another list; undefined if the holder runs an earlier release. */
   readonly members: MembersUpdate | undefined
   /** Changes of the holder's crash evidence that the sender lacks. */
--- a/packages/outliers/ejected_upstreams.ts
+++ b/packages/outliers/ejected_upstreams.ts
@@ -8,6 +8,8 @@
 const EJECTION_MS = 1000
 /** Maximum duration of an ejection, in ms: a recovered upstream is missed for no longer. */
 const MAX_EJECTION_MS = 8000
+/** Time after its ejection after which an upstream without a failed probe counts as readmitted, in ms; an instance may have no request for it. */
+const PROBATION_MS = 4000
 /** Time after its readmission after which an upstream's ejections no longer count, in ms. */
 const FORGET_MS = 10_000
 /** Share of a service that may be ejected; the rest has to bear its load. */
@@ -67,7 +69,7 @@
 export function ejectedUpstreams (outcomes: ReadonlyMap<string, OutcomeCounts>, options: EjectionOptions): ReadonlyMap<string, Ejection> {
   const { members, ejections, nowMs } = options
   const added = new Map<string, Ejection>()
-  const out = members.filter(({ upstream, incarnation }) => isOut(ejections.get(upstream), incarnation))
+  const out = members.filter(({ upstream, incarnation }) => isOut(ejections.get(upstream), incarnation, nowMs))
   // A probe that fails renews an ejection, which leaves the number of ejected upstreams unchanged.
   for (const member of out) {
     const before = ejections.get(member.upstream)
@@ -79,7 +81,7 @@
     const counts = outcomes.get(member.upstream)
     const before = ejections.get(member.upstream)
     if (counts === undefined || out.includes(member) || !_isFailing(counts)) return []
-    return before?.readmittedAtMs !== undefined && counts.lastFailedSentAtMs < before.readmittedAtMs ? [] : [{ member, counts, before }]
+    return before !== undefined && counts.lastFailedSentAtMs < (before.readmittedAtMs ?? before.untilMs) ? [] : [{ member, counts, before }]
   })
   const isCommon = failing.length + out.length > members.length * COMMON_FAILURE_SHARE
   const free = isCommon ? 0 : maxEjected(members.length) - out.length
@@ -108,15 +110,16 @@
  *
  * @param ejection The upstream's last ejection, if there is one.
  * @param incarnation The upstream's process.
+ * @param nowMs The local time in ms.
  * @returns Whether the upstream gets at most probes.
  *
  * @example
  * ```ts
- * console.log(isOut(undefined, 1)) // false
+ * console.log(isOut(undefined, 1, performance.now())) // false
  * ```
  */
-export function isOut (ejection: Ejection | undefined, incarnation: number): boolean {
-  return ejection !== undefined && ejection.incarnation === incarnation && ejection.readmittedAtMs === undefined
+export function isOut (ejection: Ejection | undefined, incarnation: number, nowMs: number): boolean {
+  return ejection !== undefined && ejection.incarnation === incarnation && ejection.readmittedAtMs === undefined && nowMs - ejection.untilMs < PROBATION_MS
 }
 
 function _isFailing ({ answered, failed, firstFailedAtMs, lastFailedSentAtMs }: OutcomeCounts): boolean {
@@ -129,7 +132,7 @@
 }
 
 function _ejection ({ failed, answered }: OutcomeCounts, { incarnation }: ServiceMember, { before, nowMs }: _Previous): Ejection {
-  const isRepeated = before !== undefined && before.incarnation === incarnation && nowMs - (before.readmittedAtMs ?? nowMs) < FORGET_MS
+  const isRepeated = before !== undefined && before.incarnation === incarnation && nowMs - (before.readmittedAtMs ?? before.untilMs) < FORGET_MS
   const times = isRepeated ? before.times + 1 : 1
   return { incarnation, times, untilMs: nowMs + Math.min(MAX_EJECTION_MS, EJECTION_MS * 2 ** (times - 1)), readmittedAtMs: undefined, failed, answered, source: 'own' }
 }
--- a/packages/outliers/ejected_upstreams_test.ts
+++ b/packages/outliers/ejected_upstreams_test.ts
@@ -58,6 +58,14 @@
   t.deepEqual(ejected({ u1: failing({ lastFailedSentAtMs: 590 }) }, MEMBERS, new Map([['u1', before]]), 700), [])
 })
 
+// A lease holder that has no requests for an upstream never probes it, and ejected it again at one failure long after.
+test('an upstream without a failed probe counts as readmitted after some seconds', (t) => {
+  const before: Ejection = { incarnation: 1, times: 1, untilMs: 500, readmittedAtMs: undefined, failed: 3, answered: 0, source: 'holder' }
+  const one = (nowMs: number): OutcomeCounts => failing({ failed: 1, firstFailedAtMs: nowMs - 5, lastFailedSentAtMs: nowMs - 20 })
+  t.deepEqual(ejected({ u1: one(2000) }, MEMBERS, new Map([['u1', before]]), 2000), ['u1'])
+  t.deepEqual(ejected({ u1: one(4600) }, MEMBERS, new Map([['u1', before]]), 4600), [])
+})
+
 test('outcomes are counted for some seconds and kept in a bounded number', (t) => {
   const outcomes = Array.from({ length: 100 }, (_, i): Outcome => ({ failed: i % 2 === 0, sentAtMs: i * 10, atMs: i * 10 + 5 })).reduce<readonly Outcome[]>(observeOutcome, [])
   t.is(outcomes.length, 32)
--- a/packages/scheduler/demand.ts
+++ b/packages/scheduler/demand.ts
@@ -35,6 +35,18 @@
   readonly idleMs: number
 }
 
+/** Latest outcomes of attempts at an upstream that failed some of them. */
+export interface UpstreamOutcomes {
+  readonly upstream: string
+  readonly incarnation: number
+  readonly answered: number
+  readonly failed: number
+  /** Time since the first counted failure, in ms. */
+  readonly firstFailedAgoMs: number
+  /** Time since the last attempt that failed was sent, in ms. */
+  readonly lastFailedSentAgoMs: number
+}
+
 /** Demand and load that an instance reports to the lease holder. */
 export interface InstanceReport {
   /** Host and port at which the instance takes over requests of others; absent if it is draining or runs an earlier release. */
@@ -49,6 +61,8 @@
   readonly requestRates: readonly RequestRate[]
   readonly loads: readonly ReplicaLoad[]
   readonly adapters: readonly AdapterUsage[]
+  /** Upstreams that failed lately; absent if there are none or an earlier release reports. */
+  readonly outcomes?: readonly UpstreamOutcomes[]
 }
 
 /** A report with the local time at which it arrived, in ms. */
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -2,6 +2,7 @@
 import { demandKey } from '@berylshed/scheduler'
 import { enqueueRequest, nextReceiver } from './_dispatch_requests.ts'
 import { changeEvidence } from './_change_evidence.ts'
+import { observeFailure } from './_eject_upstreams.ts'
 import { isSuspectedRequest, recordCrash } from './_weigh_evidence.ts'
 import { noteCancelled, releaseSlot, observeFirstByte, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import type { TargetLoad } from './routing_target.ts'
@@ -44,6 +45,9 @@
 /** Failures in which the upstream responded. */
 const RESPONDED_FAILURES: readonly AttemptFailure[] = ['refused', 'misdirected', 'crossed', 'malformed', 'upstream_error']
 
+/** Failures that count against the upstream as one that breaks what it gets. */
+const COUNTED_FAILURES: readonly AttemptFailure[] = ['broken', 'malformed', 'crossed', 'upstream_error']
+
 /** Description of a failed attempt. */
 export interface FailedAttempt {
   /** Number of the attempt. */
@@ -150,7 +154,7 @@
   const contacted = relay === undefined && RESPONDED_FAILURES.includes(failure) ? noteContact(state, nowMs) : state
   if (failure === 'misdirected') return step(updateTargetLoad(contacted, upstream, (load) => _markAbsent(load, request, nowMs)))
   if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { upstream, nowMs })))
-  if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
+  if (COUNTED_FAILURES.includes(failure)) return observeFailure(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, sentAtMs: observation.attempt.sentAtMs, nowMs })), upstream, nowMs)
   const waitedMs = failure === 'silent' && request.phase === 'sent' ? nowMs - observation.attempt.sentAtMs : 0
   const avoided = updateTargetLoad(contacted, upstream, (load) => _avoidUpstream(_observeSilence(observeOutcome(load, { failed: true, nowMs }), request.route, { waitedMs, nowMs }), nowMs))
   if (failure === 'silent') {
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -1,3 +1,4 @@
+import { observeOutcome as addOutcome } from '@berylshed/outliers'
 import { HashMap } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
 import { adapterKey } from '@berylshed/scheduler'
@@ -12,6 +13,11 @@
 
 /** Weight of the newest outcome in an upstream's averages. */
 const SMOOTHING_FACTOR = 0.15
+/**
+ * Weight of a counted failure in the share of failures. At 0.15 an upstream that broke an attempt after some ms was chosen again, as the
+ * failure left it idle: the penalty has to exceed the difference between an idle and a busy upstream.
+ */
+const FAILURE_WEIGHT = 0.5
 
 /** Stores a request. */
 export function putRequest (state: ServingState, request: Request): ServingState {
@@ -69,11 +75,23 @@
   return { ...released, routeDurations, requests: HashMap.remove(released.requests, request.id) }
 }
 
+/** Outcome of an attempt at an upstream. */
+export interface ObservedOutcome {
+  readonly failed: boolean
+  readonly firstByteMs?: number
+  /** Local time at which the attempt was sent, in ms; absent if the outcome does not tell whether the upstream breaks what it gets. */
+  readonly sentAtMs?: number
+  readonly nowMs: number
+}
+
 /** Updates the observed load of an upstream with the outcome of an attempt. */
-export function observeOutcome (load: TargetLoad, outcome: { readonly failed: boolean, readonly firstByteMs?: number, readonly nowMs: number }): TargetLoad {
-  const failureShare = load.failureShare + SMOOTHING_FACTOR * ((outcome.failed ? 1 : 0) - load.failureShare)
+export function observeOutcome (load: TargetLoad, outcome: ObservedOutcome): TargetLoad {
+  const { failed, sentAtMs, nowMs } = outcome
+  const weight = failed && sentAtMs !== undefined ? FAILURE_WEIGHT : SMOOTHING_FACTOR
+  const failureShare = load.failureShare + weight * ((failed ? 1 : 0) - load.failureShare)
+  const outcomes = sentAtMs === undefined ? load.outcomes : addOutcome(load.outcomes, { failed, sentAtMs, atMs: nowMs })
   const observed = outcome.firstByteMs === undefined ? load : observeFirstByte(load, outcome.firstByteMs)
-  return { ...observed, failureShare, observedAtMs: outcome.nowMs }
+  return { ...observed, failureShare, outcomes, observedAtMs: nowMs }
 }
 
 /** Adds the time to the first byte of a response, in ms, to the average of its upstream. */
--- a/packages/serving/_test_serving.ts
+++ b/packages/serving/_test_serving.ts
@@ -50,7 +50,7 @@
   records (): readonly string[]
 }
 
-const UNREPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['record', 'evidence_changed', 'limits_changed']
+const UNREPORTED_EFFECTS: ReadonlyArray<ServingEffect['kind']> = ['record', 'evidence_changed', 'limits_changed', 'failure_observed']
 
 /** Creates a harness for an instance to which the given upstreams are available. */
 export function newServingHarness (targets: readonly RoutingTarget[], retryBudget = { ratio: 0.2, minRetries: 40, windowMs: 10_000 }, phase = 1, instance = ''): ServingHarness {
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -1,4 +1,5 @@
 import { demandKey } from '@berylshed/scheduler'
+import { withoutEjected } from './_eject_upstreams.ts'
 import type { RoutingTarget } from './routing_target.ts'
 import type { Request } from './request.ts'
 import { mayHandOver, relayKey, type Relay } from './relay.ts'
@@ -67,8 +68,9 @@
  * ```
  */
 export function chooseUpstream (state: ServingState, request: Request, nowMs: number): UpstreamSearch {
-  const reachable = [...state.targets.values()].filter((target) => isEligible(state, target, { request, nowMs }))
-  if (reachable.length === 0) return { kind: 'absent' }
+  const offering = [...state.targets.values()].filter((target) => isEligible(state, target, { request, nowMs }))
+  if (offering.length === 0) return { kind: 'absent' }
+  const reachable = withoutEjected(state, offering, { request, nowMs })
   // Upstreams are avoided for their silence, which does not tell that they cannot serve a request.
   const unsuspected = reachable.filter((target) => !_isAvoided(state, target, { request, nowMs }))
   const eligible = unsuspected.length > 0 ? unsuspected : reachable
--- a/packages/serving/instance_report.ts
+++ b/packages/serving/instance_report.ts
@@ -1,5 +1,6 @@
 import { HashMap, Option } from 'effect'
 import { adapterKey, demandKey, replicaKey, type AdapterUsage, type InstanceReport, type ReplicaLoad, type UnmetDemand, type RequestRate } from '@berylshed/scheduler'
+import { reportedOutcomes } from './ejection_record.ts'
 import { isIsolated } from './reach.ts'
 import { currentAttempt, type Request } from './request.ts'
 import type { DecayingRate, ServingState } from './serving_state.ts'
@@ -35,13 +36,15 @@
  */
 export function instanceReport (state: ServingState, reporter: Reporter, options: { readonly nowMs: number }): InstanceReport {
   const { nowMs } = options
+  const outcomes = reportedOutcomes(state, nowMs)
   return {
     ...reporter,
     isolated: isIsolated(state, nowMs),
     unmetDemand: unmetDemand(state, nowMs),
     requestRates: _uses(state, nowMs),
     loads: _loads(state),
-    adapters: _adapterUses(state, nowMs)
+    adapters: _adapterUses(state, nowMs),
+    ...outcomes.length === 0 ? {} : { outcomes }
   }
 }
 
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -3,6 +3,7 @@
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { applyAnnouncement, applyBrittleServices } from './_apply_announcement.ts'
 import { changeEvidence } from './_change_evidence.ts'
+import { applyEjections, applyOutcomes, forgetEjections, readmit } from './_eject_upstreams.ts'
 import { forgetUnused } from './_forget_unused.ts'
 import { weighSilence } from './continuation.ts'
 import { applyOrigins } from './origin_exchange.ts'
@@ -50,6 +51,8 @@
     case 'limit_stated': return stateLimit(state, event)
     case 'limits_received': return applyLimits(state, event.limits, event.nowMs)
     case 'brittle_received': return applyBrittleServices(state, event.services, event.nowMs)
+    case 'outcomes_received': return applyOutcomes(state, event.outcomes, event.nowMs)
+    case 'ejections_received': return applyEjections(state, event.ejections, event.nowMs)
     case 'members_received': return _applyMembers(state, event)
     case 'upstream_probed': return _applyProbe(state, event)
     case 'upstream_announced': return applyAnnouncement(state, event)
@@ -131,7 +134,9 @@
   const observed = updateTargetLoad(_observeSuccess(state, request, event.nowMs), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
   const softwareVersion = event.softwareVersion ?? attempt.softwareVersion
   const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion, respondingSinceMs: event.nowMs }), request, softwareVersion)
-  return changeEvidence(responding, recordResponse(responding.evidence, request, event.nowMs), event.nowMs)
+  const readmitted = readmit(responding, attempt, event.nowMs)
+  const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs), event.nowMs)
+  return step(changed.state, [...readmitted.effects, ...changed.effects])
 }
 
 function _observeSuccess (state: ServingState, request: Request, nowMs: number): ServingState {
@@ -140,7 +145,7 @@
   const firstByteMs = nowMs - attempt.sentAtMs
   const contacted = attempt.relay === undefined ? noteContact(state, nowMs) : state
   return updateTargetLoad(contacted, attempt.upstream, (load) => ({
-    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), slowest: noteFirstByte(load.slowest, request.route, { firstByteMs, nowMs }), answeredAtMs: nowMs, consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
+    ...observeOutcome(load, { failed: false, firstByteMs, sentAtMs: attempt.sentAtMs, nowMs }), slowest: noteFirstByte(load.slowest, request.route, { firstByteMs, nowMs }), answeredAtMs: nowMs, consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
   }))
 }
 
@@ -150,7 +155,9 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = request.phase === 'responding' ? state : _observeSuccess(state, request, event.nowMs)
-  const cleared = changeEvidence(observed, recordResponse(observed.evidence, request, event.nowMs), event.nowMs)
+  const readmitted = request.phase === 'responding' ? step<ServingState, ServingEffect>(observed) : readmit(observed, attempt, event.nowMs)
+  const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs), event.nowMs)
+  const cleared = step(changed.state, [...readmitted.effects, ...changed.effects])
   const removed = removeRequest(cleared.state, request, event.nowMs)
   const fields = { nowMs: event.nowMs, status: event.status, runs: request.runs, ...attemptFields(request) }
   const ended = step<ServingState, ServingEffect>(removed, request.abandoned
@@ -199,9 +206,9 @@
   const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
-    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
+    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, outcomes: [], firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
   })), changed)
-  return dispatchAll(noteVersions(pruneLimits(reset), targets, nowMs), nowMs)
+  return dispatchAll(noteVersions(pruneLimits(forgetEjections(reset)), targets, nowMs), nowMs)
 }
 
 type _UpstreamProbed = Extract<ServingEvent, { kind: 'upstream_probed' }>
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -1,3 +1,4 @@
+import type { Outcome } from '@berylshed/outliers'
 import type { RecentMaximum } from './patience.ts'
 
 /** A model on an upstream as routing sees it. */
@@ -42,6 +43,8 @@
   readonly slowest: ReadonlyMap<string, RecentMaximum>
   /** Average share of attempts that failed. */
   readonly failureShare: number
+  /** Latest outcomes that tell whether the upstream breaks what it gets, oldest first. */
+  readonly outcomes: readonly Outcome[]
   /** Local time of the last outcome, in ms. */
   readonly observedAtMs: number
   /** Local time of the last response, in ms. */
@@ -72,6 +75,7 @@
   firstByteMs: 0,
   slowest: new Map(),
   failureShare: 0,
+  outcomes: [],
   observedAtMs: -Infinity,
   answeredAtMs: -Infinity,
   avoidedUntilMs: -Infinity,
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -9,7 +9,7 @@
  * without its caller has `ended` as well.
  */
 export interface ServingRecord {
-  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'ended' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'upstream_leaving' | 'upstream_paused' | 'service_brittle' | 'members_changed' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
+  readonly what: 'received' | 'sent' | 'failed' | 'waits' | 'answered' | 'refused' | 'broken_off' | 'left' | 'ended' | 'upstream_avoided' | 'upstream_cleared' | 'upstream_unreachable' | 'upstream_reached' | 'upstream_leaving' | 'upstream_paused' | 'service_brittle' | 'members_changed' | 'upstream_ejected' | 'upstream_readmitted' | 'quarantined' | 'quarantine_lifted' | 'limit_named' | 'limit_lifted'
   readonly request?: string
   readonly route?: string
   readonly upstream?: string
@@ -40,6 +40,11 @@
   readonly members?: number
   /** Requests per second that an upstream takes from all instances together. */
   readonly perS?: number
+  /** Attempts that failed at an upstream, and those that it answered, on which its ejection rests. */
+  readonly failures?: number
+  readonly answers?: number
+  /** Consecutive ejections of an upstream. */
+  readonly times?: number
   /** How often the same requests were quarantined. */
   readonly offences?: number
   /** Independent crashes on which a quarantine is based. */
@@ -88,4 +93,6 @@
   | { readonly kind: 'origin_wanted' }
   /** An upstream named, changed or lifted its limit, or a service became brittle. */
   | { readonly kind: 'limits_changed' }
+  /** An upstream failed an attempt, which the lease holder should learn of soon. */
+  | { readonly kind: 'failure_observed' }
   | { readonly kind: 'record', readonly record: ServingRecord }
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,3 +1,5 @@
+import type { UpstreamOutcomes } from '@berylshed/scheduler'
+import type { EjectionRecord } from './ejection_record.ts'
 import type { EvidenceUpdate } from './evidence_update.ts'
 import type { Relay } from './relay.ts'
 import type { OriginUpdate } from './stream_origins.ts'
@@ -63,6 +65,10 @@
   | { readonly kind: 'limits_received', readonly limits: ReadonlyArray<LimitRecord | LimitShare> }
   /** Another instance names brittle services. */
   | { readonly kind: 'brittle_received', readonly services: readonly BrittleRecord[] }
+  /** Other instances have reported failures of upstreams to this one, the lease holder; summed up, by upstream. */
+  | { readonly kind: 'outcomes_received', readonly outcomes: readonly UpstreamOutcomes[] }
+  /** The lease holder names ejected upstreams. */
+  | { readonly kind: 'ejections_received', readonly ejections: readonly EjectionRecord[] }
   /** The lease holder stands by a list of the instances among which upstreams are divided. */
   | { readonly kind: 'members_received', readonly members: readonly Relay[], readonly confirmedAtMs: number }
   | { readonly kind: 'models_changed', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -1,3 +1,4 @@
+import type { Ejection, OutcomeCounts } from '@berylshed/outliers'
 import { HashMap, Option } from 'effect'
 import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
@@ -63,6 +64,12 @@
   readonly limits: ReadonlyMap<string, UpstreamLimit>
   /** Services that are brittle or were lately, by name. */
   readonly brittle: ReadonlyMap<string, BrittleService>
+  /** Upstreams that are ejected for their failures or were lately. */
+  readonly ejections: ReadonlyMap<string, Ejection>
+  /** Failures that other instances have reported to this one as the lease holder, by upstream. */
+  readonly peerOutcomes: ReadonlyMap<string, OutcomeCounts>
+  /** Local time at which failures of upstreams last made a heartbeat due, in ms. */
+  readonly failuresReportedAtMs: number
   readonly retryWindows: ReadonlyMap<string, RetryWindow>
   readonly evidence: CrashEvidence
   /** Origins of streams that callers may resume. */
@@ -137,6 +144,9 @@
     members: NO_MEMBERS,
     limits: new Map(),
     brittle: new Map(),
+    ejections: new Map(),
+    peerOutcomes: new Map(),
+    failuresReportedAtMs: -Infinity,
     retryWindows: new Map(),
     evidence: NO_CRASH_EVIDENCE,
     origins: NO_STREAM_ORIGINS,
