Test statuses that are none: 000, not three digits, outside 100 to 599

Cause: a response with status 000 was reported as an answer to a caller. Found: no fault. forward_attempt.ts and instance/_forward_request.ts fail each such response as malformed or broken, with and without a signature; a request that may run once ends with 502, and a stream is broken off, not completed. Change: tests with a raw TCP stand-in for whole responses, streams and continuations; none in the code.

--- a/packages/instance/spoiled_head_test.ts
+++ b/packages/instance/spoiled_head_test.ts
@@ -46,6 +46,10 @@
 // A status that Node's writer refuses ended the process or left the request without an answer.
 for (const [what, head] of Object.entries({
   'status 000': `HTTP/1.1 000 OK\r\n${HEADERS}`,
+  'status 000 without a reason': `HTTP/1.1 000 \r\n${HEADERS}`,
+  'a status of two digits': `HTTP/1.1 20 OK\r\n${HEADERS}`,
+  'a status of four digits': `HTTP/1.1 2000 OK\r\n${HEADERS}`,
+  'status 099': `HTTP/1.1 099 OK\r\n${HEADERS}`,
   'status 101': `HTTP/1.1 101 OK\r\n${HEADERS}`,
   'a switch of protocols': `HTTP/1.1 101 OK\r\nUpgrade: h2c\r\nConnection: upgrade\r\n${HEADERS}`,
   'status 999': `HTTP/1.1 999 OK\r\n${HEADERS}`,
