Do not count crashes at upstreams that break other requests, and end unfounded quarantines

Cause: seven engines broke all they got, one after the other. Shared parts of prompts had three crashes at three of them and were quarantined for 120 s; 553 sound requests were refused long after. Responses did not clear the parts, as one that came before the news of a crash was not remembered, clearing did not lift quarantines at other instances, and a quarantined part gets no response. Change: the evidence keeps, per process, breaks that are independent in time with the keys of their requests. A crash does not count against a key if its process broke two others without it and answered none, unless it was its last break before the process was gone. Quarantines that lose their ground are lifted and not taken over again. The newest response to a part is remembered, clearing lifts quarantines everywhere, and the lease holder probes a doubtful quarantine of a part once.

--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -24,7 +24,8 @@
   suspicions: Schema.Array(Schema.Tuple([
     Schema.String, Schema.NullOr(Schema.Number), Schema.Array(Schema.Tuple([Schema.String, Schema.String, Schema.Number, Schema.Number]))
   ])),
-  quarantines: Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.Number]))
+  quarantines: Schema.Array(Schema.Tuple([Schema.String, Schema.Number, Schema.Number])),
+  processes: Schema.optional(Schema.Array(Schema.Tuple([Schema.String, Schema.NullOr(Schema.Number), Schema.Array(Schema.Tuple([Schema.String, Schema.Array(Schema.String), Schema.Number, Schema.Number]))])))
 })
 
 const OriginsWire = Schema.Struct({
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -36,7 +36,8 @@
 export function sendHeartbeat (state: EdgeState, at: Instant): EdgeStep {
   if (state.heartbeatInFlight || at.nowMs < state.heartbeatAtMs + _intervalMs(state)) return step(state)
   const report = _report(state, at)
-  const next = { ...state, heartbeatDue: false, heartbeatAtMs: at.nowMs, heldSinceMs: state.scheduler.held === undefined ? undefined : state.heldSinceMs ?? at.nowMs }
+  const serving = { ...state.serving, holdsLease: state.scheduler.held !== undefined }
+  const next = { ...state, serving, heartbeatDue: false, heartbeatAtMs: at.nowMs, heldSinceMs: state.scheduler.held === undefined ? undefined : state.heldSinceMs ?? at.nowMs }
   if (state.scheduler.held !== undefined) {
     const reported = applySchedulerEvent(next, { kind: 'instance_reported', report, ...at })
     const summed = chain(reported, (s) => step(_sumLimitedRates(s, at)))
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -2,6 +2,7 @@
 import { step, type Step } from '@berylshed/reducer'
 import { dequeueRequest, recordAdapterUse, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
+import { isQuarantineProbe, noteQuarantineProbe } from './_weigh_upstreams.ts'
 import { isVersionUnavailable, pinRequest } from './_pin_streams.ts'
 import { countAgainstLimit } from './_limit_upstreams.ts'
 import { chooseUpstream, offersModel, ownedWaitMs, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
@@ -90,9 +91,10 @@
   const state = request === queued ? before : putRequest(before, request)
   if (request.deadlineMs - nowMs <= MIN_REMAINING_MS) return refuseRequest(state, request, { reason: 'deadline_waiting', nowMs })
   const quarantined = request.phase === 'interrupted' ? undefined : quarantinedKey(state.evidence, request, nowMs)
-  if (quarantined !== undefined) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
+  if (quarantined !== undefined && !_mayProbe(state, request, { key: quarantined, nowMs })) return _refuseQuarantined(state, request, { key: quarantined, nowMs })
   if (isVersionUnavailable(state, request)) return refuseRequest(state, request, { reason: 'no_software_version', nowMs, retryAfterMs: DEFAULT_RETRY_AFTER_MS })
   if (_mayOutlastShutdown(state, request, round)) return refuseRequest(state, request, { reason: 'shutting_down', nowMs, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS, fields: _shutdownFields(state, request, round) })
+  if (quarantined !== undefined) return _probeQuarantine(state, request, { key: quarantined, round })
   const search = _search(state, request, round)
   if (search.kind === 'chosen' && search.choice.owner !== undefined) return _handOver(state, request, { relay: search.choice.owner, reason: `owner of ${search.choice.target.upstream}`, nowMs })
   if (search.kind === 'chosen') return _send(state, request, { choice: search.choice, round })
@@ -135,6 +137,18 @@
   return { closesInMs: state.closesAtMs - round.nowMs, longerRequests: _countLonger(state, request.route, round) }
 }
 
+// Only the lease holder probes, so that all instances together send one request.
+function _mayProbe (state: ServingState, request: Request, { key, nowMs }: { readonly key: string, readonly nowMs: number }): boolean {
+  return state.holdsLease && request.retryable && request.attempts.length === 0 && isQuarantineProbe(state.evidence, key, nowMs)
+}
+
+function _probeQuarantine (state: ServingState, request: Request, { key, round }: { readonly key: string, readonly round: _Round }): _Step {
+  const { nowMs } = round
+  const search = _search(state, request, { ...round, futile: new Map() })
+  if (search.kind !== 'chosen' || search.choice.owner !== undefined) return _refuseQuarantined(state, request, { key, nowMs })
+  return _send({ ...state, evidence: noteQuarantineProbe(state.evidence, key) }, request, { choice: search.choice, round })
+}
+
 function _refuseQuarantined (state: ServingState, request: Request, options: { readonly key: string, readonly nowMs: number }): _Step {
   const { key, nowMs } = options
   const retryAfterMs = (state.evidence.quarantines.get(key)?.untilMs ?? nowMs) - nowMs
--- a/packages/serving/_weigh_evidence.ts
+++ b/packages/serving/_weigh_evidence.ts
@@ -1,4 +1,5 @@
-import { combinedKey, countCrashes, crashKeys, isPartKey, isRequestKey, matchesKey, type Crash, type CrashEvidence, type KnownQuarantine, type Suspicion } from './crash_evidence.ts'
+import { combinedKey, countCrashes, crashKeys, isPartKey, isRequestKey, matchesKey, type Break, type Crash, type CrashEvidence, type KnownQuarantine, type Suspicion } from './crash_evidence.ts'
+import { addBreaks, answeredAtMs, liftQuarantines, pruneProcesses, rememberAnswers, unfoundedQuarantines, without, withoutFailingUpstreams } from './_weigh_upstreams.ts'
 import type { Attempt, ReceivedRequest } from './request.ts'
 
 /** Independent crashes after which a request is quarantined. */
@@ -28,21 +29,25 @@
 /** Records that an upstream broke the connection of an attempt before the response began. */
 export function recordCrash (evidence: CrashEvidence, request: ReceivedRequest, options: { readonly attempt: Attempt, readonly incarnation: number, readonly nowMs: number }): CrashEvidence {
   const { attempt, incarnation, nowMs } = options
-  const observed = { process: `${attempt.upstream}#${incarnation}`, sentAtMs: attempt.sentAtMs, atMs: nowMs }
+  const process = `${attempt.upstream}#${incarnation}`
+  const observed = { process, sentAtMs: attempt.sentAtMs, atMs: nowMs }
   const added = crashKeys(request).reduce((known, key) => {
     const source = isPartKey(key) ? request.callerId : `${request.callerId}#${attempt.number}`
     return addCrashes(known, key, { crashes: [{ ...observed, source }], clearedAtMs: -Infinity, own: true })
   }, evidence)
-  return quarantineCulprits(_prune(added, nowMs), nowMs)
+  const found: Break = { source: request.callerId, keys: crashKeys(request), sentAtMs: attempt.sentAtMs, atMs: nowMs }
+  return quarantineCulprits(_prune(addBreaks(added, process, { breaks: [found], answeredAtMs: -Infinity, version: added.version, own: true }), nowMs), nowMs)
 }
 
 /** Records that a response began, which clears all that the request shares with others. */
-export function recordResponse (evidence: CrashEvidence, request: ReceivedRequest, nowMs: number): CrashEvidence {
-  if (evidence.suspicions.size === 0 && evidence.quarantines.size === 0) return evidence
+export function recordResponse (before: CrashEvidence, request: ReceivedRequest, nowMs: number, process?: string): CrashEvidence {
   const keys = crashKeys(request)
+  const answered = rememberAnswers(before, keys, nowMs)
+  if (before.suspicions.size === 0 && before.quarantines.size === 0) return answered
+  const evidence = process === undefined || !answered.processes.has(process) ? answered : addBreaks(answered, process, { breaks: [], answeredAtMs: nowMs, version: answered.version + 1, own: true })
   const cleared = keys.reduce((known, key) => addCrashes(known, key, { crashes: [], clearedAtMs: nowMs, own: true }), evidence)
   const lifted = [...cleared.quarantines.keys()].filter((key) => matchesKey(keys, key))
-  const rest = lifted.length === 0 ? cleared : { ...cleared, quarantines: _without(cleared.quarantines, lifted) }
+  const rest = liftQuarantines(cleared, lifted)
   // A part that had as many crashes as others may now be the only one left.
   return rest.version === evidence.version ? rest : quarantineCulprits(rest, nowMs)
 }
@@ -56,13 +61,15 @@
 
 /** Reports whether upstreams have crashed on a request repeatedly, whatever it shares with others. */
 export function isSuspectedRequest (evidence: CrashEvidence, request: ReceivedRequest): boolean {
-  return crashKeys(request).some((key) => isRequestKey(key) && _crashCount(evidence, key) > MAX_RETRIED_CRASHES)
+  const weighed = withoutFailingUpstreams(evidence)
+  return crashKeys(request).some((key) => isRequestKey(key) && _crashCount(weighed, key) > MAX_RETRIED_CRASHES)
 }
 
 /** Reports whether upstreams have crashed repeatedly on requests that share a part with this one, and none has responded since. */
 export function hasSuspectedPart (evidence: CrashEvidence, request: ReceivedRequest): boolean {
   if (evidence.suspicions.size === 0) return false
-  return crashKeys(request).some((key) => isPartKey(key) && _crashCount(evidence, key) > MAX_RETRIED_CRASHES)
+  const weighed = withoutFailingUpstreams(evidence)
+  return crashKeys(request).some((key) => isPartKey(key) && _crashCount(weighed, key) > MAX_RETRIED_CRASHES)
 }
 
 // Counts the crashes whose evidence has had time to arrive from all instances.
@@ -78,7 +85,7 @@
 export function addCrashes (evidence: CrashEvidence, key: string, found: Pick<Suspicion, 'crashes' | 'clearedAtMs' | 'own'>): CrashEvidence {
   const before = evidence.suspicions.get(key)
   if (before === undefined && found.crashes.length === 0) return evidence
-  const clearedAtMs = Math.max(before?.clearedAtMs ?? -Infinity, found.clearedAtMs)
+  const clearedAtMs = Math.max(before?.clearedAtMs ?? -Infinity, found.clearedAtMs, answeredAtMs(evidence, key))
   const known = before?.crashes ?? []
   const added = found.crashes.filter((crash) => !known.some((other) => _isSame(crash, other)))
   const crashes = _representative([...known, ...added].filter((crash) => crash.atMs > clearedAtMs))
@@ -108,15 +115,17 @@
 }
 
 /** Quarantines what the crashes are attributed to, and clears the other parts that were present at the crashes of a single part. */
-export function quarantineCulprits (evidence: CrashEvidence, nowMs: number): CrashEvidence {
-  const culprits = _culprits(evidence, nowMs)
+export function quarantineCulprits (before: CrashEvidence, nowMs: number): CrashEvidence {
+  const weighed = withoutFailingUpstreams(before)
+  const evidence = liftQuarantines(before, unfoundedQuarantines(before, weighed, { maxCrashes: MAX_PART_CRASHES, nowMs }))
+  const culprits = _culprits(weighed === before ? evidence : { ...evidence, suspicions: weighed.suspicions }, nowMs)
   if (culprits.length === 0) return evidence
   const version = evidence.version + 1
   const quarantined = culprits.map((culprit): [string, KnownQuarantine] => {
     const { key } = culprit
     const offences = (evidence.quarantines.get(key)?.offences ?? 0) + 1
     const firstMs = culprit.isAmbiguous ? AMBIGUOUS_QUARANTINE_MS : QUARANTINE_MS
-    return [key, { offences, untilMs: nowMs + Math.min(MAX_QUARANTINE_MS, firstMs * 2 ** (offences - 1)), version, own: true, crashes: culprit.crashes }]
+    return [key, { offences, untilMs: nowMs + Math.min(MAX_QUARANTINE_MS, firstMs * 2 ** (offences - 1)), version, own: true, crashes: culprit.crashes, sinceMs: nowMs }]
   })
   const imposed: CrashEvidence = { ...evidence, version, quarantines: _limit([...evidence.quarantines, ...quarantined]) }
   return culprits.filter(({ key, isAmbiguous }) => isPartKey(key) && !isAmbiguous).reduce((known, { key }) => _clearNeighbours(known, key, nowMs), imposed)
@@ -210,11 +219,5 @@
   })
   const newest = kept.length <= MAX_SUSPICIONS ? kept : kept.sort(([, a], [, b]) => b.version - a.version).slice(0, MAX_SUSPICIONS)
   const lapsed = [...evidence.quarantines].filter(([, { untilMs }]) => nowMs - untilMs > MAX_QUARANTINE_MS).map(([key]) => key)
-  return { ...evidence, suspicions: new Map(newest), quarantines: lapsed.length === 0 ? evidence.quarantines : _without(evidence.quarantines, lapsed) }
-}
-
-function _without<T> (map: ReadonlyMap<string, T>, keys: readonly string[]): ReadonlyMap<string, T> {
-  const rest = new Map(map)
-  for (const key of keys) rest.delete(key)
-  return rest
+  return { ...pruneProcesses(evidence, nowMs), suspicions: new Map(newest), quarantines: lapsed.length === 0 ? evidence.quarantines : without(evidence.quarantines, lapsed) }
 }
--- a/packages/serving/crash_evidence.ts
+++ b/packages/serving/crash_evidence.ts
@@ -1,3 +1,4 @@
+import { HashMap } from 'effect'
 import type { Quarantine } from '@berylshed/scheduler'
 import type { ReceivedRequest } from './request.ts'
 
@@ -32,6 +33,10 @@
   readonly version: number
   /** Whether this instance imposed it. */
   readonly own: boolean
+  /** Local time at which this instance learnt of it, in ms. */
+  readonly sinceMs: number
+  /** Whether this instance has sent a request despite it, to see whether it is unfounded. */
+  readonly probed?: boolean
   /** Independent crashes on which it is based; 0 if another instance imposed it. */
   readonly crashes: number
 }
@@ -47,10 +52,36 @@
   readonly version: number
   readonly suspicions: ReadonlyMap<string, Suspicion>
   readonly quarantines: ReadonlyMap<string, KnownQuarantine>
+  /** What upstream processes broke, by process; the other explanation of a crash. */
+  readonly processes: ReadonlyMap<string, ProcessRecord>
+  /** Quarantines that were lifted before their end, as other instances and the lease still name them for some time. */
+  readonly lifted: ReadonlyMap<string, Quarantine>
+  /** Local time of the newest response to a request with a part, in ms; crashes may become known only after it. */
+  readonly answeredAtMs: HashMap.HashMap<string, number>
+}
+
+/** Attempts that an upstream process broke since it last answered one. */
+export interface ProcessRecord {
+  readonly breaks: readonly Break[]
+  /** Local time of the newest response of the process, in ms. */
+  readonly answeredAtMs: number
+  /** Local time at which the process was found to be gone, in ms; Infinity if it was not. */
+  readonly goneAtMs: number
+  readonly version: number
+  readonly own: boolean
+}
+
+/** An attempt that an upstream process broke before its response began. */
+export interface Break {
+  readonly source: string
+  /** Keys of the request, from {@linkcode crashKeys}. */
+  readonly keys: readonly string[]
+  readonly sentAtMs: number
+  readonly atMs: number
 }
 
 /** Evidence of an instance that knows of no crashes. */
-export const NO_CRASH_EVIDENCE: CrashEvidence = { version: 0, suspicions: new Map(), quarantines: new Map() }
+export const NO_CRASH_EVIDENCE: CrashEvidence = { version: 0, suspicions: new Map(), quarantines: new Map(), processes: new Map(), lifted: new Map(), answeredAtMs: HashMap.empty() }
 
 const REQUEST_PREFIX = 'request '
 const PART_PREFIX = 'part '
@@ -122,6 +153,22 @@
   return COMBINATION_PREFIX + partKeys.map((key) => key.slice(PART_PREFIX.length)).sort().join(COMBINATION_SEPARATOR)
 }
 
+/**
+ * Returns the keys of the parts that a key combines.
+ *
+ * @param key The key of a request, a part or a combination of parts.
+ * @returns The keys of the parts of a combination, otherwise the key alone.
+ *
+ * @example
+ * ```ts
+ * console.log(combinedMembers('parts a+b')) // ['part a', 'part b']
+ * ```
+ */
+export function combinedMembers (key: string): readonly string[] {
+  if (!key.startsWith(COMBINATION_PREFIX)) return [key]
+  return key.slice(COMBINATION_PREFIX.length).split(COMBINATION_SEPARATOR).map((id) => PART_PREFIX + id)
+}
+
 /**
  * Reports whether a request has what a key stands for.
  *
--- a/packages/serving/evidence_update.ts
+++ b/packages/serving/evidence_update.ts
@@ -1,6 +1,7 @@
 import { quarantineRecords, type QuarantineRecord } from '@berylshed/scheduler'
 import { addCrashes, quarantineCulprits } from './_weigh_evidence.ts'
-import type { CrashEvidence } from './crash_evidence.ts'
+import { addBreaks, liftQuarantines } from './_weigh_upstreams.ts'
+import { combinedMembers, type CrashEvidence } from './crash_evidence.ts'
 
 /** Maximum number of suspicions in one update; the rest follows with the next one. */
 const MAX_SUSPICIONS_PER_UPDATE = 200
@@ -12,6 +13,9 @@
 /** A suspicion as sent to another instance; the time since it was cleared is in ms, or null if it never was. */
 export type SuspicionRecord = readonly [key: string, clearedAgoMs: number | null, crashes: readonly CrashRecord[]]
 
+/** A process that broke attempts as sent to another instance; times as ages in ms, null if it answered none. */
+export type ProcessUpdate = readonly [process: string, answeredAgoMs: number | null, breaks: ReadonlyArray<readonly [source: string, keys: readonly string[], sentAgoMs: number, agoMs: number]>]
+
 /** Changes of the crash evidence of one instance that another one lacks. */
 export interface EvidenceUpdate {
   /** Incarnation of the sender. */
@@ -20,6 +24,8 @@
   readonly version: number
   readonly suspicions: readonly SuspicionRecord[]
   readonly quarantines: readonly QuarantineRecord[]
+  /** Processes that broke attempts; absent if there are none or an earlier release sends. */
+  readonly processes?: readonly ProcessUpdate[]
 }
 
 /** What the receiver of an update already has. */
@@ -50,6 +56,9 @@
   const included = ({ version, own }: { readonly version: number, readonly own: boolean }): boolean => version > since && (own || options.relay || since === 0)
   const changed = [...evidence.suspicions].filter(([, suspicion]) => included(suspicion)).sort(([, a], [, b]) => a.version - b.version)
   const sent = changed.slice(0, MAX_SUSPICIONS_PER_UPDATE)
+  const processes = [...evidence.processes].filter(([, record]) => included(record)).map(([process, { answeredAtMs, breaks }]): ProcessUpdate => [
+    process, answeredAtMs === -Infinity ? null : Math.round(nowMs - answeredAtMs), breaks.map(({ source, keys, sentAtMs, atMs }) => [source, keys, Math.round(nowMs - sentAtMs), Math.round(nowMs - atMs)] as const)
+  ])
   return {
     origin,
     version: sent.length < changed.length ? sent.at(-1)?.[1].version ?? since : evidence.version,
@@ -58,7 +67,8 @@
       clearedAtMs === -Infinity ? null : Math.round(nowMs - clearedAtMs),
       crashes.map(({ source, process, sentAtMs, atMs }) => [source, process, Math.round(nowMs - sentAtMs), Math.round(nowMs - atMs)] as const)
     ]),
-    quarantines: quarantineRecords(new Map([...evidence.quarantines].filter(([, quarantine]) => included(quarantine))), nowMs)
+    quarantines: quarantineRecords(new Map([...evidence.quarantines].filter(([, quarantine]) => included(quarantine))), nowMs),
+    ...processes.length === 0 ? {} : { processes }
   }
 }
 
@@ -75,13 +85,28 @@
  * const next = applyEvidenceUpdate(evidence, update, performance.now())
  * ```
  */
-export function applyEvidenceUpdate (evidence: CrashEvidence, update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines'>, nowMs: number): CrashEvidence {
+export function applyEvidenceUpdate (evidence: CrashEvidence, update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines' | 'processes'>, nowMs: number): CrashEvidence {
   const merged = update.suspicions.reduce((known, [key, clearedAgoMs, crashes]) => addCrashes(known, key, {
     crashes: crashes.map(([source, process, sentAgoMs, agoMs]) => ({ source, process, sentAtMs: nowMs - sentAgoMs, atMs: nowMs - agoMs })),
     clearedAtMs: clearedAgoMs === null ? -Infinity : nowMs - clearedAgoMs,
     own: false
   }), evidence)
-  return quarantineCulprits(applyQuarantines(merged, update.quarantines, nowMs), nowMs)
+  // Breaks come with crashes, which change the version already.
+  const version = merged.version > evidence.version ? merged.version : merged.version + 1
+  const informed = (update.processes ?? []).reduce((known, [process, answeredAgoMs, breaks]) => addBreaks(known, process, {
+    breaks: breaks.map(([source, keys, sentAgoMs, agoMs]) => ({ source, keys, sentAtMs: nowMs - sentAgoMs, atMs: nowMs - agoMs })),
+    answeredAtMs: answeredAgoMs === null ? -Infinity : nowMs - answeredAgoMs,
+    version,
+    own: false
+  }), _liftAnswered(merged, evidence, update.suspicions))
+  return quarantineCulprits(applyQuarantines(informed, update.quarantines, nowMs), nowMs)
+}
+
+// A response elsewhere to a request with a quarantined key lifts the quarantine here too, if it began after that was known.
+function _liftAnswered (merged: CrashEvidence, before: CrashEvidence, suspicions: readonly SuspicionRecord[]): CrashEvidence {
+  const cleared = new Set(suspicions.flatMap(([key]) => (merged.suspicions.get(key)?.clearedAtMs ?? -Infinity) > (before.suspicions.get(key)?.clearedAtMs ?? -Infinity) ? [key] : []))
+  const answered = [...before.quarantines].filter(([key, { sinceMs }]) => combinedMembers(key).every((member) => cleared.has(member) && (merged.suspicions.get(member)?.clearedAtMs ?? -Infinity) > sinceMs))
+  return liftQuarantines(merged, answered.map(([key]) => key))
 }
 
 /**
@@ -102,8 +127,10 @@
     const before = known.quarantines.get(key)
     const untilMs = nowMs + remainingMs
     const longer = before === undefined || offences > before.offences || (offences === before.offences && untilMs > before.untilMs + SAME_QUARANTINE_MS)
-    if (!longer || remainingMs <= 0) return known
+    const lifted = known.lifted.get(key)
+    const isLifted = lifted !== undefined && offences <= lifted.offences && untilMs <= lifted.untilMs + SAME_QUARANTINE_MS
+    if (!longer || isLifted || remainingMs <= 0) return known
     const version = known.version + 1
-    return { ...known, version, quarantines: new Map(known.quarantines).set(key, { offences, untilMs, version, own: false, crashes: 0 }) }
+    return { ...known, version, quarantines: new Map(known.quarantines).set(key, { offences, untilMs, version, own: false, crashes: 0, sinceMs: nowMs }) }
   }, evidence)
 }
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -11,12 +11,13 @@
 import { failAttempt } from './_fail_attempt.ts'
 import { applyLimits, pruneLimits, stateLimit } from './_limit_upstreams.ts'
 import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
+import { noteGone } from './_weigh_upstreams.ts'
 import { attemptFields, noteCancelled, observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
 import { noteFirstByte, slowestFirstByteMs } from './patience.ts'
-import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
+import { currentAttempt, type Attempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
@@ -135,10 +136,16 @@
   const softwareVersion = event.softwareVersion ?? attempt.softwareVersion
   const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion, respondingSinceMs: event.nowMs }), request, softwareVersion)
   const readmitted = readmit(responding, attempt, event.nowMs)
-  const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs), event.nowMs)
+  const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs, _processOf(readmitted.state, attempt)), event.nowMs)
   return step(changed.state, [...readmitted.effects, ...changed.effects])
 }
 
+// Relays answer for upstreams of their choice.
+function _processOf (state: ServingState, { upstream, relay }: Attempt): string | undefined {
+  const target = state.targets.get(upstream)
+  return relay !== undefined || target === undefined ? undefined : `${upstream}#${target.incarnation}`
+}
+
 function _observeSuccess (state: ServingState, request: Request, nowMs: number): ServingState {
   const attempt = currentAttempt(request)
   if (attempt === undefined) return state
@@ -156,7 +163,7 @@
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = request.phase === 'responding' ? state : _observeSuccess(state, request, event.nowMs)
   const readmitted = request.phase === 'responding' ? step<ServingState, ServingEffect>(observed) : readmit(observed, attempt, event.nowMs)
-  const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs), event.nowMs)
+  const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs, _processOf(readmitted.state, attempt)), event.nowMs)
   const cleared = step(changed.state, [...readmitted.effects, ...changed.effects])
   const removed = removeRequest(cleared.state, request, event.nowMs)
   const fields = { nowMs: event.nowMs, status: event.status, runs: request.runs, ...attemptFields(request) }
@@ -301,7 +308,9 @@
     const refused = refuseRequest(result.state, request, { reason: request.deadlineMs <= nowMs ? 'deadline_running' : 'shutting_down', nowMs })
     return step(refused.state, [...result.effects, ...refused.effects])
   }, step(state))
-  const weighed = changeEvidence(ended.state, quarantineCulprits(ended.state.evidence, nowMs), nowMs)
+  const { targets, unreachable } = ended.state
+  const gone = noteGone(ended.state.evidence, (upstream, incarnation) => unreachable.has(upstream) || targets.get(upstream)?.incarnation !== incarnation, nowMs)
+  const weighed = changeEvidence(ended.state, quarantineCulprits(gone, nowMs), nowMs)
   const silent = _probeSilent(weighed.state, nowMs)
   const probed = probeUnreachable(silent.state, nowMs)
   const dispatched = dispatchAll(forgetUnused(maintainOrigins(probed.state, nowMs), nowMs), nowMs)
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -58,7 +58,7 @@
   | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
   /** Another instance sent changes of its crash evidence, or the lease names quarantines. */
-  | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines'> }
+  | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines' | 'processes'> }
   /** Another instance sent origins of streams. */
   | { readonly kind: 'origins_received', readonly update: OriginUpdate }
   /** Another instance sent the limits of upstreams; the lease holder adds the shares of this instance. */
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -64,6 +64,8 @@
   readonly limits: ReadonlyMap<string, UpstreamLimit>
   /** Services that are brittle or were lately, by name. */
   readonly brittle: ReadonlyMap<string, BrittleService>
+  /** Whether this instance holds the lease, as one instance alone probes quarantines. */
+  readonly holdsLease: boolean
   /** Upstreams that are ejected for their failures or were lately. */
   readonly ejections: ReadonlyMap<string, Ejection>
   /** Failures that other instances have reported to this one as the lease holder, by upstream. */
@@ -144,6 +146,7 @@
     members: NO_MEMBERS,
     limits: new Map(),
     brittle: new Map(),
+    holdsLease: false,
     ejections: new Map(),
     peerOutcomes: new Map(),
     failuresReportedAtMs: -Infinity,
