--- a/packages/edge/heartbeat.ts
+++ b/packages/edge/heartbeat.ts
@@ -1,7 +1,7 @@
 import type { Configuration, UpstreamUpdate } from '@berylshed/fleet'
 import type { QuotaAnswer, QuotaReport } from '@berylshed/limits'
 import type { FleetView, InstanceReport, Instant, LeaseGrant } from '@berylshed/scheduler'
-import type { BrittleRecord, EvidenceUpdate, LimitRecord, LimitShare, OriginSegment, OriginUpdate, Relay } from '@berylshed/serving'
+import type { BrittleRecord, EjectionRecord, EvidenceUpdate, LimitRecord, LimitShare, OriginSegment, OriginUpdate, Relay } from '@berylshed/serving'
 
 /** Changes of the registry that one instance relays to another. */
 export interface RegistryUpdate {
@@ -66,6 +66,8 @@
   readonly limits: ReadonlyArray<LimitRecord | LimitShare>
   /** Services that are brittle. */
   readonly brittle: readonly BrittleRecord[]
+  /** Upstreams that are ejected for their failures. */
+  readonly ejections: readonly EjectionRecord[]
   /** The instances among which upstreams are divided, if the sender has another list; undefined if the holder runs an earlier release. */
   readonly members: MembersUpdate | undefined
   /** What the sender may spend; absent if there are no quotas, the answering process does not hold the lease or it runs an earlier release. */
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -4,6 +4,7 @@
 import { applyAnnouncement, applyBrittleServices } from './_apply_announcement.ts'
 import { applyQuotas, changeQuotas, chargeQuota, endAllowances, noteFallback } from './_charge_quota.ts'
 import { changeEvidence } from './_change_evidence.ts'
+import { applyEjections, applyOutcomes, forgetEjections, readmit } from './_eject_upstreams.ts'
 import { forgetUnused } from './_forget_unused.ts'
 import { weighSilence } from './continuation.ts'
 import { applyOrigins } from './origin_exchange.ts'
@@ -11,13 +12,14 @@
 import { failAttempt } from './_fail_attempt.ts'
 import { applyLimits, pruneLimits, stateLimit } from './_limit_upstreams.ts'
 import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
+import { noteGone } from './_weigh_upstreams.ts'
 import { attemptFields, noteCancelled, observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
 import { noteLoadAnnouncement } from './load_announcement.ts'
 import { noteFirstByte, slowestFirstByteMs } from './patience.ts'
-import { currentAttempt, type ReceivedRequest, type Request } from './request.ts'
+import { currentAttempt, type Attempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
 import type { ServingEvent } from './serving_event.ts'
 import { updateTargetLoad, targetLoad, type ServingState } from './serving_state.ts'
@@ -52,6 +54,8 @@
     case 'limit_stated': return stateLimit(state, event)
     case 'limits_received': return applyLimits(state, event.limits, event.nowMs)
     case 'brittle_received': return applyBrittleServices(state, event.services, event.nowMs)
+    case 'outcomes_received': return applyOutcomes(state, event.outcomes, event.nowMs)
+    case 'ejections_received': return applyEjections(state, event.ejections, event.nowMs)
     case 'members_received': return _applyMembers(state, event)
     case 'upstream_probed': return _applyProbe(state, event)
     case 'upstream_announced': return applyAnnouncement(state, event)
@@ -138,7 +142,15 @@
   const observed = updateTargetLoad(_observeSuccess(state, request, event.nowMs), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
   const softwareVersion = event.softwareVersion ?? attempt.softwareVersion
   const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion, respondingSinceMs: event.nowMs }), request, softwareVersion)
-  return changeEvidence(responding, recordResponse(responding.evidence, request, event.nowMs), event.nowMs)
+  const readmitted = readmit(responding, attempt, event.nowMs)
+  const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs, _processOf(readmitted.state, attempt)), event.nowMs)
+  return step(changed.state, [...readmitted.effects, ...changed.effects])
+}
+
+// Relays answer for upstreams of their choice.
+function _processOf (state: ServingState, { upstream, relay }: Attempt): string | undefined {
+  const target = state.targets.get(upstream)
+  return relay !== undefined || target === undefined ? undefined : `${upstream}#${target.incarnation}`
 }
 
 function _observeSuccess (state: ServingState, request: Request, nowMs: number): ServingState {
@@ -147,7 +159,7 @@
   const firstByteMs = nowMs - attempt.sentAtMs
   const contacted = attempt.relay === undefined ? noteContact(state, nowMs) : state
   return updateTargetLoad(contacted, attempt.upstream, (load) => ({
-    ...observeOutcome(load, { failed: false, firstByteMs, nowMs }), slowest: noteFirstByte(load.slowest, request.route, { firstByteMs, nowMs }), answeredAtMs: nowMs, consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
+    ...observeOutcome(load, { failed: false, firstByteMs, sentAtMs: attempt.sentAtMs, nowMs }), slowest: noteFirstByte(load.slowest, request.route, { firstByteMs, nowMs }), answeredAtMs: nowMs, consecutiveFailures: 0, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity
   }))
 }
 
@@ -157,7 +169,9 @@
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
   const observed = request.phase === 'responding' ? state : _observeSuccess(state, request, event.nowMs)
-  const cleared = changeEvidence(observed, recordResponse(observed.evidence, request, event.nowMs), event.nowMs)
+  const readmitted = request.phase === 'responding' ? step<ServingState, ServingEffect>(observed) : readmit(observed, attempt, event.nowMs)
+  const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs, _processOf(readmitted.state, attempt)), event.nowMs)
+  const cleared = step(changed.state, [...readmitted.effects, ...changed.effects])
   const removed = removeRequest(cleared.state, request, event.nowMs)
   const fields = { nowMs: event.nowMs, status: event.status, runs: request.runs, ...attemptFields(request) }
   const ended = step<ServingState, ServingEffect>(removed, request.abandoned
@@ -207,9 +221,9 @@
   const changed: ServingState = { ...announced, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
-    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
+    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, outcomes: [], firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
   })), changed)
-  return dispatchAll(noteVersions(pruneLimits(reset), targets, nowMs), nowMs)
+  return dispatchAll(noteVersions(pruneLimits(forgetEjections(reset)), targets, nowMs), nowMs)
 }
 
 type _UpstreamProbed = Extract<ServingEvent, { kind: 'upstream_probed' }>
@@ -302,7 +316,9 @@
     const refused = refuseRequest(result.state, request, { reason: request.deadlineMs <= nowMs ? 'deadline_running' : 'shutting_down', nowMs })
     return step(refused.state, [...result.effects, ...refused.effects])
   }, step(state))
-  const weighed = changeEvidence(ended.state, quarantineCulprits(ended.state.evidence, nowMs), nowMs)
+  const { targets, unreachable } = ended.state
+  const gone = noteGone(ended.state.evidence, (upstream, incarnation) => unreachable.has(upstream) || targets.get(upstream)?.incarnation !== incarnation, nowMs)
+  const weighed = changeEvidence(ended.state, quarantineCulprits(gone, nowMs), nowMs)
   const silent = _probeSilent(weighed.state, nowMs)
   const probed = probeUnreachable(silent.state, nowMs)
   const quotas = noteFallback(probed.state, nowMs)
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,6 +1,8 @@
 import type { LoadAnnouncements } from '@berylshed/queueing'
 import type { Quota } from '@berylshed/fleet'
 import type { QuotaAnswer } from '@berylshed/limits'
+import type { UpstreamOutcomes } from '@berylshed/scheduler'
+import type { EjectionRecord } from './ejection_record.ts'
 import type { EvidenceUpdate } from './evidence_update.ts'
 import type { Relay } from './relay.ts'
 import type { OriginUpdate } from './stream_origins.ts'
@@ -60,13 +62,17 @@
   | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number, readonly announcement?: Pick<LoadAnnouncements, 'holder' | 'atMs'> }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
   /** Another instance sent changes of its crash evidence, or the lease names quarantines. */
-  | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines'> }
+  | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines' | 'processes'> }
   /** Another instance sent origins of streams. */
   | { readonly kind: 'origins_received', readonly update: OriginUpdate }
   /** Another instance sent the limits of upstreams; the lease holder adds the shares of this instance. */
   | { readonly kind: 'limits_received', readonly limits: ReadonlyArray<LimitRecord | LimitShare> }
   /** Another instance names brittle services. */
   | { readonly kind: 'brittle_received', readonly services: readonly BrittleRecord[] }
+  /** Other instances have reported failures of upstreams to this one, the lease holder; summed up, by upstream. */
+  | { readonly kind: 'outcomes_received', readonly outcomes: readonly UpstreamOutcomes[] }
+  /** The lease holder names ejected upstreams. */
+  | { readonly kind: 'ejections_received', readonly ejections: readonly EjectionRecord[] }
   /** The lease holder stands by a list of the instances among which upstreams are divided. */
   | { readonly kind: 'members_received', readonly members: readonly Relay[], readonly confirmedAtMs: number }
   | { readonly kind: 'models_changed', readonly models: ReadonlyMap<string, ReadonlySet<string>> }
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -1,3 +1,4 @@
+import type { Ejection, OutcomeCounts } from '@berylshed/outliers'
 import { HashMap, Option } from 'effect'
 import { NO_QUEUES, type QueueingState } from '@berylshed/queueing'
 import { newInstanceQuotas, type InstanceQuotas } from '@berylshed/limits'
@@ -69,6 +70,14 @@
   readonly brittle: ReadonlyMap<string, BrittleService>
   /** Quotas of customers, and what this instance has charged. */
   readonly quotas: InstanceQuotas
+  /** Whether this instance holds the lease, as one instance alone probes quarantines. */
+  readonly holdsLease: boolean
+  /** Upstreams that are ejected for their failures or were lately. */
+  readonly ejections: ReadonlyMap<string, Ejection>
+  /** Failures that other instances have reported to this one as the lease holder, by upstream. */
+  readonly peerOutcomes: ReadonlyMap<string, OutcomeCounts>
+  /** Local time at which failures of upstreams last made a heartbeat due, in ms. */
+  readonly failuresReportedAtMs: number
   readonly retryWindows: ReadonlyMap<string, RetryWindow>
   readonly evidence: CrashEvidence
   /** Origins of streams that callers may resume. */
@@ -145,6 +154,10 @@
     limits: new Map(),
     brittle: new Map(),
     quotas: newInstanceQuotas({ phase: options.phase ?? 1 }),
+    holdsLease: false,
+    ejections: new Map(),
+    peerOutcomes: new Map(),
+    failuresReportedAtMs: -Infinity,
     retryWindows: new Map(),
     evidence: NO_CRASH_EVIDENCE,
     origins: NO_STREAM_ORIGINS,
