Keep hints of the prompt parts that engines hold, and decode Sticky and KvCapacity

Change: packages/prompt_cache records what this instance sent where (least recently used, bounded by the engine's memory, void for another incarnation), estimates the tokens still kept, and names a home for parts by rendezvous hashing. Route.sticky and EngineSpec.kvCapacity are decoded; nothing uses them yet. Result: no change of behaviour.

--- a/packages/edge/_caller_server.ts
+++ b/packages/edge/_caller_server.ts
@@ -151,6 +151,7 @@
       promptParts: facts.promptParts,
       promptPartTokens: facts.promptPartTokens,
       ...facts.tokens === undefined ? {} : { promptTokens: facts.tokens.prompt, outputTokens: facts.tokens.output },
+      ...route.sticky === true ? { sticky: true } : {},
       resumedAttempt: facts.lastEventId === undefined ? undefined : facts.resumedAttempt ?? '',
       route: route.name,
       service: chooseService(route, options.random()),
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -27,6 +27,8 @@
   readonly maxAttempts: number
   /** Whether an interrupted stream can be resumed on another upstream. */
   readonly resumable: boolean
+  /** Whether requests go to upstreams that keep the beginning of their prompts; false by default. */
+  readonly sticky?: boolean
   readonly services: readonly WeightedService[]
   /** Whether callers need no key; false by default. */
   readonly anonymous?: boolean
@@ -80,6 +82,8 @@
   readonly adapterPlaces: number
   /** Maximum number of loads that the weight store starts per second, across all engines. */
   readonly loadsPerSecond: number
+  /** Tokens that the prompt cache and the running requests of an engine have together; absent if the configuration does not tell. */
+  readonly kvCapacity?: number
   readonly models: ReadonlyMap<string, Model>
 }
 
--- a/packages/platform/_decode_configuration.ts
+++ b/packages/platform/_decode_configuration.ts
@@ -23,7 +23,8 @@
   Split: Schema.optionalKey(Schema.Array(Schema.Struct({ Service: Schema.String, Weight: Schema.Number }))),
   // Number of upstreams that may execute one request, not the number of attempts.
   Attempts: Schema.optionalKey(Schema.Number),
-  Resumable: Schema.optionalKey(Schema.Boolean)
+  Resumable: Schema.optionalKey(Schema.Boolean),
+  Sticky: Schema.optionalKey(Schema.Boolean)
 })
 
 const WireModel = Schema.Struct({
@@ -42,6 +43,8 @@
   WeightsMb: Schema.Number,
   AdapterSlots: Schema.optionalKey(Schema.Number),
   LoadsPerS: Schema.optionalKey(Schema.Number),
+  // Tokens of the prompt cache and of running requests together.
+  KvCapacity: Schema.optionalKey(Schema.Number),
   Models: Schema.Array(WireModel)
 })
 
@@ -106,6 +109,7 @@
     rank: wire.Priority ?? DEFAULT_RANK,
     maxAttempts: wire.Attempts ?? 1,
     resumable: wire.Resumable ?? false,
+    ...wire.Sticky === true ? { sticky: true } : {},
     services: wire.Split?.map(({ Service: service, Weight: weight }) => ({ service, weight })) ?? single
   }
 }
@@ -116,6 +120,7 @@
     memoryMb: wire.WeightsMb,
     adapterPlaces: wire.AdapterSlots ?? 0,
     loadsPerSecond: wire.LoadsPerS ?? 1,
+    ...wire.KvCapacity === undefined ? {} : { kvCapacity: wire.KvCapacity },
     models: new Map(wire.Models.map((model) => {
       const storeLoadMs = model.LoadTimeS * MS_PER_SECOND
       const diskLoadMs = model.DiskS === undefined ? storeLoadMs : model.DiskS * MS_PER_SECOND
--- a/packages/prompt_cache/mod.ts
+++ b/packages/prompt_cache/mod.ts
@@ -3,4 +3,7 @@
  *
  * @module
  */
-export {}
+export * from './home_of.ts'
+export * from './kept_prompts.ts'
+export * from './prompt.ts'
+export * from './rendezvous_hash.ts'
