Choose among nearly equal upstreams by a hash of the request, and weigh kept prompts

Each search built arrays over the upstreams of all services. Change: expected_delay.ts estimates the delay of a request at each upstream (recent first bytes, requests of all instances, prompt tokens to read, pace of long answers) and what kept parts save, up to a bound on the load above the mean. _pick_target.ts chooses among upstreams whose difference the reports cannot show by weighted rendezvous hashing; with one instance, or where it alone sends, the lowest delay is taken as before. A rejection marks an upstream as full for 0.3 s. Upstreams are indexed by service and model once per change of targets. The sent record and a counter tell the tokens expected to be kept.

--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -52,6 +52,7 @@
   const callersLeft = new Counter({ name: 'berylshed_left_total', help: 'Requests whose caller left', registers })
   const rejected = new Counter({ name: 'berylshed_rejected_total', help: 'Requests turned away before they were routed', labelNames: ['status', 'reason'], registers })
   const attempts = new Counter({ name: 'berylshed_sendings_total', help: 'Sendings to upstreams, first ones and repeats', labelNames: ['kind'], registers })
+  const promptTokens = new Counter({ name: 'berylshed_prompt_tokens_total', help: 'Tokens of prompts of sticky routes that were sent, by whether the upstream was expected to keep them', labelNames: ['expected'], registers })
   const failedAttempts = new Counter({ name: 'berylshed_failed_sendings_total', help: 'Sendings that failed, by reason', labelNames: ['reason'], registers })
   const avoided = new Counter({ name: 'berylshed_upstreams_avoided_total', help: 'Times that an upstream was avoided, by reason', labelNames: ['reason'], registers })
   const quarantines = new Counter({ name: 'berylshed_quarantines_total', help: 'Requests and parts of prompts that were quarantined as they crash upstreams', labelNames: ['kind'], registers })
@@ -75,6 +76,8 @@
     switch (record.what) {
       case 'sent':
         attempts.inc({ kind: record.relay !== undefined ? 'handed_over' : record.sending === 1 ? 'first' : 'repeat' })
+        promptTokens.inc({ expected: 'kept' }, record.keptTokens ?? 0)
+        promptTokens.inc({ expected: 'read' }, Math.max(0, (record.promptTokens ?? 0) - (record.keptTokens ?? 0)))
         if (record.sending === 1) waitTime.observe({ route }, elapsedMs / MS_PER_SECOND)
         return
       case 'failed': return failedAttempts.inc({ reason })
--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -93,7 +93,7 @@
 }
 
 function _buildTarget (configuration: Configuration, upstream: Upstream, engine: PlacedEngine | undefined): RoutingTarget {
-  const isEngine = configuration.services.get(upstream.service)?.engine !== undefined
+  const spec = configuration.services.get(upstream.service)?.engine
   const current = engine !== undefined && engine.incarnation >= upstream.incarnation ? engine : undefined
   const models = current === undefined
     ? new Map(upstream.residents.map(({ model, adapters }): [string, TargetModel] => [model, { usable: true, adapters: new Set(adapters) }]))
@@ -106,6 +106,7 @@
     availabilityZone: upstream.availabilityZone,
     slots: upstream.slots,
     leaving: upstream.leaving,
-    models: isEngine ? models : undefined
+    models: spec === undefined ? undefined : models,
+    ...spec?.kvCapacity === undefined ? {} : { kvCapacity: spec.kvCapacity }
   }
 }
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -3,6 +3,7 @@
 import { dequeueRequest, recordAdapterUse, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
 import { isVersionUnavailable, pinRequest } from './_pin_streams.ts'
+import { notePrompt } from './_kept_prompts.ts'
 import { countAgainstLimit } from './_limit_upstreams.ts'
 import { chooseUpstream, offersModel, ownedWaitMs, type UpstreamChoice, type UpstreamSearch } from './choose_upstream.ts'
 import { chooseRelay, relayKey, type Relay } from './relay.ts'
@@ -10,7 +11,7 @@
 import { unmetDemand } from './instance_report.ts'
 import { patienceOf } from './patience.ts'
 import type { RefusalReason } from './refusal.ts'
-import type { Request, Attempt } from './request.ts'
+import { promptOf, type Request, type Attempt } from './request.ts'
 import { countAttempt, EMPTY_RETRY_WINDOW } from './retry_window.ts'
 import { latestDurationsMs } from './route_duration.ts'
 import type { ServingEffect, ServingRecord } from './serving_effect.ts'
@@ -223,14 +224,19 @@
     ...load, ownRequests: load.ownRequests + 1, sentAtMs: nowMs, unanswered: next.phase === 'sent' ? load.unanswered + 1 : load.unanswered
   }))
   const marked = recordAdapterUse({ ...counted, retryWindows: new Map(counted.retryWindows).set(request.service, window) }, request, { upstream, nowMs })
-  return step(countAgainstLimit(marked, upstream, nowMs), [
+  return step(countAgainstLimit(notePrompt(marked, request, upstream), upstream, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream, relay: undefined, patienceMs: patienceOf(marked, next, nowMs).patienceMs },
     requestRecord('sent', next, {
-      nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion, ..._shutdownFields(state, request, round)
+      nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion, ..._promptFields(request, choice), ..._shutdownFields(state, request, round)
     })
   ])
 }
 
+function _promptFields (request: Request, { keptTokens }: UpstreamChoice): Pick<ServingRecord, 'promptTokens' | 'keptTokens'> {
+  const prompt = promptOf(request)
+  return prompt === undefined ? {} : { promptTokens: prompt.tokens.reduce((sum, tokens) => sum + tokens, 0), keptTokens }
+}
+
 interface _WaitOptions {
   readonly search: UpstreamSearch
   readonly nowMs: number
--- a/packages/serving/_fail_attempt.ts
+++ b/packages/serving/_fail_attempt.ts
@@ -2,6 +2,7 @@
 import { demandKey } from '@berylshed/scheduler'
 import { enqueueRequest, nextReceiver } from './_dispatch_requests.ts'
 import { changeEvidence } from './_change_evidence.ts'
+import { forgetPrompts } from './_kept_prompts.ts'
 import { isSuspectedRequest, recordCrash } from './_weigh_evidence.ts'
 import { noteCancelled, releaseSlot, observeFirstByte, observeOutcome, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import type { TargetLoad } from './routing_target.ts'
@@ -24,6 +25,8 @@
 const MAX_AVOID_MS = 3200
 /** Time for which a model, adapter or plain upstream is treated as absent after an upstream reported so, in ms: two heartbeat intervals. */
 const ABSENT_MS = 400
+/** Time for which an upstream counts as full after it rejected a request, in ms: the mean age of other instances' reports. */
+const FULL_MS = 300
 /** Time over which brittle upstreams count rejections, in ms. */
 const REJECTION_WINDOW_MS = 1000
 
@@ -148,8 +151,8 @@
   const { failure, nowMs } = observation.failed
   const { upstream, relay } = observation.attempt
   const contacted = relay === undefined && RESPONDED_FAILURES.includes(failure) ? noteContact(state, nowMs) : state
-  if (failure === 'misdirected') return step(updateTargetLoad(contacted, upstream, (load) => _markAbsent(load, request, nowMs)))
-  if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { upstream, nowMs })))
+  if (failure === 'misdirected') return step(updateTargetLoad(forgetPrompts(contacted, upstream, request.model), upstream, (load) => _markAbsent(load, request, nowMs)))
+  if (failure === 'refused') return step(updateTargetLoad(contacted, upstream, (load) => _markFull(state, _pauseBrittle(state, observeOutcome(load, { failed: true, nowMs }), { upstream, nowMs }), { upstream, nowMs })))
   if (failure !== 'not_connected' && failure !== 'silent') return step(updateTargetLoad(contacted, upstream, (load) => observeOutcome(load, { failed: true, nowMs })))
   const waitedMs = failure === 'silent' && request.phase === 'sent' ? nowMs - observation.attempt.sentAtMs : 0
   const avoided = updateTargetLoad(contacted, upstream, (load) => _avoidUpstream(_observeSilence(observeOutcome(load, { failed: true, nowMs }), request.route, { waitedMs, nowMs }), nowMs))
@@ -165,7 +168,7 @@
 // The response would have taken at least as long as it was waited for.
 function _observeSilence (load: TargetLoad, route: string, { waitedMs, nowMs }: { readonly waitedMs: number, readonly nowMs: number }): TargetLoad {
   if (waitedMs === 0) return load
-  const slower = waitedMs > load.firstByteMs ? observeFirstByte(load, waitedMs) : load
+  const slower = waitedMs > load.firstByteMs ? observeFirstByte(load, waitedMs, nowMs) : load
   return { ...slower, slowest: noteFirstByte(load.slowest, route, { firstByteMs: waitedMs, nowMs }) }
 }
 
@@ -180,6 +183,14 @@
   return { ...load, pausedUntilMs: Math.max(load.pausedUntilMs, nowMs + pauseMs) }
 }
 
+// Until the next reports tell how full the upstream is, this instance knows it only by the rejection. Brittle and limited upstreams have pauses of their own.
+function _markFull (state: ServingState, load: TargetLoad, rejected: { readonly upstream: string, readonly nowMs: number }): TargetLoad {
+  const { upstream, nowMs } = rejected
+  const target = state.targets.get(upstream)
+  if (target === undefined || ownershipOf(state, target, nowMs).kind !== 'shared' || state.limits.has(upstream)) return load
+  return { ...load, fullUntilMs: nowMs + FULL_MS }
+}
+
 // Failures of concurrent attempts count once: while the upstream is avoided, further ones are not added.
 function _avoidUpstream (load: TargetLoad, nowMs: number): TargetLoad {
   if (load.avoidedUntilMs > nowMs) return load
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -12,6 +12,8 @@
 
 /** Weight of the newest outcome in an upstream's averages. */
 const SMOOTHING_FACTOR = 0.15
+/** Time after which the weight of earlier first bytes has halved in the recent average, in ms; slow phases last seconds. */
+const RECENT_HALF_LIFE_MS = 500
 
 /** Stores a request. */
 export function putRequest (state: ServingState, request: Request): ServingState {
@@ -72,13 +74,25 @@
 /** Updates the observed load of an upstream with the outcome of an attempt. */
 export function observeOutcome (load: TargetLoad, outcome: { readonly failed: boolean, readonly firstByteMs?: number, readonly nowMs: number }): TargetLoad {
   const failureShare = load.failureShare + SMOOTHING_FACTOR * ((outcome.failed ? 1 : 0) - load.failureShare)
-  const observed = outcome.firstByteMs === undefined ? load : observeFirstByte(load, outcome.firstByteMs)
+  const observed = outcome.firstByteMs === undefined ? load : observeFirstByte(load, outcome.firstByteMs, outcome.nowMs)
   return { ...observed, failureShare, observedAtMs: outcome.nowMs }
 }
 
-/** Adds the time to the first byte of a response, in ms, to the average of its upstream. */
-export function observeFirstByte (load: TargetLoad, firstByteMs: number): TargetLoad {
-  return { ...load, firstByteMs: load.firstByteMs === 0 ? firstByteMs : load.firstByteMs + SMOOTHING_FACTOR * (firstByteMs - load.firstByteMs) }
+/** Adds the pace of a stream that has ended, in ms per token, to the average of its upstream. */
+export function observeTokens (load: TargetLoad, tokenMs: number): TargetLoad {
+  return { ...load, tokenMs: load.tokenMs === 0 ? tokenMs : load.tokenMs + SMOOTHING_FACTOR * (tokenMs - load.tokenMs) }
+}
+
+/** Adds the time to the first byte of a response, in ms, to the averages of its upstream. */
+export function observeFirstByte (load: TargetLoad, firstByteMs: number, nowMs: number): TargetLoad {
+  if (load.firstByteMs === 0) return { ...load, firstByteMs, recentFirstByteMs: firstByteMs }
+  // Instances see few responses of each upstream, so that one after a pause tells more of a slow phase than those before it.
+  const weight = Math.max(SMOOTHING_FACTOR, 1 - 0.5 ** (Math.max(0, nowMs - load.observedAtMs) / RECENT_HALF_LIFE_MS))
+  return {
+    ...load,
+    firstByteMs: load.firstByteMs + SMOOTHING_FACTOR * (firstByteMs - load.firstByteMs),
+    recentFirstByteMs: load.recentFirstByteMs + weight * (firstByteMs - load.recentFirstByteMs)
+  }
 }
 
 /** Builds the effect that records a decision about a request. */
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -1,22 +1,19 @@
 import { demandKey } from '@berylshed/scheduler'
 import type { RoutingTarget } from './routing_target.ts'
 import type { Request } from './request.ts'
-import { mayHandOver, relayKey, type Relay } from './relay.ts'
+import { listTargets } from './_target_index.ts'
+import { pickTarget } from './_pick_target.ts'
+import { estimateDelays, type DelayEstimate } from './expected_delay.ts'
+import { mayHandOver, type Relay } from './relay.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
 import { brittleService, isRiskAllowed, ownershipOf } from './upstream_owner.ts'
 import { isWithinLimit } from './upstream_limit.ts'
 
 /** Maximum number of running and queued requests on a plain upstream, as a multiple of its slots; its own queue holds four. */
 const PLAIN_CAPACITY_FACTOR = 3
-/** Half-life of the weight of observations, in ms; the decay lets a recovered upstream be tried again. */
-const OBSERVATION_HALF_LIFE_MS = 4000
-/** Expected time to the first byte if none was observed on any upstream, in ms. */
-const DEFAULT_FIRST_BYTE_MS = 40
-/** Increase of the expected time to the first byte from an idle to a full upstream, as a multiple of the idle time. */
-const UTILIZATION_WEIGHT = 4
-/** Delay added for an upstream in another availability zone, in ms: twice the longest current round trip between zones. */
-const CROSS_ZONE_PENALTY_MS = 6
 const MS_PER_SECOND = 1000
+/** Share of an upstream's slots below which a rejection does not show that it is full: reports of other instances lag by less than the rest. */
+const MIN_FULL_SHARE = 0.5
 /** Maximum wait of a request for news of the owner of its upstreams, in ms: two heartbeats. */
 const MAX_OWNER_WAIT_MS = 400
 
@@ -25,6 +22,8 @@
   readonly target: RoutingTarget
   /** Number of eligible upstreams. */
   readonly candidates: number
+  /** Prompt tokens that the upstream probably keeps, so that it does not read them again. */
+  readonly keptTokens: number
   /** The instance that alone sends to the upstream; absent if this one may. */
   readonly owner?: Relay
 }
@@ -51,10 +50,8 @@
  * Chooses the upstream for a request.
  *
  * Bursts reach several instances at once while load reports lag, and upstreams become slow or fail part of their
- * requests while their health checks pass. The upstream with the lowest expected delay is therefore chosen. The delay is
- * estimated from the time to first byte and the failures that this instance has observed, and from the requests that all
- * instances are running on the upstream. The weight of observations decays, so that a recovered upstream is tried again.
- * Upstreams that are avoided are chosen from only if there are no others.
+ * requests while their health checks pass. An upstream with the lowest expected delay, or nearly so, is therefore chosen
+ * (`estimateDelays`, `pickTarget`). Upstreams that are avoided are chosen from only if there are no others.
  *
  * @param state The state of the requests.
  * @param request The request.
@@ -67,7 +64,7 @@
  * ```
  */
 export function chooseUpstream (state: ServingState, request: Request, nowMs: number): UpstreamSearch {
-  const reachable = [...state.targets.values()].filter((target) => isEligible(state, target, { request, nowMs }))
+  const reachable = listTargets(state.targets, request.service, request.model).filter((target) => isEligible(state, target, { request, nowMs }))
   if (reachable.length === 0) return { kind: 'absent' }
   // Upstreams are avoided for their silence, which does not tell that they cannot serve a request.
   const unsuspected = reachable.filter((target) => !_isAvoided(state, target, { request, nowMs }))
@@ -78,15 +75,14 @@
   if (available.length === 0) return _full(state, eligible, { request, nowMs })
   // A request waits at an owner for its turn, so upstreams that this instance may send to come first.
   const direct = available.filter((target) => ownershipOf(state, target, nowMs).kind !== 'elsewhere')
-  const preferred = direct.length > 0 ? direct : available
-  const medianMs = _medianFirstByteMs(state, preferred)
-  const scored = preferred
-    .map((target) => ({ target, score: _expectedDelayMs(state, target, { request, nowMs, medianMs }) }))
-    .sort((x, y) => x.score - y.score || (x.target.upstream < y.target.upstream ? -1 : 1))
-  const [best] = scored
+  const permitted = direct.length > 0 ? direct : available
+  const accepting = permitted.filter((target) => targetLoad(state, target.upstream).fullUntilMs <= nowMs)
+  const preferred = accepting.length > 0 ? accepting : permitted
+  const isShared = ({ target }: DelayEstimate): boolean => ownershipOf(state, target, nowMs).kind === 'shared'
+  const best = pickTarget(state, estimateDelays(state, preferred, { request, nowMs }), { request, nowMs, isShared })
   if (best === undefined) return { kind: 'full' }
   const ownership = ownershipOf(state, best.target, nowMs)
-  return { kind: 'chosen', choice: { target: best.target, candidates: eligible.length, ...ownership.kind === 'elsewhere' ? { owner: ownership.relay } : {} } }
+  return { kind: 'chosen', choice: { target: best.target, candidates: eligible.length, keptTokens: Math.round(best.keptTokens), ...ownership.kind === 'elsewhere' ? { owner: ownership.relay } : {} } }
 }
 
 /** A request and the local time in ms at which upstreams are evaluated for it. */
@@ -170,7 +166,7 @@
  */
 export function ownedWaitMs (state: ServingState, request: Request, options: { readonly ahead: number, readonly nowMs: number }): number | undefined {
   const { ahead, nowMs } = options
-  const eligible = [...state.targets.values()].filter((target) => offersModel(state, target, { request, nowMs }))
+  const eligible = listTargets(state.targets, request.service, request.model).filter((target) => offersModel(state, target, { request, nowMs }))
   if (eligible.length === 0 || eligible.some((target) => ownershipOf(state, target, nowMs).kind !== 'own')) return undefined
   const perMs = eligible.reduce((sum, target) => {
     const limitPerMs = (state.limits.get(target.upstream)?.perS ?? Infinity) / MS_PER_SECOND
@@ -208,6 +204,7 @@
 
 function _hasCapacity (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
   const load = targetLoad(state, target.upstream)
+  if (load.fullUntilMs > nowMs && load.ownRequests + load.peerRequests >= MIN_FULL_SHARE * target.slots) return false
   const isBrittle = brittleService(state, target, nowMs) !== undefined && ownershipOf(state, target, nowMs).kind !== 'shared'
   const capacity = target.models === undefined && !isBrittle ? target.slots * PLAIN_CAPACITY_FACTOR : target.slots
   const cancelled = isBrittle ? load.cancelledUntilMs.filter((untilMs) => untilMs > nowMs).length : 0
@@ -219,32 +216,3 @@
   const limit = state.limits.get(target.upstream)
   return limit === undefined || isWithinLimit(limit, nowMs)
 }
-
-function _medianFirstByteMs (state: ServingState, targets: readonly RoutingTarget[]): number {
-  const observedMs = targets.map((target) => targetLoad(state, target.upstream).firstByteMs).filter((ms) => ms > 0).sort((a, b) => a - b)
-  return observedMs[Math.floor((observedMs.length - 1) / 2)] ?? DEFAULT_FIRST_BYTE_MS
-}
-
-interface _ScoringQuery extends RoutingQuery {
-  /** Median time to the first byte over the available upstreams, in ms. */
-  readonly medianMs: number
-}
-
-function _expectedDelayMs (state: ServingState, target: RoutingTarget, query: _ScoringQuery): number {
-  const load = targetLoad(state, target.upstream)
-  const weight = 0.5 ** (Math.max(0, query.nowMs - load.observedAtMs) / OBSERVATION_HALF_LIFE_MS)
-  const observedMs = load.firstByteMs === 0 ? query.medianMs : load.firstByteMs
-  const firstByteMs = query.medianMs + weight * (observedMs - query.medianMs)
-  const utilization = (load.ownRequests + load.peerRequests) / Math.max(1, target.slots)
-  const failureMs = weight * load.failureShare * query.request.objectiveMs
-  const zoneMs = target.availabilityZone === state.availabilityZone ? 0 : CROSS_ZONE_PENALTY_MS
-  return firstByteMs * (1 + UTILIZATION_WEIGHT * utilization) + failureMs + zoneMs + _ownerDelayMs(state, target, query.nowMs)
-}
-
-// Requests that this instance has handed to the owner of a limited upstream are served one after another.
-function _ownerDelayMs (state: ServingState, target: RoutingTarget, nowMs: number): number {
-  const ownership = ownershipOf(state, target, nowMs)
-  const limit = state.limits.get(target.upstream)
-  if (ownership.kind !== 'elsewhere' || limit === undefined || limit.perS === Infinity) return 0
-  return (1 + targetLoad(state, relayKey(ownership.relay)).ownRequests) * MS_PER_SECOND / limit.perS
-}
--- a/packages/serving/mod.ts
+++ b/packages/serving/mod.ts
@@ -6,6 +6,7 @@
 export * from './choose_upstream.ts'
 export * from './continuation.ts'
 export * from './crash_evidence.ts'
+export * from './expected_delay.ts'
 export * from './evidence_update.ts'
 export * from './instance_report.ts'
 export * from './routing_target.ts'
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -3,6 +3,7 @@
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { applyAnnouncement, applyBrittleServices } from './_apply_announcement.ts'
 import { changeEvidence } from './_change_evidence.ts'
+import { forgetLostPrompts, notePrompt } from './_kept_prompts.ts'
 import { forgetUnused } from './_forget_unused.ts'
 import { weighSilence } from './continuation.ts'
 import { applyOrigins } from './origin_exchange.ts'
@@ -10,7 +11,7 @@
 import { failAttempt } from './_fail_attempt.ts'
 import { applyLimits, pruneLimits, stateLimit } from './_limit_upstreams.ts'
 import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
-import { attemptFields, noteCancelled, observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
+import { attemptFields, noteCancelled, observeOutcome, observeTokens, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
@@ -128,7 +129,7 @@
 function _startResponse (state: ServingState, request: Request, event: _ResponseStarted): _Step {
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
-  const observed = updateTargetLoad(_observeSuccess(state, request, event.nowMs), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
+  const observed = updateTargetLoad(notePrompt(_observeSuccess(state, request, event.nowMs), request, attempt.upstream), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
   const softwareVersion = event.softwareVersion ?? attempt.softwareVersion
   const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion, respondingSinceMs: event.nowMs }), request, softwareVersion)
   return changeEvidence(responding, recordResponse(responding.evidence, request, event.nowMs), event.nowMs)
@@ -149,7 +150,7 @@
 function _endResponse (state: ServingState, request: Request, event: _ResponseEnded): _Step {
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
-  const observed = request.phase === 'responding' ? state : _observeSuccess(state, request, event.nowMs)
+  const observed = request.phase === 'responding' ? _observePace(state, request, event.nowMs) : _observeSuccess(state, request, event.nowMs)
   const cleared = changeEvidence(observed, recordResponse(observed.evidence, request, event.nowMs), event.nowMs)
   const removed = removeRequest(cleared.state, request, event.nowMs)
   const fields = { nowMs: event.nowMs, status: event.status, runs: request.runs, ...attemptFields(request) }
@@ -159,6 +160,14 @@
   return _thenDispatch(ended, request.service, event.nowMs)
 }
 
+// The caller states how many tokens the answer has at most, which compares upstreams if answers are as long everywhere.
+function _observePace (state: ServingState, request: Request, nowMs: number): ServingState {
+  const { respondingSinceMs, outputTokens = 0, attempts } = request
+  const attempt = currentAttempt(request)
+  if (attempt === undefined || attempts.length !== 1 || respondingSinceMs === undefined || !request.stream || outputTokens === 0) return state
+  return updateTargetLoad(state, attempt.upstream, (load) => observeTokens(load, (nowMs - respondingSinceMs) / outputTokens))
+}
+
 // Cancels retryable requests and streams, which no one reads any longer. Other requests run to completion; whether one that was handed over
 // has been sent to an upstream is known to the relay, which applies the same rule.
 function _abandon (state: ServingState, request: Request, nowMs: number): _Step {
@@ -196,10 +205,10 @@
     return before !== undefined && before.incarnation < target.incarnation
   })
   const unreachable = new Map([...state.unreachable].filter(([id]) => targets.has(id) && !restarted.some(({ upstream }) => upstream === id)))
-  const changed: ServingState = { ...state, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
+  const changed: ServingState = { ...forgetLostPrompts(state, targets), targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
-    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
+    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, firstByteMs: 0, recentFirstByteMs: 0, tokenMs: 0, fullUntilMs: -Infinity, slowest: new Map(), absentUntilMs: new Map()
   })), changed)
   return dispatchAll(noteVersions(pruneLimits(reset), targets, nowMs), nowMs)
 }
@@ -253,7 +262,7 @@
 
 function _applyPeerLoads (state: ServingState, event: _PeerLoadsReceived): ServingState {
   const running = new Map(event.loads.map((load) => [load.upstream, load.running]))
-  const updated = { ...state, instances: event.instances }
+  const updated = { ...state, instances: event.instances, peerLoadsAtMs: event.nowMs }
   return [...state.targets.keys()].reduce((next, upstream) => {
     const peerRequests = running.get(upstream) ?? 0
     return targetLoad(next, upstream).peerRequests === peerRequests ? next : updateTargetLoad(next, upstream, (load) => ({ ...load, peerRequests }))
--- a/packages/serving/request.ts
+++ b/packages/serving/request.ts
@@ -1,3 +1,4 @@
+import type { Prompt } from '@berylshed/prompt_cache'
 import type { Relay } from './relay.ts'
 
 /** Properties of a request that are known on arrival. */
@@ -16,6 +17,8 @@
   readonly promptTokens?: number
   /** Maximum number of tokens of the response; absent if the caller does not state it. */
   readonly outputTokens?: number
+  /** Whether upstreams that keep the beginning of the prompt are preferred; false by default. */
+  readonly sticky?: boolean
   /** Name of the customer; absent if the deployment has no customers or the route is anonymous. */
   readonly customer?: string
   /** Units that the request counts against the customer's quota; absent if the customer has none. */
@@ -135,3 +138,19 @@
 export function hasAttemptsLeft (request: Request): boolean {
   return request.runs < request.maxRuns && request.attempts.length < MAX_ATTEMPTS
 }
+
+/**
+ * Returns the prompt of a request for which kept parts of prompts matter.
+ *
+ * @param request The request.
+ * @returns The prompt; undefined if the route is not sticky or the parts or their tokens are not known.
+ *
+ * @example
+ * ```ts
+ * const prompt = promptOf(request)
+ * ```
+ */
+export function promptOf ({ sticky, model, adapter, promptParts, promptPartTokens }: ReceivedRequest): Prompt | undefined {
+  if (sticky !== true || model === undefined || promptParts.length === 0 || promptPartTokens?.length !== promptParts.length) return undefined
+  return { model, adapter, parts: promptParts, tokens: promptPartTokens }
+}
--- a/packages/serving/routing_target.ts
+++ b/packages/serving/routing_target.ts
@@ -22,6 +22,8 @@
   readonly leaving: boolean
   /** Models on the upstream; undefined for a plain service. */
   readonly models: ReadonlyMap<string, TargetModel> | undefined
+  /** Tokens that prompt cache and running requests have together; absent if that is not known. */
+  readonly kvCapacity?: number
 }
 
 /** Load and health of an upstream, as observed by one instance. */
@@ -38,6 +40,12 @@
   readonly peerRequests: number
   /** Average time from the start of an attempt to the first byte of its response, in ms; 0 if none was observed. */
   readonly firstByteMs: number
+  /** Like `firstByteMs`, but with a weight of the newest response that grows with the time since the one before. */
+  readonly recentFirstByteMs: number
+  /** Average time per token of a stream after its first event, in ms; 0 if none was observed. */
+  readonly tokenMs: number
+  /** Local time until which the upstream counts as full, as it rejected a request, in ms. */
+  readonly fullUntilMs: number
   /** Longest time from the start of an attempt to the first byte of its response that was lately seen, by route. */
   readonly slowest: ReadonlyMap<string, RecentMaximum>
   /** Average share of attempts that failed. */
@@ -70,6 +78,9 @@
   sentAtMs: -Infinity,
   peerRequests: 0,
   firstByteMs: 0,
+  recentFirstByteMs: 0,
+  tokenMs: 0,
+  fullUntilMs: -Infinity,
   slowest: new Map(),
   failureShare: 0,
   observedAtMs: -Infinity,
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -34,6 +34,10 @@
   readonly leftMs?: number
   /** Requests of all instances running on the upstream when it was chosen. */
   readonly load?: number
+  /** Tokens of the prompt, if its route is sticky and the request names its parts. */
+  readonly promptTokens?: number
+  /** Prompt tokens that the upstream was expected to keep and not to read again. */
+  readonly keptTokens?: number
   /** Version of the placement on which the decision was based. */
   readonly placement?: number
   /** Number of instances among which upstreams are divided. */
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -1,4 +1,5 @@
 import { HashMap, Option } from 'effect'
+import type { KeptParts } from '@berylshed/prompt_cache'
 import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
@@ -51,6 +52,10 @@
   /** Models named by the configuration, by service. */
   readonly models: ReadonlyMap<string, ReadonlySet<string>>
   readonly loads: HashMap.HashMap<string, TargetLoad>
+  /** Prompt parts that upstreams probably keep, by upstream. */
+  readonly keptPrompts: HashMap.HashMap<string, KeptParts>
+  /** Local time of the last report of other instances' requests, in ms. */
+  readonly peerLoadsAtMs: number
   /** Upstreams to which no connection can be opened, and the local time of the next probe of each, in ms. */
   readonly unreachable: ReadonlyMap<string, number>
   /** Local time at which an upstream last responded or accepted a connection, in ms. */
@@ -131,6 +136,8 @@
     estimatedAtMs: -Infinity,
     models: new Map(),
     loads: HashMap.empty(),
+    keptPrompts: HashMap.empty(),
+    peerLoadsAtMs: -Infinity,
     unreachable: new Map(),
     contactAtMs: -Infinity,
     relays: [],
