--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -224,7 +224,7 @@
     ...load, ownRequests: load.ownRequests + 1, sentAtMs: nowMs, unanswered: next.phase === 'sent' ? load.unanswered + 1 : load.unanswered
   }))
   const marked = recordAdapterUse({ ...counted, retryWindows: new Map(counted.retryWindows).set(request.service, window) }, request, { upstream, nowMs })
-  return step(countAgainstLimit(notePrompt(marked, request, upstream), upstream, nowMs), [
+  return step(countAgainstLimit(notePrompt(marked, request, { upstream, keptTokens: choice.keptTokens }), upstream, nowMs), [
     { kind: 'send', request: next, attempt: attempt.number, upstream, relay: undefined, patienceMs: patienceOf(marked, next, nowMs).patienceMs },
     requestRecord('sent', next, {
       nowMs, upstream, softwareVersion: choice.target.softwareVersion, ...request.resumedAttempt === undefined ? {} : { resumes: request.resumedAttempt }, sending: attempt.number, load: before.ownRequests + before.peerRequests, candidates: choice.candidates, placement: state.placementVersion, ..._promptFields(request, choice), ..._shutdownFields(state, request, round)
--- a/packages/serving/_kept_prompts.ts
+++ b/packages/serving/_kept_prompts.ts
@@ -1,33 +1,41 @@
 import { forgetModels, recordPrompt } from '@berylshed/prompt_cache'
-import { HashMap, Option } from 'effect'
 import { promptOf, type Request } from './request.ts'
 import type { RoutingTarget } from './routing_target.ts'
 import type { ServingState } from './serving_state.ts'
 
-/** Notes that an upstream reads the prompt of a request. */
-export function notePrompt (state: ServingState, request: Request, upstream: string): ServingState {
+/** Notes that an upstream is sent the prompt of a request, of which it probably keeps some tokens. */
+export function notePrompt (state: ServingState, request: Request, sent: { readonly upstream: string, readonly keptTokens: number }): ServingState {
+  const prompt = promptOf(request)
+  if (prompt === undefined) return state
+  const tokens = prompt.tokens.reduce((sum, count) => sum + count, 0)
+  return touchPrompt({ ...state, readTokens: state.readTokens + Math.max(0, tokens - sent.keptTokens) }, request, sent.upstream)
+}
+
+/** Notes that an upstream has the prompt of a request now. */
+export function touchPrompt (state: ServingState, request: Request, upstream: string): ServingState {
   const prompt = promptOf(request)
   const target = state.targets.get(upstream)
   if (prompt === undefined || target === undefined) return state
-  const kept = Option.getOrUndefined(HashMap.get(state.keptPrompts, upstream))
+  const kept = state.keptPrompts.get(upstream)
   const capacity = target.kvCapacity === undefined ? {} : { capacityTokens: target.kvCapacity }
-  return { ...state, keptPrompts: HashMap.set(state.keptPrompts, upstream, recordPrompt(kept, prompt, { incarnation: target.incarnation, ...capacity })) }
+  return { ...state, keptPrompts: new Map(state.keptPrompts).set(upstream, recordPrompt(kept, prompt, { incarnation: target.incarnation, readTokens: state.readTokens, ...capacity })) }
 }
 
 /** Forgets the prompts of a model that an upstream does not hold. */
 export function forgetPrompts (state: ServingState, upstream: string, model: string | undefined): ServingState {
-  const kept = Option.getOrUndefined(HashMap.get(state.keptPrompts, upstream))
+  const kept = state.keptPrompts.get(upstream)
   if (kept === undefined || model === undefined) return state
-  return { ...state, keptPrompts: HashMap.set(state.keptPrompts, upstream, forgetModels(kept, (other) => other !== model)) }
+  return { ...state, keptPrompts: new Map(state.keptPrompts).set(upstream, forgetModels(kept, (other) => other !== model)) }
 }
 
 /** Forgets the prompts that upstreams lost when they ended, restarted or unloaded a model. */
 export function forgetLostPrompts (state: ServingState, targets: ReadonlyMap<string, RoutingTarget>): ServingState {
-  let { keptPrompts } = state
+  if (state.keptPrompts.size === 0) return state
+  const keptPrompts = new Map(state.keptPrompts)
   for (const [upstream, kept] of state.keptPrompts) {
     const target = targets.get(upstream)
-    if (target === undefined || target.incarnation !== kept.incarnation) keptPrompts = HashMap.remove(keptPrompts, upstream)
-    else if (state.targets.get(upstream) !== target) keptPrompts = HashMap.set(keptPrompts, upstream, forgetModels(kept, (model) => target.models?.has(model) === true))
+    if (target === undefined || target.incarnation !== kept.incarnation) keptPrompts.delete(upstream)
+    else if (state.targets.get(upstream) !== target) keptPrompts.set(upstream, forgetModels(kept, (model) => target.models?.has(model) === true))
   }
-  return keptPrompts === state.keptPrompts ? state : { ...state, keptPrompts }
+  return { ...state, keptPrompts }
 }
--- a/packages/serving/_pick_target.ts
+++ b/packages/serving/_pick_target.ts
@@ -1,5 +1,6 @@
 import { nameSeed, rendezvousHash } from '@berylshed/prompt_cache'
 import { HashMap, Option } from 'effect'
+import { reportAgeMs } from './_report_age.ts'
 import { targetSeed } from './_target_seed.ts'
 import type { DelayEstimate } from './expected_delay.ts'
 import type { Request } from './request.ts'
@@ -7,10 +8,6 @@
 
 /** Difference of the delay that counts as none, as that of a number of running requests; reports of other instances are inexact by as much. */
 const NEAR_REQUESTS = 2
-/** Age of other instances' reports when they arrive, in ms: a heartbeat interval. */
-const REPORT_AGE_MS = 200
-/** Greatest age of reports that is assumed, in ms; the rate of arrivals says little beyond. */
-const MAX_REPORT_AGE_MS = 500
 /** Largest difference that counts as none, as a share of an upstream's slots. */
 const MAX_NEAR_SHARE = 0.5
 /** Difference between times saved by kept parts that counts as none, in ms. */
@@ -70,7 +67,6 @@
 // Returns the requests by which reports are probably wrong: what other instances have sent each upstream since, if they receive as much as this one.
 function _nearRequests (state: ServingState, { best, options: { request, nowMs }, count }: _NearQuery): number {
   const rate = Option.getOrUndefined(HashMap.get(state.requestRates, `${request.service} ${request.model ?? ''}`))
-  const ageMs = Math.min(MAX_REPORT_AGE_MS, REPORT_AGE_MS + nowMs - state.peerLoadsAtMs)
-  const arrivals = rate === undefined ? 0 : (state.instances - 1) * rate.perS * ageMs / MS_PER_SECOND / count
+  const arrivals = rate === undefined ? 0 : (state.instances - 1) * rate.perS * reportAgeMs(state, nowMs) / MS_PER_SECOND / count
   return Math.min(Math.max(NEAR_REQUESTS, MAX_NEAR_SHARE * best.target.slots), NEAR_REQUESTS + arrivals)
 }
--- a/packages/serving/_test_choice_model.ts
+++ b/packages/serving/_test_choice_model.ts
@@ -7,6 +7,7 @@
 import { chooseEarlier } from './_test_earlier_choice.ts'
 import { testEngineTarget, testRequest } from './_test_serving.ts'
 import { chooseUpstream } from './choose_upstream.ts'
+import { observeDuration } from './route_duration.ts'
 import type { ReceivedRequest, Request } from './request.ts'
 import type { RoutingTarget } from './routing_target.ts'
 import { newServingState, updateTargetLoad, type ServingState } from './serving_state.ts'
@@ -106,7 +107,7 @@
     const counts = own[i] as number[]
     counts[e] = (counts[e] ?? 0) + 1
     engine.running += 1
-    change(i, (state) => updateTargetLoad(load.choice === 'earlier' ? state : notePrompt(state, request, upstream), upstream, (target) => ({ ...target, ownRequests: target.ownRequests + 1 })))
+    change(i, (state) => updateTargetLoad(load.choice === 'earlier' ? state : notePrompt(state, request, { upstream, keptTokens: (search.choice as { readonly keptTokens?: number }).keptTokens ?? 0 }), upstream, (target) => ({ ...target, ownRequests: target.ownRequests + 1 })))
     const leave = (): void => {
       counts[e] = (counts[e] ?? 0) - 1
       engine.running -= 1
@@ -141,6 +142,7 @@
     at(endMs, () => {
       engine.busy -= 1
       leave()
+      change(i, (state) => ({ ...state, routeDurations: observeDuration(state.routeDurations, request.route, endMs - sentAtMs) }))
       if ((request.outputTokens ?? 0) > 0) change(i, (state) => updateTargetLoad(state, upstream, (target) => observeTokens(target, (endMs - firstMs) / (request.outputTokens ?? 1))))
     })
   }
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -1,5 +1,5 @@
 import { demandKey } from '@berylshed/scheduler'
-import type { RoutingTarget } from './routing_target.ts'
+import type { RoutingTarget, TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
 import { listTargets } from './_target_index.ts'
 import { pickTarget } from './_pick_target.ts'
@@ -64,33 +64,53 @@
  * ```
  */
 export function chooseUpstream (state: ServingState, request: Request, nowMs: number): UpstreamSearch {
-  const reachable = listTargets(state.targets, request.service, request.model).filter((target) => isEligible(state, target, { request, nowMs }))
+  const reachable = _candidates(state, { request, nowMs })
   if (reachable.length === 0) return { kind: 'absent' }
   // Upstreams are avoided for their silence, which does not tell that they cannot serve a request.
-  const unsuspected = reachable.filter((target) => !_isAvoided(state, target, { request, nowMs }))
+  const unsuspected = reachable.filter(({ target, load }) => !_isAvoided(state, target, { request, nowMs, load }))
   const eligible = unsuspected.length > 0 ? unsuspected : reachable
-  const untried = eligible.filter((target) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
+  const untried = request.attempts.length === 0 ? eligible : eligible.filter(({ target }) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
   const candidates = untried.length > 0 ? untried : eligible
-  const available = candidates.filter((target) => _isAvailable(state, target, { request, nowMs }))
+  const available = candidates.filter(({ target, load }) => _isAvailable(state, target, { request, nowMs, load }))
   if (available.length === 0) return _full(state, eligible, { request, nowMs })
   // A request waits at an owner for its turn, so upstreams that this instance may send to come first.
-  const direct = available.filter((target) => ownershipOf(state, target, nowMs).kind !== 'elsewhere')
+  const direct = available.filter(({ target }) => ownershipOf(state, target, nowMs).kind !== 'elsewhere')
   const permitted = direct.length > 0 ? direct : available
-  const accepting = permitted.filter((target) => targetLoad(state, target.upstream).fullUntilMs <= nowMs)
+  const accepting = permitted.filter(({ load }) => load.fullUntilMs <= nowMs)
   const preferred = accepting.length > 0 ? accepting : permitted
   const isShared = ({ target }: DelayEstimate): boolean => ownershipOf(state, target, nowMs).kind === 'shared'
-  const best = pickTarget(state, estimateDelays(state, preferred, { request, nowMs }), { request, nowMs, isShared })
+  const estimates = estimateDelays(state, preferred.map(({ target }) => target), { request, nowMs, loads: preferred.map(({ load }) => load) })
+  const best = pickTarget(state, estimates, { request, nowMs, isShared })
   if (best === undefined) return { kind: 'full' }
   const ownership = ownershipOf(state, best.target, nowMs)
   return { kind: 'chosen', choice: { target: best.target, candidates: eligible.length, keptTokens: Math.round(best.keptTokens), ...ownership.kind === 'elsewhere' ? { owner: ownership.relay } : {} } }
 }
 
+interface _Candidate {
+  readonly target: RoutingTarget
+  readonly load: TargetLoad
+}
+
+// The load of each upstream is looked up once, as the look-ups take most of the time of a choice.
+function _candidates (state: ServingState, { request, nowMs }: RoutingQuery): readonly _Candidate[] {
+  const candidates: _Candidate[] = []
+  for (const target of listTargets(state.targets, request.service, request.model)) {
+    const load = targetLoad(state, target.upstream)
+    if (_isEligible(state, target, { request, nowMs, load })) candidates.push({ target, load })
+  }
+  return candidates
+}
+
 /** A request and the local time in ms at which upstreams are evaluated for it. */
 export interface RoutingQuery {
   readonly request: Request
   readonly nowMs: number
 }
 
+interface _LoadQuery extends RoutingQuery {
+  readonly load: TargetLoad
+}
+
 /**
  * Reports whether an upstream offers the model and adapter of a request and accepts requests.
  *
@@ -105,9 +125,12 @@
  * ```
  */
 export function isEligible (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
-  if (_isLeftToOwner(state, target, query)) return offersModel(state, target, query)
-  if (state.unreachable.has(target.upstream) || targetLoad(state, target.upstream).misdirectedUntilMs > query.nowMs) return false
-  return offersModel(state, target, query)
+  return _isEligible(state, target, { ...query, load: targetLoad(state, target.upstream) })
+}
+
+function _isEligible (state: ServingState, target: RoutingTarget, query: _LoadQuery): boolean {
+  if (!_isLeftToOwner(state, target, query) && (state.unreachable.has(target.upstream) || query.load.misdirectedUntilMs > query.nowMs)) return false
+  return _offersModel(target, query)
 }
 
 /**
@@ -124,14 +147,18 @@
  * ```
  */
 export function offersModel (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
-  const { request, nowMs } = query
-  if (target.service !== request.service || isLeaving(state, target) || request.refusedBy.includes(target.upstream)) return false
+  return _offersModel(target, { ...query, load: targetLoad(state, target.upstream) })
+}
+
+function _offersModel (target: RoutingTarget, { request, nowMs, load }: _LoadQuery): boolean {
+  if (target.service !== request.service || target.leaving || load.leaving || request.refusedBy.includes(target.upstream)) return false
   if (request.softwareVersion !== undefined && request.softwareVersion !== target.softwareVersion) return false
   if (request.model === undefined || target.models === undefined) return true
   const targetModel = target.models.get(request.model)
   if (targetModel === undefined || !targetModel.usable) return false
   if (request.adapter !== undefined && !targetModel.adapters.has(request.adapter)) return false
-  const absentUntilMs = targetLoad(state, target.upstream).absentUntilMs.get(demandKey(request.model, request.adapter)) ?? -Infinity
+  if (load.absentUntilMs.size === 0) return true
+  const absentUntilMs = load.absentUntilMs.get(demandKey(request.model, request.adapter)) ?? -Infinity
   return absentUntilMs <= nowMs
 }
 
@@ -180,30 +207,29 @@
   return request.handover === undefined && ownershipOf(state, target, nowMs).kind === 'elsewhere'
 }
 
-function _isAvoided (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
-  return !_isLeftToOwner(state, target, query) && targetLoad(state, target.upstream).avoidedUntilMs > query.nowMs
+function _isAvoided (state: ServingState, target: RoutingTarget, query: _LoadQuery): boolean {
+  return !_isLeftToOwner(state, target, query) && query.load.avoidedUntilMs > query.nowMs
 }
 
-function _isAvailable (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
+function _isAvailable (state: ServingState, target: RoutingTarget, query: _LoadQuery): boolean {
   const { request, nowMs } = query
   const ownership = ownershipOf(state, target, nowMs)
   switch (ownership.kind) {
     case 'pending': return false
     case 'elsewhere': return request.handover === undefined && mayHandOver(state, request, { relay: ownership.relay, nowMs })
-    case 'unowned': return isRiskAllowed(state, target, nowMs) && _hasCapacity(state, target, nowMs) && _mayReceive(state, target, nowMs)
-    default: return _hasCapacity(state, target, nowMs) && _mayReceive(state, target, nowMs)
+    case 'unowned': return isRiskAllowed(state, target, nowMs) && _hasCapacity(state, target, query) && _mayReceive(state, target, query)
+    default: return _hasCapacity(state, target, query) && _mayReceive(state, target, query)
   }
 }
 
-function _full (state: ServingState, eligible: readonly RoutingTarget[], { request, nowMs }: RoutingQuery): UpstreamSearch {
+function _full (state: ServingState, eligible: readonly _Candidate[], { request, nowMs }: RoutingQuery): UpstreamSearch {
   // A request that was handed over waits only for this instance to learn that it owns an upstream, and one that all owners refused not at all.
-  if (eligible.every((target) => ownershipOf(state, target, nowMs).kind === 'elsewhere')) return { kind: 'full', maxWaitMs: request.handover === undefined && request.attempts.length > 0 ? 0 : MAX_OWNER_WAIT_MS }
-  const resumesAtMs = Math.min(...eligible.map((target) => targetLoad(state, target.upstream).pausedUntilMs))
+  if (eligible.every(({ target }) => ownershipOf(state, target, nowMs).kind === 'elsewhere')) return { kind: 'full', maxWaitMs: request.handover === undefined && request.attempts.length > 0 ? 0 : MAX_OWNER_WAIT_MS }
+  const resumesAtMs = Math.min(...eligible.map(({ load }) => load.pausedUntilMs))
   return resumesAtMs > nowMs ? { kind: 'full', resumesAtMs } : { kind: 'full' }
 }
 
-function _hasCapacity (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
-  const load = targetLoad(state, target.upstream)
+function _hasCapacity (state: ServingState, target: RoutingTarget, { load, nowMs }: _LoadQuery): boolean {
   if (load.fullUntilMs > nowMs && load.ownRequests + load.peerRequests >= MIN_FULL_SHARE * target.slots) return false
   const isBrittle = brittleService(state, target, nowMs) !== undefined && ownershipOf(state, target, nowMs).kind !== 'shared'
   const capacity = target.models === undefined && !isBrittle ? target.slots * PLAIN_CAPACITY_FACTOR : target.slots
@@ -211,8 +237,8 @@
   return load.ownRequests + load.peerRequests + cancelled < capacity
 }
 
-function _mayReceive (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
-  if (targetLoad(state, target.upstream).pausedUntilMs > nowMs) return false
+function _mayReceive (state: ServingState, target: RoutingTarget, { load, nowMs }: _LoadQuery): boolean {
+  if (load.pausedUntilMs > nowMs) return false
   const limit = state.limits.get(target.upstream)
   return limit === undefined || isWithinLimit(limit, nowMs)
 }
--- a/packages/serving/expected_delay.ts
+++ b/packages/serving/expected_delay.ts
@@ -1,8 +1,9 @@
-import { HashMap, Option } from 'effect'
 import { expectedKeptTokens, homeOf, nameSeed, partKeys } from '@berylshed/prompt_cache'
 import { listTargets } from './_target_index.ts'
 import { targetSeed } from './_target_seed.ts'
 import { relayKey } from './relay.ts'
+import { reportAgeMs } from './_report_age.ts'
+import { latestDurationsMs } from './route_duration.ts'
 import { promptOf, type Request } from './request.ts'
 import type { RoutingTarget, TargetLoad } from './routing_target.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
@@ -47,6 +48,8 @@
 interface _DelayQuery {
   readonly request: Request
   readonly nowMs: number
+  /** Load of each upstream; looked up if absent. */
+  readonly loads?: readonly TargetLoad[]
 }
 
 /**
@@ -68,19 +71,20 @@
  */
 export function estimateDelays (state: ServingState, targets: readonly RoutingTarget[], query: _DelayQuery): readonly DelayEstimate[] {
   const { outputTokens = 0 } = query.request
-  const loads = targets.map((target) => targetLoad(state, target.upstream))
+  const loads = query.loads ?? targets.map((target) => targetLoad(state, target.upstream))
   const medianMs = _median(loads.map(({ firstByteMs }) => firstByteMs)) ?? DEFAULT_FIRST_BYTE_MS
   const medianTokenMs = outputTokens === 0 ? 0 : _median(loads.map(({ tokenMs }) => tokenMs)) ?? 0
   const kept = _keptTokens(state, targets, query)
-  const boundLoad = kept === undefined ? 0 : Math.ceil(LOAD_BOUND * (loads.reduce((sum, load) => sum + _running(load), 0) / Math.max(1, targets.length) + 1))
+  const running = _expectedRunning(state, targets, { loads, query })
+  const boundLoad = kept === undefined ? 0 : Math.ceil(LOAD_BOUND * (running.reduce((sum, count) => sum + count, 0) / Math.max(1, targets.length) + 1))
   return targets.map((target, i): DelayEstimate => {
     const load = loads[i] ?? targetLoad(state, target.upstream)
     const weight = 0.5 ** (Math.max(0, query.nowMs - load.observedAtMs) / OBSERVATION_HALF_LIFE_MS)
     const firstByteMs = _firstByteMs(load, { medianMs, weight, nowMs: query.nowMs })
     const slowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, firstByteMs / medianMs))
-    const utilization = _running(load) / Math.max(1, target.slots)
+    const utilization = (running[i] ?? 0) / Math.max(1, target.slots)
     const perTokenMs = slowness / PREFILL_TOKENS_PER_MS
-    const keptTokens = kept !== undefined && _running(load) < boundLoad ? kept[i] ?? 0 : 0
+    const keptTokens = kept !== undefined && (running[i] ?? 0) < boundLoad ? kept[i] ?? 0 : 0
     const completionMs = load.tokenMs === 0 ? 0 : outputTokens * Math.max(0, load.tokenMs - medianTokenMs) * utilization
     const zoneMs = target.availabilityZone === state.availabilityZone ? 0 : CROSS_ZONE_PENALTY_MS
     return {
@@ -89,19 +93,39 @@
       savedMs: keptTokens * perTokenMs,
       keptTokens,
       perRequestMs: firstByteMs * UTILIZATION_WEIGHT / Math.max(1, target.slots),
-      freeSlots: Math.max(0, target.slots - _running(load))
+      freeSlots: Math.max(0, target.slots - (running[i] ?? 0))
     }
   })
 }
 
-function _running (load: TargetLoad): number {
-  return load.ownRequests + load.peerRequests
+interface _RunningQuery {
+  readonly loads: readonly TargetLoad[]
+  readonly query: _DelayQuery
+}
+
+// Estimates the requests that run at each upstream now. Some that other instances reported have ended, and others have been sent, more of them where
+// there were few: what a report tells beyond the mean of all upstreams fades with its age, as fast as requests end.
+function _expectedRunning (state: ServingState, targets: readonly RoutingTarget[], { loads, query: { request, nowMs } }: _RunningQuery): readonly number[] {
+  const durationsMs = latestDurationsMs(state.routeDurations, request.route)
+  if (state.instances < 2 || durationsMs.length === 0) return loads.map(({ ownRequests, peerRequests }) => ownRequests + peerRequests)
+  const isAllShared = state.brittle.size === 0 && state.limits.size === 0
+  const durationMs = durationsMs.reduce((sum, ms) => sum + ms, 0) / durationsMs.length
+  const kept = Math.exp(-reportAgeMs(state, nowMs) / Math.max(1, durationMs))
+  const slots = targets.reduce((sum, target) => sum + target.slots, 0)
+  const peersPerSlot = loads.reduce((sum, { peerRequests }) => sum + peerRequests, 0) / Math.max(1, slots)
+  return loads.map(({ ownRequests, peerRequests }, i) => {
+    const target = targets[i]
+    if (target === undefined || (!isAllShared && ownershipOf(state, target, nowMs).kind !== 'shared')) return ownRequests + peerRequests
+    return ownRequests + kept * peerRequests + (1 - kept) * peersPerSlot * target.slots
+  })
 }
 
 // Returns the lower median of the values above 0, which stand for observations.
 function _median (values: readonly number[]): number | undefined {
-  const observed = Float64Array.from(values.filter((value) => value > 0)).sort()
-  return observed[Math.floor((observed.length - 1) / 2)]
+  const observed = new Float64Array(values.length)
+  let count = 0
+  for (const value of values) if (value > 0) observed[count++] = value
+  return observed.subarray(0, count).sort()[Math.floor((count - 1) / 2)]
 }
 
 function _firstByteMs (load: TargetLoad, { medianMs, weight, nowMs }: { readonly medianMs: number, readonly weight: number, readonly nowMs: number }): number {
@@ -125,9 +149,9 @@
   if (prompt === undefined) return undefined
   const { tokens } = prompt
   const keys = partKeys(prompt)
+  const othersShare = (state.instances - 1) / Math.max(1, listTargets(state.targets, request.service, undefined).length)
   const kept = targets.map(({ upstream, incarnation }) => {
-    const parts = Option.getOrUndefined(HashMap.get(state.keptPrompts, upstream))
-    return expectedKeptTokens(parts, { keys, tokens }, { incarnation, instances: state.instances })
+    return expectedKeptTokens(state.keptPrompts.get(upstream), { keys, tokens }, { incarnation, readTokens: state.readTokens, othersShare })
   })
   const mostKept = kept.reduce((most, count) => Math.max(most, count), 0)
   const homes = listTargets(state.targets, request.service, request.model).filter((target) => _offers(target, request))
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -3,7 +3,7 @@
 import { dispatchAll, dispatchService, enqueueRequest } from './_dispatch_requests.ts'
 import { applyAnnouncement, applyBrittleServices } from './_apply_announcement.ts'
 import { changeEvidence } from './_change_evidence.ts'
-import { forgetLostPrompts, notePrompt } from './_kept_prompts.ts'
+import { forgetLostPrompts, touchPrompt } from './_kept_prompts.ts'
 import { forgetUnused } from './_forget_unused.ts'
 import { weighSilence } from './continuation.ts'
 import { applyOrigins } from './origin_exchange.ts'
@@ -129,7 +129,7 @@
 function _startResponse (state: ServingState, request: Request, event: _ResponseStarted): _Step {
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
-  const observed = updateTargetLoad(notePrompt(_observeSuccess(state, request, event.nowMs), request, attempt.upstream), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
+  const observed = updateTargetLoad(touchPrompt(_observeSuccess(state, request, event.nowMs), request, attempt.upstream), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
   const softwareVersion = event.softwareVersion ?? attempt.softwareVersion
   const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion, respondingSinceMs: event.nowMs }), request, softwareVersion)
   return changeEvidence(responding, recordResponse(responding.evidence, request, event.nowMs), event.nowMs)
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -53,7 +53,9 @@
   readonly models: ReadonlyMap<string, ReadonlySet<string>>
   readonly loads: HashMap.HashMap<string, TargetLoad>
   /** Prompt parts that upstreams probably keep, by upstream. */
-  readonly keptPrompts: HashMap.HashMap<string, KeptParts>
+  readonly keptPrompts: ReadonlyMap<string, KeptParts>
+  /** Prompt tokens that upstreams were expected to read for this instance so far. */
+  readonly readTokens: number
   /** Local time of the last report of other instances' requests, in ms. */
   readonly peerLoadsAtMs: number
   /** Upstreams to which no connection can be opened, and the local time of the next probe of each, in ms. */
@@ -136,7 +138,8 @@
     estimatedAtMs: -Infinity,
     models: new Map(),
     loads: HashMap.empty(),
-    keptPrompts: HashMap.empty(),
+    keptPrompts: new Map(),
+    readTokens: 0,
     peerLoadsAtMs: -Infinity,
     unreachable: new Map(),
     contactAtMs: -Infinity,
