--- a/packages/platform/platform_wire_test.ts
+++ b/packages/platform/platform_wire_test.ts
@@ -33,6 +33,16 @@
   t.snapshot(decoded._unsafeUnwrap())
 })
 
+test('decodeConfiguration() decodes sticky routes and the prompt cache of engines, which are optional', (t) => {
+  const decoded = decodeConfiguration({
+    Version: 1,
+    Routes: [{ Name: 'r', Hostname: 'h', PathPrefix: '/p/', RouteKind: 'streaming', Service: 'a', Sticky: true }, { Name: 's', Hostname: 'h', PathPrefix: '/s/', RouteKind: 'streaming', Service: 'a', Sticky: false }],
+    Services: [{ Name: 'a', Engine: { Slots: 2, WeightsMb: 80, KvCapacity: 45_209, Models: [] } }, { Name: 'b', Engine: { Slots: 2, WeightsMb: 80, Models: [] } }]
+  }, 'test')._unsafeUnwrap()
+  t.deepEqual(decoded.routes.map(({ sticky }) => sticky), [true, undefined])
+  t.deepEqual(['a', 'b'].map((service) => decoded.services.get(service)?.engine?.kvCapacity), [45_209, undefined])
+})
+
 test('attemptHeaders() replaces upstream control headers and keeps the other headers of the caller', (t) => {
   const callerHeaders = ['Host', 'h', 'Attempt-Id', 'a1', 'Model', 'm/a1', 'Hold', 'x', 'Pin-Ms', '9', 'Kv-From', 'y', 'Deadline-Ms', '9000', 'Connection', 'keep-alive', 'Last-Event-Id', '3']
   const attempt = { callerHeaders, upstream: 'i-1', remainingMs: 812.7, rank: 1, bodyBytes: 4, keepAlive: false }
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -67,11 +67,11 @@
   const reachable = _candidates(state, { request, nowMs })
   if (reachable.length === 0) return { kind: 'absent' }
   // Upstreams are avoided for their silence, which does not tell that they cannot serve a request.
-  const unsuspected = reachable.filter(({ target, load }) => !_isAvoided(state, target, { request, nowMs, load }))
+  const unsuspected = reachable.filter((candidate) => !_isAvoided(state, candidate.target, candidate))
   const eligible = unsuspected.length > 0 ? unsuspected : reachable
   const untried = request.attempts.length === 0 ? eligible : eligible.filter(({ target }) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
   const candidates = untried.length > 0 ? untried : eligible
-  const available = candidates.filter(({ target, load }) => _isAvailable(state, target, { request, nowMs, load }))
+  const available = candidates.filter((candidate) => _isAvailable(state, candidate.target, candidate))
   if (available.length === 0) return _full(state, eligible, { request, nowMs })
   // A request waits at an owner for its turn, so upstreams that this instance may send to come first.
   const direct = available.filter(({ target }) => ownershipOf(state, target, nowMs).kind !== 'elsewhere')
@@ -86,17 +86,16 @@
   return { kind: 'chosen', choice: { target: best.target, candidates: eligible.length, keptTokens: Math.round(best.keptTokens), ...ownership.kind === 'elsewhere' ? { owner: ownership.relay } : {} } }
 }
 
-interface _Candidate {
+interface _Candidate extends _LoadQuery {
   readonly target: RoutingTarget
-  readonly load: TargetLoad
 }
 
 // The load of each upstream is looked up once, as the look-ups take most of the time of a choice.
 function _candidates (state: ServingState, { request, nowMs }: RoutingQuery): readonly _Candidate[] {
   const candidates: _Candidate[] = []
   for (const target of listTargets(state.targets, request.service, request.model)) {
-    const load = targetLoad(state, target.upstream)
-    if (_isEligible(state, target, { request, nowMs, load })) candidates.push({ target, load })
+    const candidate = { request, nowMs, target, load: targetLoad(state, target.upstream) }
+    if (_isEligible(state, target, candidate)) candidates.push(candidate)
   }
   return candidates
 }
--- a/packages/serving/expected_delay.ts
+++ b/packages/serving/expected_delay.ts
@@ -79,7 +79,7 @@
   const boundLoad = kept === undefined ? 0 : Math.ceil(LOAD_BOUND * (running.reduce((sum, count) => sum + count, 0) / Math.max(1, targets.length) + 1))
   return targets.map((target, i): DelayEstimate => {
     const load = loads[i] ?? targetLoad(state, target.upstream)
-    const weight = 0.5 ** (Math.max(0, query.nowMs - load.observedAtMs) / OBSERVATION_HALF_LIFE_MS)
+    const weight = Math.exp(-Math.LN2 * Math.max(0, query.nowMs - load.observedAtMs) / OBSERVATION_HALF_LIFE_MS)
     const firstByteMs = _firstByteMs(load, { medianMs, weight, nowMs: query.nowMs })
     const slowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, firstByteMs / medianMs))
     const utilization = (running[i] ?? 0) / Math.max(1, target.slots)
@@ -130,7 +130,7 @@
 
 function _firstByteMs (load: TargetLoad, { medianMs, weight, nowMs }: { readonly medianMs: number, readonly weight: number, readonly nowMs: number }): number {
   if (load.firstByteMs === 0) return medianMs
-  const recentWeight = 0.5 ** (Math.max(0, nowMs - load.observedAtMs) / RECENT_HALF_LIFE_MS)
+  const recentWeight = Math.exp(-Math.LN2 * Math.max(0, nowMs - load.observedAtMs) / RECENT_HALF_LIFE_MS)
   return Math.max(1, medianMs + weight * (load.firstByteMs - medianMs) + recentWeight * (load.recentFirstByteMs - load.firstByteMs))
 }
 
@@ -150,12 +150,13 @@
   const { tokens } = prompt
   const keys = partKeys(prompt)
   const othersShare = (state.instances - 1) / Math.max(1, listTargets(state.targets, request.service, undefined).length)
+  const sought = { keys, tokens }
   const kept = targets.map(({ upstream, incarnation }) => {
-    return expectedKeptTokens(state.keptPrompts.get(upstream), { keys, tokens }, { incarnation, readTokens: state.readTokens, othersShare })
+    const parts = state.keptPrompts.get(upstream)
+    return parts === undefined ? 0 : expectedKeptTokens(parts, sought, { incarnation, readTokens: state.readTokens, othersShare })
   })
   const mostKept = kept.reduce((most, count) => Math.max(most, count), 0)
-  const homes = listTargets(state.targets, request.service, request.model).filter((target) => _offers(target, request))
-  const homeSeeds = homes.map(targetSeed)
+  const { homes, homeSeeds } = _homesFor(state, request)
   let prefixTokens = 0
   for (const [i, key] of keys.entries()) {
     prefixTokens += tokens[i] ?? 0
@@ -166,6 +167,24 @@
   return kept
 }
 
+interface _Homes {
+  readonly homes: readonly RoutingTarget[]
+  readonly homeSeeds: readonly number[]
+}
+
+// Lists of targets are kept until the targets change.
+const knownHomes = new WeakMap<readonly RoutingTarget[], _Homes>()
+
+function _homesFor (state: ServingState, request: Request): _Homes {
+  const listed = listTargets(state.targets, request.service, request.model)
+  const known = request.adapter === undefined ? knownHomes.get(listed) : undefined
+  if (known !== undefined) return known
+  const homes = listed.filter((target) => _offers(target, request))
+  const found = { homes, homeSeeds: homes.map(targetSeed) }
+  if (request.adapter === undefined && request.model !== undefined) knownHomes.set(listed, found)
+  return found
+}
+
 // The home of a part depends on the placement alone, on which instances agree, and not on what this one observed.
 function _offers (target: RoutingTarget, { model = '', adapter }: Request): boolean {
   const held = target.models?.get(model)
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -178,7 +178,8 @@
  * ```
  */
 export function targetLoad (state: ServingState, upstream: string): TargetLoad {
-  return Option.getOrElse(HashMap.get(state.loads, upstream), () => INITIAL_TARGET_LOAD)
+  const load = HashMap.get(state.loads, upstream)
+  return Option.isSome(load) ? load.value : INITIAL_TARGET_LOAD
 }
 
 /**
--- a/packages/serving/upstream_owner.ts
+++ b/packages/serving/upstream_owner.ts
@@ -45,6 +45,8 @@
   /** Every instance as little as all of them together may, as no owner is known. */
   | { readonly kind: 'unowned' }
 
+const SHARED: Ownership = { kind: 'shared' }
+
 /**
  * Returns the digest by which two instances compare their lists of members.
  *
@@ -116,8 +118,9 @@
  * ```
  */
 export function ownershipOf (state: ServingState, target: RoutingTarget, nowMs: number): Ownership {
+  if (state.brittle.size === 0 && state.limits.size === 0) return SHARED
   const brittle = brittleService(state, target, nowMs)
-  if (brittle === undefined && !_isLimitScarce(state, target)) return { kind: 'shared' }
+  if (brittle === undefined && !_isLimitScarce(state, target)) return SHARED
   const { members } = state
   if (members.relays.length === 0 || nowMs - members.confirmedAtMs >= MEMBERS_TTL_MS) return { kind: 'unowned' }
   if (brittle !== undefined && nowMs - brittle.sinceMs < BRITTLE_NOTICE_MS && !_isLimitScarce(state, target)) return { kind: 'shared' }
