--- a/packages/edge/_edge_metrics.ts
+++ b/packages/edge/_edge_metrics.ts
@@ -56,6 +56,7 @@
   const rejected = new Counter({ name: 'berylshed_rejected_total', help: 'Requests turned away before they were routed', labelNames: ['status', 'reason'], registers })
   const revoked = new Counter({ name: 'berylshed_revoked_total', help: 'Requests that were ended as their key was removed', registers })
   const attempts = new Counter({ name: 'berylshed_sendings_total', help: 'Sendings to upstreams, first ones and repeats', labelNames: ['kind'], registers })
+  const promptTokens = new Counter({ name: 'berylshed_prompt_tokens_total', help: 'Tokens of prompts of sticky routes that were sent, by whether the upstream was expected to keep them', labelNames: ['expected'], registers })
   const failedAttempts = new Counter({ name: 'berylshed_failed_sendings_total', help: 'Sendings that failed, by reason', labelNames: ['reason'], registers })
   const avoided = new Counter({ name: 'berylshed_upstreams_avoided_total', help: 'Times that an upstream was avoided, by reason', labelNames: ['reason'], registers })
   const ejections = new Counter({ name: 'berylshed_upstream_ejections_total', help: 'Upstreams that were ejected for their failures or readmitted, by who found them out', labelNames: ['change', 'source'], registers })
@@ -82,6 +83,8 @@
     switch (record.what) {
       case 'sent':
         attempts.inc({ kind: record.relay !== undefined ? 'handed_over' : record.sending === 1 ? 'first' : 'repeat' })
+        promptTokens.inc({ expected: 'kept' }, record.keptTokens ?? 0)
+        promptTokens.inc({ expected: 'read' }, Math.max(0, (record.promptTokens ?? 0) - (record.keptTokens ?? 0)))
         if (record.sending === 1) waitTime.observe({ route }, elapsedMs / MS_PER_SECOND)
         return
       case 'failed': return failedAttempts.inc({ reason })
--- a/packages/platform/_decode_configuration.ts
+++ b/packages/platform/_decode_configuration.ts
@@ -26,7 +26,8 @@
   Attempts: Schema.optionalKey(Schema.Number),
   Resumable: Schema.optionalKey(Schema.Boolean),
   // Callers need no key.
-  Anonymous: Schema.optionalKey(Schema.Boolean)
+  Anonymous: Schema.optionalKey(Schema.Boolean),
+  Sticky: Schema.optionalKey(Schema.Boolean)
 })
 
 const WireModel = Schema.Struct({
@@ -45,6 +46,8 @@
   WeightsMb: Schema.Number,
   AdapterSlots: Schema.optionalKey(Schema.Number),
   LoadsPerS: Schema.optionalKey(Schema.Number),
+  // Tokens of the prompt cache and of running requests together.
+  KvCapacity: Schema.optionalKey(Schema.Number),
   Models: Schema.Array(WireModel)
 })
 
@@ -120,6 +123,7 @@
     maxAttempts: wire.Attempts ?? 1,
     resumable: wire.Resumable ?? false,
     ...wire.Anonymous === true ? { anonymous: true } : {},
+    ...wire.Sticky === true ? { sticky: true } : {},
     services: wire.Split?.map(({ Service: service, Weight: weight }) => ({ service, weight })) ?? single
   }
 }
@@ -130,6 +134,7 @@
     memoryMb: wire.WeightsMb,
     adapterPlaces: wire.AdapterSlots ?? 0,
     loadsPerSecond: wire.LoadsPerS ?? 1,
+    ...wire.KvCapacity === undefined ? {} : { kvCapacity: wire.KvCapacity },
     models: new Map(wire.Models.map((model) => {
       const storeLoadMs = model.LoadTimeS * MS_PER_SECOND
       const diskLoadMs = model.DiskS === undefined ? storeLoadMs : model.DiskS * MS_PER_SECOND
--- a/packages/serving/_eject_upstreams.ts
+++ b/packages/serving/_eject_upstreams.ts
@@ -24,9 +24,9 @@
 }
 
 /** Leaves out the upstreams that are ejected, unless no other one offers what the request needs. */
-export function withoutEjected (state: ServingState, offering: readonly RoutingTarget[], query: _Query): readonly RoutingTarget[] {
+export function withoutEjected<Candidate extends { readonly target: RoutingTarget }> (state: ServingState, offering: readonly Candidate[], query: _Query): readonly Candidate[] {
   if (state.ejections.size === 0) return offering
-  const admitted = offering.filter((target) => !_isKeptBack(state, target, query))
+  const admitted = offering.filter(({ target }) => !_isKeptBack(state, target, query))
   return admitted.length > 0 ? admitted : offering
 }
 
--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -19,6 +19,8 @@
  * failure left it idle: the penalty has to exceed the difference between an idle and a busy upstream.
  */
 const FAILURE_WEIGHT = 0.5
+/** Time after which the weight of earlier first bytes has halved in the recent average, in ms; slow phases last seconds. */
+const RECENT_HALF_LIFE_MS = 500
 
 /** Stores a request. */
 export function putRequest (state: ServingState, request: Request): ServingState {
@@ -98,13 +100,25 @@
   const weight = failed && sentAtMs !== undefined ? FAILURE_WEIGHT : SMOOTHING_FACTOR
   const failureShare = load.failureShare + weight * ((failed ? 1 : 0) - load.failureShare)
   const outcomes = sentAtMs === undefined ? load.outcomes : addOutcome(load.outcomes, { failed, sentAtMs, atMs: nowMs })
-  const observed = outcome.firstByteMs === undefined ? load : observeFirstByte(load, outcome.firstByteMs)
+  const observed = outcome.firstByteMs === undefined ? load : observeFirstByte(load, outcome.firstByteMs, nowMs)
   return { ...observed, failureShare, outcomes, observedAtMs: nowMs }
 }
 
-/** Adds the time to the first byte of a response, in ms, to the average of its upstream. */
-export function observeFirstByte (load: TargetLoad, firstByteMs: number): TargetLoad {
-  return { ...load, firstByteMs: load.firstByteMs === 0 ? firstByteMs : load.firstByteMs + SMOOTHING_FACTOR * (firstByteMs - load.firstByteMs) }
+/** Adds the pace of a stream that has ended, in ms per token, to the average of its upstream. */
+export function observeTokens (load: TargetLoad, tokenMs: number): TargetLoad {
+  return { ...load, tokenMs: load.tokenMs === 0 ? tokenMs : load.tokenMs + SMOOTHING_FACTOR * (tokenMs - load.tokenMs) }
+}
+
+/** Adds the time to the first byte of a response, in ms, to the averages of its upstream. */
+export function observeFirstByte (load: TargetLoad, firstByteMs: number, nowMs: number): TargetLoad {
+  if (load.firstByteMs === 0) return { ...load, firstByteMs, recentFirstByteMs: firstByteMs }
+  // Instances see few responses of each upstream, so that one after a pause tells more of a slow phase than those before it.
+  const weight = Math.max(SMOOTHING_FACTOR, 1 - 0.5 ** (Math.max(0, nowMs - load.observedAtMs) / RECENT_HALF_LIFE_MS))
+  return {
+    ...load,
+    firstByteMs: load.firstByteMs + SMOOTHING_FACTOR * (firstByteMs - load.firstByteMs),
+    recentFirstByteMs: load.recentFirstByteMs + weight * (firstByteMs - load.recentFirstByteMs)
+  }
 }
 
 /** Builds the effect that records a decision about a request. */
--- a/packages/serving/choose_upstream.ts
+++ b/packages/serving/choose_upstream.ts
@@ -1,23 +1,20 @@
 import { demandKey } from '@berylshed/scheduler'
 import { withoutEjected } from './_eject_upstreams.ts'
-import type { RoutingTarget } from './routing_target.ts'
+import type { RoutingTarget, TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
-import { mayHandOver, relayKey, type Relay } from './relay.ts'
+import { listTargets } from './_target_index.ts'
+import { pickTarget } from './_pick_target.ts'
+import { estimateDelays, type DelayEstimate } from './expected_delay.ts'
+import { mayHandOver, type Relay } from './relay.ts'
 import { targetLoad, type ServingState } from './serving_state.ts'
 import { brittleService, isRiskAllowed, ownershipOf } from './upstream_owner.ts'
 import { isWithinLimit } from './upstream_limit.ts'
 
 /** Maximum number of running and queued requests on a plain upstream, as a multiple of its slots; its own queue holds four. */
 const PLAIN_CAPACITY_FACTOR = 3
-/** Half-life of the weight of observations, in ms; the decay lets a recovered upstream be tried again. */
-const OBSERVATION_HALF_LIFE_MS = 4000
-/** Expected time to the first byte if none was observed on any upstream, in ms. */
-const DEFAULT_FIRST_BYTE_MS = 40
-/** Increase of the expected time to the first byte from an idle to a full upstream, as a multiple of the idle time. */
-const UTILIZATION_WEIGHT = 4
-/** Delay added for an upstream in another availability zone, in ms: twice the longest current round trip between zones. */
-const CROSS_ZONE_PENALTY_MS = 6
 const MS_PER_SECOND = 1000
+/** Share of an upstream's slots below which a rejection does not show that it is full: reports of other instances lag by less than the rest. */
+const MIN_FULL_SHARE = 0.5
 /** Maximum wait of a request for news of the owner of its upstreams, in ms: two heartbeats. */
 const MAX_OWNER_WAIT_MS = 400
 
@@ -26,6 +23,8 @@
   readonly target: RoutingTarget
   /** Number of eligible upstreams. */
   readonly candidates: number
+  /** Prompt tokens that the upstream probably keeps, so that it does not read them again. */
+  readonly keptTokens: number
   /** The instance that alone sends to the upstream; absent if this one may. */
   readonly owner?: Relay
 }
@@ -52,10 +51,8 @@
  * Chooses the upstream for a request.
  *
  * Bursts reach several instances at once while load reports lag, and upstreams become slow or fail part of their
- * requests while their health checks pass. The upstream with the lowest expected delay is therefore chosen. The delay is
- * estimated from the time to first byte and the failures that this instance has observed, and from the requests that all
- * instances are running on the upstream. The weight of observations decays, so that a recovered upstream is tried again.
- * Upstreams that are avoided are chosen from only if there are no others.
+ * requests while their health checks pass. An upstream with the lowest expected delay, or nearly so, is therefore chosen
+ * (`estimateDelays`, `pickTarget`). Upstreams that are avoided are chosen from only if there are no others.
  *
  * @param state The state of the requests.
  * @param request The request.
@@ -68,27 +65,41 @@
  * ```
  */
 export function chooseUpstream (state: ServingState, request: Request, nowMs: number): UpstreamSearch {
-  const offering = [...state.targets.values()].filter((target) => isEligible(state, target, { request, nowMs }))
+  const offering = _candidates(state, { request, nowMs })
   if (offering.length === 0) return { kind: 'absent' }
   const reachable = withoutEjected(state, offering, { request, nowMs })
   // Upstreams are avoided for their silence, which does not tell that they cannot serve a request.
-  const unsuspected = reachable.filter((target) => !_isAvoided(state, target, { request, nowMs }))
+  const unsuspected = reachable.filter((candidate) => !_isAvoided(state, candidate.target, candidate))
   const eligible = unsuspected.length > 0 ? unsuspected : reachable
-  const untried = eligible.filter((target) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
+  const untried = request.attempts.length === 0 ? eligible : eligible.filter(({ target }) => !request.attempts.some((attempt) => attempt.upstream === target.upstream))
   const candidates = untried.length > 0 ? untried : eligible
-  const available = candidates.filter((target) => _isAvailable(state, target, { request, nowMs }))
+  const available = candidates.filter((candidate) => _isAvailable(state, candidate.target, candidate))
   if (available.length === 0) return _full(state, eligible, { request, nowMs })
   // A request waits at an owner for its turn, so upstreams that this instance may send to come first.
-  const direct = available.filter((target) => ownershipOf(state, target, nowMs).kind !== 'elsewhere')
-  const preferred = direct.length > 0 ? direct : available
-  const medianMs = _medianFirstByteMs(state, preferred)
-  const scored = preferred
-    .map((target) => ({ target, score: _expectedDelayMs(state, target, { request, nowMs, medianMs }) }))
-    .sort((x, y) => x.score - y.score || (x.target.upstream < y.target.upstream ? -1 : 1))
-  const [best] = scored
+  const direct = available.filter(({ target }) => ownershipOf(state, target, nowMs).kind !== 'elsewhere')
+  const permitted = direct.length > 0 ? direct : available
+  const accepting = permitted.filter(({ load }) => load.fullUntilMs <= nowMs)
+  const preferred = accepting.length > 0 ? accepting : permitted
+  const isShared = ({ target }: DelayEstimate): boolean => ownershipOf(state, target, nowMs).kind === 'shared'
+  const estimates = estimateDelays(state, preferred.map(({ target }) => target), { request, nowMs, loads: preferred.map(({ load }) => load) })
+  const best = pickTarget(state, estimates, { request, nowMs, isShared })
   if (best === undefined) return { kind: 'full' }
   const ownership = ownershipOf(state, best.target, nowMs)
-  return { kind: 'chosen', choice: { target: best.target, candidates: eligible.length, ...ownership.kind === 'elsewhere' ? { owner: ownership.relay } : {} } }
+  return { kind: 'chosen', choice: { target: best.target, candidates: eligible.length, keptTokens: Math.round(best.keptTokens), ...ownership.kind === 'elsewhere' ? { owner: ownership.relay } : {} } }
+}
+
+interface _Candidate extends _LoadQuery {
+  readonly target: RoutingTarget
+}
+
+// The load of each upstream is looked up once, as the look-ups take most of the time of a choice.
+function _candidates (state: ServingState, { request, nowMs }: RoutingQuery): readonly _Candidate[] {
+  const candidates: _Candidate[] = []
+  for (const target of listTargets(state.targets, request.service, request.model)) {
+    const candidate = { request, nowMs, target, load: targetLoad(state, target.upstream) }
+    if (_isEligible(state, target, candidate)) candidates.push(candidate)
+  }
+  return candidates
 }
 
 /** A request and the local time in ms at which upstreams are evaluated for it. */
@@ -97,6 +108,10 @@
   readonly nowMs: number
 }
 
+interface _LoadQuery extends RoutingQuery {
+  readonly load: TargetLoad
+}
+
 /**
  * Reports whether an upstream offers the model and adapter of a request and accepts requests.
  *
@@ -111,9 +126,12 @@
  * ```
  */
 export function isEligible (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
-  if (_isLeftToOwner(state, target, query)) return offersModel(state, target, query)
-  if (state.unreachable.has(target.upstream) || targetLoad(state, target.upstream).misdirectedUntilMs > query.nowMs) return false
-  return offersModel(state, target, query)
+  return _isEligible(state, target, { ...query, load: targetLoad(state, target.upstream) })
+}
+
+function _isEligible (state: ServingState, target: RoutingTarget, query: _LoadQuery): boolean {
+  if (!_isLeftToOwner(state, target, query) && (state.unreachable.has(target.upstream) || query.load.misdirectedUntilMs > query.nowMs)) return false
+  return _offersModel(target, query)
 }
 
 /**
@@ -130,14 +148,18 @@
  * ```
  */
 export function offersModel (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
-  const { request, nowMs } = query
-  if (target.service !== request.service || isLeaving(state, target) || request.refusedBy.includes(target.upstream)) return false
+  return _offersModel(target, { ...query, load: targetLoad(state, target.upstream) })
+}
+
+function _offersModel (target: RoutingTarget, { request, nowMs, load }: _LoadQuery): boolean {
+  if (target.service !== request.service || target.leaving || load.leaving || request.refusedBy.includes(target.upstream)) return false
   if (request.softwareVersion !== undefined && request.softwareVersion !== target.softwareVersion) return false
   if (request.model === undefined || target.models === undefined) return true
   const targetModel = target.models.get(request.model)
   if (targetModel === undefined || !targetModel.usable) return false
   if (request.adapter !== undefined && !targetModel.adapters.has(request.adapter)) return false
-  const absentUntilMs = targetLoad(state, target.upstream).absentUntilMs.get(demandKey(request.model, request.adapter)) ?? -Infinity
+  if (load.absentUntilMs.size === 0) return true
+  const absentUntilMs = load.absentUntilMs.get(demandKey(request.model, request.adapter)) ?? -Infinity
   return absentUntilMs <= nowMs
 }
 
@@ -172,7 +194,7 @@
  */
 export function ownedWaitMs (state: ServingState, request: Request, options: { readonly ahead: number, readonly nowMs: number }): number | undefined {
   const { ahead, nowMs } = options
-  const eligible = [...state.targets.values()].filter((target) => offersModel(state, target, { request, nowMs }))
+  const eligible = listTargets(state.targets, request.service, request.model).filter((target) => offersModel(state, target, { request, nowMs }))
   if (eligible.length === 0 || eligible.some((target) => ownershipOf(state, target, nowMs).kind !== 'own')) return undefined
   const perMs = eligible.reduce((sum, target) => {
     const limitPerMs = (state.limits.get(target.upstream)?.perS ?? Infinity) / MS_PER_SECOND
@@ -186,67 +208,38 @@
   return request.handover === undefined && ownershipOf(state, target, nowMs).kind === 'elsewhere'
 }
 
-function _isAvoided (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
-  return !_isLeftToOwner(state, target, query) && targetLoad(state, target.upstream).avoidedUntilMs > query.nowMs
+function _isAvoided (state: ServingState, target: RoutingTarget, query: _LoadQuery): boolean {
+  return !_isLeftToOwner(state, target, query) && query.load.avoidedUntilMs > query.nowMs
 }
 
-function _isAvailable (state: ServingState, target: RoutingTarget, query: RoutingQuery): boolean {
+function _isAvailable (state: ServingState, target: RoutingTarget, query: _LoadQuery): boolean {
   const { request, nowMs } = query
   const ownership = ownershipOf(state, target, nowMs)
   switch (ownership.kind) {
     case 'pending': return false
     case 'elsewhere': return request.handover === undefined && mayHandOver(state, request, { relay: ownership.relay, nowMs })
-    case 'unowned': return isRiskAllowed(state, target, nowMs) && _hasCapacity(state, target, nowMs) && _mayReceive(state, target, nowMs)
-    default: return _hasCapacity(state, target, nowMs) && _mayReceive(state, target, nowMs)
+    case 'unowned': return isRiskAllowed(state, target, nowMs) && _hasCapacity(state, target, query) && _mayReceive(state, target, query)
+    default: return _hasCapacity(state, target, query) && _mayReceive(state, target, query)
   }
 }
 
-function _full (state: ServingState, eligible: readonly RoutingTarget[], { request, nowMs }: RoutingQuery): UpstreamSearch {
+function _full (state: ServingState, eligible: readonly _Candidate[], { request, nowMs }: RoutingQuery): UpstreamSearch {
   // A request that was handed over waits only for this instance to learn that it owns an upstream, and one that all owners refused not at all.
-  if (eligible.every((target) => ownershipOf(state, target, nowMs).kind === 'elsewhere')) return { kind: 'full', maxWaitMs: request.handover === undefined && request.attempts.length > 0 ? 0 : MAX_OWNER_WAIT_MS }
-  const resumesAtMs = Math.min(...eligible.map((target) => targetLoad(state, target.upstream).pausedUntilMs))
+  if (eligible.every(({ target }) => ownershipOf(state, target, nowMs).kind === 'elsewhere')) return { kind: 'full', maxWaitMs: request.handover === undefined && request.attempts.length > 0 ? 0 : MAX_OWNER_WAIT_MS }
+  const resumesAtMs = Math.min(...eligible.map(({ load }) => load.pausedUntilMs))
   return resumesAtMs > nowMs ? { kind: 'full', resumesAtMs } : { kind: 'full' }
 }
 
-function _hasCapacity (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
-  const load = targetLoad(state, target.upstream)
+function _hasCapacity (state: ServingState, target: RoutingTarget, { load, nowMs }: _LoadQuery): boolean {
+  if (load.fullUntilMs > nowMs && load.ownRequests + load.peerRequests >= MIN_FULL_SHARE * target.slots) return false
   const isBrittle = brittleService(state, target, nowMs) !== undefined && ownershipOf(state, target, nowMs).kind !== 'shared'
   const capacity = target.models === undefined && !isBrittle ? target.slots * PLAIN_CAPACITY_FACTOR : target.slots
   const cancelled = isBrittle ? load.cancelledUntilMs.filter((untilMs) => untilMs > nowMs).length : 0
   return load.ownRequests + load.peerRequests + cancelled < capacity
 }
 
-function _mayReceive (state: ServingState, target: RoutingTarget, nowMs: number): boolean {
-  if (targetLoad(state, target.upstream).pausedUntilMs > nowMs) return false
+function _mayReceive (state: ServingState, target: RoutingTarget, { load, nowMs }: _LoadQuery): boolean {
+  if (load.pausedUntilMs > nowMs) return false
   const limit = state.limits.get(target.upstream)
   return limit === undefined || isWithinLimit(limit, nowMs)
 }
-
-function _medianFirstByteMs (state: ServingState, targets: readonly RoutingTarget[]): number {
-  const observedMs = targets.map((target) => targetLoad(state, target.upstream).firstByteMs).filter((ms) => ms > 0).sort((a, b) => a - b)
-  return observedMs[Math.floor((observedMs.length - 1) / 2)] ?? DEFAULT_FIRST_BYTE_MS
-}
-
-interface _ScoringQuery extends RoutingQuery {
-  /** Median time to the first byte over the available upstreams, in ms. */
-  readonly medianMs: number
-}
-
-function _expectedDelayMs (state: ServingState, target: RoutingTarget, query: _ScoringQuery): number {
-  const load = targetLoad(state, target.upstream)
-  const weight = 0.5 ** (Math.max(0, query.nowMs - load.observedAtMs) / OBSERVATION_HALF_LIFE_MS)
-  const observedMs = load.firstByteMs === 0 ? query.medianMs : load.firstByteMs
-  const firstByteMs = query.medianMs + weight * (observedMs - query.medianMs)
-  const utilization = (load.ownRequests + load.peerRequests) / Math.max(1, target.slots)
-  const failureMs = weight * load.failureShare * query.request.objectiveMs
-  const zoneMs = target.availabilityZone === state.availabilityZone ? 0 : CROSS_ZONE_PENALTY_MS
-  return firstByteMs * (1 + UTILIZATION_WEIGHT * utilization) + failureMs + zoneMs + _ownerDelayMs(state, target, query.nowMs)
-}
-
-// Requests that this instance has handed to the owner of a limited upstream are served one after another.
-function _ownerDelayMs (state: ServingState, target: RoutingTarget, nowMs: number): number {
-  const ownership = ownershipOf(state, target, nowMs)
-  const limit = state.limits.get(target.upstream)
-  if (ownership.kind !== 'elsewhere' || limit === undefined || limit.perS === Infinity) return 0
-  return (1 + targetLoad(state, relayKey(ownership.relay)).ownRequests) * MS_PER_SECOND / limit.perS
-}
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -5,6 +5,7 @@
 import { applyQuotas, changeQuotas, chargeQuota, endAllowances, noteFallback } from './_charge_quota.ts'
 import { changeEvidence } from './_change_evidence.ts'
 import { applyEjections, applyOutcomes, forgetEjections, readmit } from './_eject_upstreams.ts'
+import { forgetLostPrompts, touchPrompt } from './_kept_prompts.ts'
 import { forgetUnused } from './_forget_unused.ts'
 import { weighSilence } from './continuation.ts'
 import { applyOrigins } from './origin_exchange.ts'
@@ -13,7 +14,7 @@
 import { applyLimits, pruneLimits, stateLimit } from './_limit_upstreams.ts'
 import { quarantineCulprits, recordResponse } from './_weigh_evidence.ts'
 import { noteGone } from './_weigh_upstreams.ts'
-import { attemptFields, noteCancelled, observeOutcome, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
+import { attemptFields, noteCancelled, observeOutcome, observeTokens, putRequest, requestRecord, refuseRequest, removeRequest } from './_request_transitions.ts'
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
@@ -139,7 +140,7 @@
 function _startResponse (state: ServingState, request: Request, event: _ResponseStarted): _Step {
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
-  const observed = updateTargetLoad(_observeSuccess(state, request, event.nowMs), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
+  const observed = updateTargetLoad(touchPrompt(_observeSuccess(state, request, event.nowMs), request, attempt.upstream), attempt.upstream, (load) => ({ ...load, unanswered: Math.max(0, load.unanswered - 1) }))
   const softwareVersion = event.softwareVersion ?? attempt.softwareVersion
   const responding = pinStream(putRequest(observed, { ...request, phase: 'responding', softwareVersion, respondingSinceMs: event.nowMs }), request, softwareVersion)
   const readmitted = readmit(responding, attempt, event.nowMs)
@@ -168,7 +169,7 @@
 function _endResponse (state: ServingState, request: Request, event: _ResponseEnded): _Step {
   const attempt = currentAttempt(request)
   if (attempt === undefined || attempt.number !== event.attempt) return step(state)
-  const observed = request.phase === 'responding' ? state : _observeSuccess(state, request, event.nowMs)
+  const observed = request.phase === 'responding' ? _observePace(state, request, event.nowMs) : _observeSuccess(state, request, event.nowMs)
   const readmitted = request.phase === 'responding' ? step<ServingState, ServingEffect>(observed) : readmit(observed, attempt, event.nowMs)
   const changed = changeEvidence(readmitted.state, recordResponse(readmitted.state.evidence, request, event.nowMs, _processOf(readmitted.state, attempt)), event.nowMs)
   const cleared = step(changed.state, [...readmitted.effects, ...changed.effects])
@@ -180,6 +181,14 @@
   return _thenDispatch(ended, request.service, event.nowMs)
 }
 
+// The caller states how many tokens the answer has at most, which compares upstreams if answers are as long everywhere.
+function _observePace (state: ServingState, request: Request, nowMs: number): ServingState {
+  const { respondingSinceMs, outputTokens = 0, attempts } = request
+  const attempt = currentAttempt(request)
+  if (attempt === undefined || attempts.length !== 1 || respondingSinceMs === undefined || !request.stream || outputTokens === 0) return state
+  return updateTargetLoad(state, attempt.upstream, (load) => observeTokens(load, (nowMs - respondingSinceMs) / outputTokens))
+}
+
 // Cancels retryable requests and streams, which no one reads any longer. Other requests run to completion; whether one that was handed over
 // has been sent to an upstream is known to the relay, which applies the same rule.
 function _abandon (state: ServingState, request: Request, nowMs: number): _Step {
@@ -218,10 +227,10 @@
   })
   const unreachable = new Map([...state.unreachable].filter(([id]) => targets.has(id) && !restarted.some(({ upstream }) => upstream === id)))
   const announced = event.announcement === undefined ? state : noteLoadAnnouncement(state, event.announcement, nowMs)
-  const changed: ServingState = { ...announced, targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
+  const changed: ServingState = { ...forgetLostPrompts(announced, targets), targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
-    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, outcomes: [], firstByteMs: 0, slowest: new Map(), absentUntilMs: new Map()
+    ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, outcomes: [], firstByteMs: 0, recentFirstByteMs: 0, tokenMs: 0, fullUntilMs: -Infinity, slowest: new Map(), absentUntilMs: new Map()
   })), changed)
   return dispatchAll(noteVersions(pruneLimits(forgetEjections(reset)), targets, nowMs), nowMs)
 }
@@ -275,7 +284,7 @@
 
 function _applyPeerLoads (state: ServingState, event: _PeerLoadsReceived): ServingState {
   const running = new Map(event.loads.map((load) => [load.upstream, load.running]))
-  const updated = { ...state, instances: event.instances }
+  const updated = { ...state, instances: event.instances, peerLoadsAtMs: event.nowMs }
   return [...state.targets.keys()].reduce((next, upstream) => {
     const peerRequests = running.get(upstream) ?? 0
     return targetLoad(next, upstream).peerRequests === peerRequests ? next : updateTargetLoad(next, upstream, (load) => ({ ...load, peerRequests }))
--- a/packages/serving/serving_state.ts
+++ b/packages/serving/serving_state.ts
@@ -2,6 +2,7 @@
 import { HashMap, Option } from 'effect'
 import { NO_QUEUES, type QueueingState } from '@berylshed/queueing'
 import { newInstanceQuotas, type InstanceQuotas } from '@berylshed/limits'
+import type { KeptParts } from '@berylshed/prompt_cache'
 import { NO_CRASH_EVIDENCE, type CrashEvidence } from './crash_evidence.ts'
 import { INITIAL_TARGET_LOAD, type RoutingTarget, type TargetLoad } from './routing_target.ts'
 import type { Request } from './request.ts'
@@ -56,6 +57,12 @@
   /** Models named by the configuration, by service. */
   readonly models: ReadonlyMap<string, ReadonlySet<string>>
   readonly loads: HashMap.HashMap<string, TargetLoad>
+  /** Prompt parts that upstreams probably keep, by upstream. */
+  readonly keptPrompts: ReadonlyMap<string, KeptParts>
+  /** Prompt tokens that upstreams were expected to read for this instance so far. */
+  readonly readTokens: number
+  /** Local time of the last report of other instances' requests, in ms. */
+  readonly peerLoadsAtMs: number
   /** Upstreams to which no connection can be opened, and the local time of the next probe of each, in ms. */
   readonly unreachable: ReadonlyMap<string, number>
   /** Local time at which an upstream last responded or accepted a connection, in ms. */
@@ -147,6 +154,9 @@
     estimatedAtMs: -Infinity,
     models: new Map(),
     loads: HashMap.empty(),
+    keptPrompts: new Map(),
+    readTokens: 0,
+    peerLoadsAtMs: -Infinity,
     unreachable: new Map(),
     contactAtMs: -Infinity,
     relays: [],
@@ -189,7 +199,8 @@
  * ```
  */
 export function targetLoad (state: ServingState, upstream: string): TargetLoad {
-  return Option.getOrElse(HashMap.get(state.loads, upstream), () => INITIAL_TARGET_LOAD)
+  const load = HashMap.get(state.loads, upstream)
+  return Option.isSome(load) ? load.value : INITIAL_TARGET_LOAD
 }
 
 /**
