Name the customer in the records of its requests

Cause: a line on a refused or failed request did not tell whose it was, so the way from a complaint to its cause began with a search for the key. Change: one field in each record of a request with a customer. Without customers the lines are as before.

--- a/packages/serving/_request_transitions.ts
+++ b/packages/serving/_request_transitions.ts
@@ -125,10 +125,11 @@
 export function requestRecord (what: ServingRecord['what'], request: Request, fields: Omit<ServingRecord, 'what'> & { readonly nowMs: number }): ServingEffect {
   const { nowMs, ...rest } = fields
   const modelFields = request.model === undefined ? {} : { model: request.model, ...request.adapter === undefined ? {} : { adapter: request.adapter } }
+  const customerFields = request.customer === undefined ? {} : { customer: request.customer }
   return {
     kind: 'record',
     record: {
-      what, request: request.callerId, route: request.route, ...modelFields, elapsedMs: nowMs - request.arrivedAtMs, leftMs: request.deadlineMs - nowMs, ...rest
+      what, request: request.callerId, route: request.route, ...customerFields, ...modelFields, elapsedMs: nowMs - request.arrivedAtMs, leftMs: request.deadlineMs - nowMs, ...rest
     }
   }
 }
--- a/packages/serving/serving_effect.ts
+++ b/packages/serving/serving_effect.ts
@@ -44,7 +44,7 @@
   readonly members?: number
   /** Requests per second that an upstream takes from all instances together. */
   readonly perS?: number
-  /** Name of the customer whose quota decided. */
+  /** Name of the customer of the request, or of the one whose quota changed. */
   readonly customer?: string
   /** Units that the request counts against the quota. */
   readonly units?: number
