--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -20,8 +20,12 @@
 const URGENT_MS_PER_INSTANCE = 4
 /** Minimum interval between heartbeats while an allowance runs short, in ms: a fifth of the usual one. */
 const SHORT_ALLOWANCE_MS = 40
-/** Interval added per instance while allowances run short, in ms, which limits the holder to 1,000 such heartbeats per second. */
-const SHORT_ALLOWANCE_MS_PER_INSTANCE = 1
+/** Interval added per instance while an allowance runs short, in ms: small quotas run short with each request, and a holder of 32 instances fell behind with 25 heartbeats a second of each. */
+const SHORT_ALLOWANCE_MS_PER_INSTANCE = 6
+/** Interval added per other instance before a heartbeat that is due at once, in ms, as changes of demand come many times a second. */
+const DUE_MS_PER_INSTANCE = 1
+/** Pause after a heartbeat without an answer, in ms: the time for which that one was waited for. */
+const UNANSWERED_PAUSE_MS = 400
 /** Number of instances to which the holder sends all origins of streams, so that they outlast it; the others get those that they ask for. */
 const ORIGIN_COPIES = 3
 /** Number of instances that the holder names to each other one as relays. */
@@ -31,6 +35,13 @@
 /** Time after which an instance that reported nothing no longer counts, in ms. */
 const INSTANCE_LIFE_MS = 4000
 
+/** Notes that a heartbeat got no answer. A holder that is behind with its work would fall behind further by repeated ones. */
+export function noteUnanswered (state: EdgeState, refused: boolean, nowMs: number): EdgeState {
+  const address = state.scheduler.lease?.holder?.address
+  const unanswered = refused || address === undefined ? undefined : { address, untilMs: nowMs + UNANSWERED_PAUSE_MS }
+  return { ...state, heartbeatInFlight: false, heartbeatAtMs: nowMs, unanswered }
+}
+
 /** Sends a heartbeat to the lease holder if one is due; the holder applies its own report directly. */
 export function sendHeartbeat (state: EdgeState, at: Instant): EdgeStep {
   if (state.heartbeatInFlight || at.nowMs < state.heartbeatAtMs + _intervalMs(state)) return step(state)
@@ -47,6 +58,7 @@
   }
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
+  if (state.unanswered?.address === to && at.nowMs < state.unanswered.untilMs) return step(state)
   const { received, updateWantedSince } = state
   const charged = quotaReport(state.serving.quotas, at.nowMs)
   const evidence = _evidenceUpdate(state, { since: _acknowledgedVersion(state, state.evidenceExchange), relay: false, nowMs: at.nowMs })
@@ -139,8 +151,9 @@
 }
 
 function _intervalMs (state: EdgeState): number {
-  if (state.heartbeatDue) return 0
-  return Math.min(_demandIntervalMs(state), state.serving.quotas.isReportDue ? Math.max(SHORT_ALLOWANCE_MS, SHORT_ALLOWANCE_MS_PER_INSTANCE * state.serving.instances) : HEARTBEAT_MS)
+  const { instances, quotas } = state.serving
+  if (state.heartbeatDue) return Math.min(HEARTBEAT_MS, DUE_MS_PER_INSTANCE * (instances - 1))
+  return Math.min(HEARTBEAT_MS, _demandIntervalMs(state), quotas.isReportDue ? Math.max(SHORT_ALLOWANCE_MS, SHORT_ALLOWANCE_MS_PER_INSTANCE * instances) : HEARTBEAT_MS)
 }
 
 function _demandIntervalMs (state: EdgeState): number {
--- a/packages/edge/_peer_router.ts
+++ b/packages/edge/_peer_router.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { readBody } from '@berylshed/platform'
 import { initTRPC, TRPCError } from '@trpc/server'
 import { getHTTPStatusCodeFromError } from '@trpc/server/http'
@@ -60,8 +61,9 @@
   async function answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       const input = await readInput(request)
-      // The sender of a call that waited in this process may have given up and sent another one.
-      if (request.socket.destroyed) return
+      // If this process is behind with its work, the end of a connection whose sender no longer waits is read in the turn after the call.
+      for (let turn = 0; turn < 2; turn += 1) await nextTurn()
+      if (request.socket.destroyed || request.socket.readableEnded) return
       respond(response, OK, { result: { data: await caller.exchange(input) } })
     } catch (error) {
       const failure = error instanceof TRPCError ? error : new TRPCError({ code: 'INTERNAL_SERVER_ERROR', cause: error })
--- a/packages/edge/edge_state.ts
+++ b/packages/edge/edge_state.ts
@@ -61,6 +61,8 @@
   readonly heartbeatInFlight: boolean
   /** Local time of the last heartbeat or of its answer, in ms. */
   readonly heartbeatAtMs: number
+  /** Address that did not answer the last heartbeat, and the local time before which no other one is sent to it, in ms. */
+  readonly unanswered: { readonly address: string, readonly untilMs: number } | undefined
   /** The holder's list revision if it requested a registry update, otherwise undefined. */
   readonly updateWantedSince: number | undefined
   readonly registryReads: RegistryReads
@@ -140,6 +142,7 @@
     received: undefined,
     heartbeatInFlight: false,
     heartbeatAtMs: -Infinity,
+    unanswered: undefined,
     updateWantedSince: undefined,
     registryReads: { configuration: -Infinity, upstreams: -Infinity },
     evidenceExchange: NO_EXCHANGE,
--- a/packages/edge/peer_call_test.ts
+++ b/packages/edge/peer_call_test.ts
@@ -1,4 +1,4 @@
-import { createServer, type AddressInfo } from 'node:net'
+import { connect, createServer, type AddressInfo } from 'node:net'
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { createHTTPServer } from '@trpc/server/adapters/standalone'
 import test, { type ExecutionContext } from 'ava'
@@ -72,6 +72,36 @@
   t.true((await createPeerClient().heartbeat(address, REQUEST)).isOk())
 })
 
+// A holder that was behind went on to answer heartbeats whose senders had given up and sent others, and never caught up.
+test('a heartbeat whose sender has given up is not handled', async (t) => {
+  let handled = 0
+  const server = createPeerServer({
+    heartbeat: (request) => {
+      handled += 1
+      return SERVICE.heartbeat(request)
+    }
+  })
+  const address = await listenAt(server, ANY_PORT)
+  t.teardown(() => closeServer(server))
+  const body = JSON.stringify(encodeHeartbeat(REQUEST))
+  const send = (givesUp: boolean) => new Promise<void>((resolve) => {
+    const socket = connect({ host: '127.0.0.1', port: Number(address.split(':')[1]) }, () => {
+      socket.write(`POST /exchange HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`, () => {
+        if (givesUp) socket.destroy()
+        // The process is behind: it reads what has arrived only after the sender has left.
+        for (const untilMs = performance.now() + 20; performance.now() < untilMs;);
+      })
+    })
+    socket.once('data', () => socket.destroy())
+    socket.once('close', () => resolve())
+  })
+  await send(true)
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  t.is(handled, 0)
+  await send(false)
+  t.is(handled, 1)
+})
+
 test('a call to an address where nobody listens is refused, and one without an answer ends', async (t) => {
   const silent = createServer((socket) => { socket.on('error', () => {}).resume() })
   await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve))
--- a/packages/edge/reduce_edge.ts
+++ b/packages/edge/reduce_edge.ts
@@ -5,7 +5,7 @@
 import { fleetView, type Instant, type SchedulerEvent } from '@berylshed/scheduler'
 import { applyArchiveEvent, holdStream, maintainArchive } from './_archive_origins.ts'
 import { applyConfiguredQuotas, expireAfterSuspension } from './_quota_exchange.ts'
-import { sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, confirmVersions, instancesOf } from './_peer_heartbeat.ts'
+import { noteUnanswered, sendHeartbeat, applyHolderAnswer, applyPeerLoads, applyReport, confirmVersions, instancesOf } from './_peer_heartbeat.ts'
 import { chain, applySchedulerEvent, applyServingEvent, updateTargets, type EdgeStep } from './_edge_step.ts'
 import type { EdgeEffect, EdgeRecord } from './edge_effect.ts'
 import type { EdgeEvent } from './edge_event.ts'
@@ -166,8 +166,7 @@
 
 function _handleHeartbeatFailure (state: EdgeState, event: _HeartbeatFailed): EdgeStep {
   const { at, refused } = event
-  const next = { ...state, heartbeatInFlight: false, heartbeatAtMs: at.nowMs }
-  return applySchedulerEvent(next, { kind: 'holder_unreachable', refused, ...at })
+  return applySchedulerEvent(noteUnanswered(state, refused, at.nowMs), { kind: 'holder_unreachable', refused, ...at })
 }
 
 function _tick (state: EdgeState, at: Instant): EdgeStep {
