Take back the refusal of requests whose model nobody is expected to load, and let allowances age by two heartbeats

The properties of the bound pass with 450 ms; 246 tests of limits, serving, queueing and scheduler pass.

--- a/packages/edge/_edge_step.ts
+++ b/packages/edge/_edge_step.ts
@@ -1,7 +1,7 @@
 import type { Configuration, Upstream } from '@berylshed/fleet'
 import { step, type Step } from '@berylshed/reducer'
 import { expectedLoads, reduceScheduler, type Instant, type PlacedEngine, type SchedulerEvent } from '@berylshed/scheduler'
-import { isIsolated, noteLoadAnnouncement, reduceServing, type TargetModel, type RoutingTarget, type ServingEffect, type ServingEvent, type ServingState } from '@berylshed/serving'
+import { isIsolated, reduceServing, type TargetModel, type RoutingTarget, type ServingEffect, type ServingEvent, type ServingState } from '@berylshed/serving'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { EdgeState } from './edge_state.ts'
 
@@ -56,18 +56,9 @@
   const current = new Map([...list.upstreams.values()].map((upstream) => [upstream.id, _routingTarget(configuration, upstream, engines.get(upstream.id))]))
   const isSame = known.size === current.size && [...current].every(([id, target]) => known.get(id) === target)
   const loadEstimatesMs = _expectedLoads(state, at)
-  const announcement = _announcement(state)
-  if (isSame && loadEstimatesMs.size === 0 && state.serving.loadEstimatesMs.size === 0) {
-    return step(announcement === undefined ? state : { ...state, serving: noteLoadAnnouncement(state.serving, announcement, at.nowMs) })
-  }
+  if (isSame && loadEstimatesMs.size === 0 && state.serving.loadEstimatesMs.size === 0) return step(state)
   const version = isSame ? state.targetsVersion : state.targetsVersion + 1
-  return applyServingEvent({ ...state, targetsVersion: version }, { kind: 'targets_changed', targets: isSame ? known : current, loadEstimatesMs, version, ...announcement === undefined ? {} : { announcement }, nowMs: at.nowMs })
-}
-
-// Names the lease holder that told which loads are expected, and when. The holder itself learns of its own orders at once.
-function _announcement ({ scheduler, self, received }: EdgeState): { readonly holder: string, readonly atMs: number } | undefined {
-  if (scheduler.held !== undefined) return { holder: self.incarnation, atMs: Infinity }
-  return received === undefined ? undefined : { holder: received.view.holder.incarnation, atMs: received.receivedAtMs }
+  return applyServingEvent({ ...state, targetsVersion: version }, { kind: 'targets_changed', targets: isSame ? known : current, loadEstimatesMs, version, nowMs: at.nowMs })
 }
 
 function _isViewFresh (state: EdgeState, at: Instant): boolean {
--- a/packages/limits/instance_quotas.ts
+++ b/packages/limits/instance_quotas.ts
@@ -2,8 +2,8 @@
 import { ALLOWANCE_LIFE_MS, type QuotaAllowance, type QuotaAnswer, type QuotaCounters, type QuotaReport } from './quota_message.ts'
 
 const MS_PER_SECOND = 1000
-/** Time after an answer for which a request may exceed the instance's share, in ms: one heartbeat and its delay. */
-const OVERDRAFT_LIFE_MS = 250
+/** Time after an answer for which a request may exceed the instance's share, in ms: two heartbeats and their delay, as a busy holder answers late. */
+const OVERDRAFT_LIFE_MS = 450
 /** Time in which the instance's equal share of the rate may be spent beyond its allowance between two answers, in ms: a tenth of 8 s of the quota. */
 const OVERDRAFT_MS = 900
 /** Part of the bucket of all instances that one of them may spend beyond its allowance between two answers, as callers may come to it at once. */
--- a/packages/queueing/mod.ts
+++ b/packages/queueing/mod.ts
@@ -5,7 +5,6 @@
  */
 export * from './estimate_wait.ts'
 export * from './fair_shares.ts'
-export * from './is_load_ruled_out.ts'
 export * from './order_requests.ts'
 export * from './queueing_state.ts'
 export * from './retry_after.ts'
--- a/packages/queueing/queueing_state.ts
+++ b/packages/queueing/queueing_state.ts
@@ -1,6 +1,5 @@
 import { chargeShare, EQUAL_SHARES, type FairShares } from './fair_shares.ts'
 import { isLapsed, noteBacklog, observeGrant, type GrantRate } from './estimate_wait.ts'
-import { NO_ANNOUNCEMENTS, type LoadAnnouncements } from './is_load_ruled_out.ts'
 import { isLate, orderRequests, type QueuedRequest } from './order_requests.ts'
 
 /** State of the queue of one service. */
@@ -29,14 +28,12 @@
   readonly services: ReadonlyMap<string, ServiceQueue>
   /** Rates at which slots are granted, by service and model. */
   readonly rates: ReadonlyMap<string, GrantRate>
-  /** Announcements of the loads that the lease holder expects. */
-  readonly announcements: LoadAnnouncements
   /** The queues whose unmet demand was last reported, as long as it can change with them only. */
   readonly reported: ReadonlyMap<string, readonly string[]> | undefined
 }
 
 /** State without observations. */
-export const NO_QUEUES: QueueingState = { services: new Map(), rates: new Map(), announcements: NO_ANNOUNCEMENTS, reported: undefined }
+export const NO_QUEUES: QueueingState = { services: new Map(), rates: new Map(), reported: undefined }
 
 const IDLE_QUEUE: ServiceQueue = { isFull: false, timelyGrants: 0, shares: new Map(), order: undefined }
 
--- a/packages/scheduler/reduce_scheduler.ts
+++ b/packages/scheduler/reduce_scheduler.ts
@@ -1,9 +1,9 @@
-import type { Configuration, Model } from '@berylshed/fleet'
+import type { Configuration } from '@berylshed/fleet'
 import { step, type Step } from '@berylshed/reducer'
 import { noteGrant, noteStamp } from './_lease_grants.ts'
 import { isDraining } from './_draining.ts'
 import { advanceLease, failWrite, finishWrite, loseLease, mayOrder, observeLease, orderDeadline, resolveConflict, voidLease } from './_hold_lease.ts'
-import { loadMs, UNLOAD_MS, weightSource } from './_placement_draft.ts'
+import { loadMs, weightSource } from './_placement_draft.ts'
 import { applyUpstreamList, applyReport, pollEngines, describeChange, endOrder, MAX_MISSED_REPORTS, openOrder } from './_track_engines.ts'
 import { REPORT_TTL_MS, sumDemand, type ReceivedReport } from './demand.ts'
 import type { EngineView, OpenOrder, PlannedOrder } from './engine_view.ts'
@@ -295,30 +295,12 @@
 }
 
 function _expectedLoads (state: SchedulerState, view: EngineView, nowMs: number): readonly ExpectedLoad[] {
-  const { open } = view
-  if (open === undefined || open.planned.operation !== 'load') return _preparedLoad(state, view, nowMs)
-  if (open.planned.adapter !== undefined) return []
-  const { model } = open.planned
-  const known = _model(state, view, model)
+  if (view.open === undefined || view.open.planned.operation !== 'load' || view.open.planned.adapter !== undefined) return []
+  const { model } = view.open.planned
+  const known = state.configuration?.services.get(view.upstream.service)?.engine?.models.get(model)
   if (known === undefined) return []
-  const source = open.planned.fromStore ? 'store' : weightSource(view, model)
-  return [{ model, readyInMs: Math.max(0, loadMs(known, source) - (nowMs - open.sentAtMs)) }]
-}
-
-// An engine that is drained, unloads or keeps freed memory for a model loads it next; a drain may end at any time.
-function _preparedLoad (state: SchedulerState, view: EngineView, nowMs: number): readonly ExpectedLoad[] {
-  const { open, drain, reservation } = view
-  const drained = drain !== undefined && nowMs < drain.untilMs ? drain.replacement : undefined
-  const reserved = reservation !== undefined && nowMs < reservation.untilMs ? reservation.model : undefined
-  const model = open?.planned.replacement ?? reserved ?? drained
-  const known = model === undefined ? undefined : _model(state, view, model)
-  if (model === undefined || known === undefined) return []
-  const unloadMs = open === undefined && model === reserved ? 0 : UNLOAD_MS
-  return [{ model, readyInMs: unloadMs + loadMs(known, weightSource(view, model)) }]
-}
-
-function _model (state: SchedulerState, view: EngineView, model: string): Model | undefined {
-  return state.configuration?.services.get(view.upstream.service)?.engine?.models.get(model)
+  const source = view.open.planned.fromStore ? 'store' : weightSource(view, model)
+  return [{ model, readyInMs: Math.max(0, loadMs(known, source) - (nowMs - view.open.sentAtMs)) }]
 }
 
 // Instances that have ended are replaced by others with new names.
--- a/packages/serving/_dispatch_requests.ts
+++ b/packages/serving/_dispatch_requests.ts
@@ -1,6 +1,6 @@
 import { HashMap, Option } from 'effect'
 import { step, type Step } from '@berylshed/reducer'
-import { estimateWait, isLoadRuledOut, noteSent, noteWaiting, orderQueue, rateKey, retryAfter, type WaitEstimate } from '@berylshed/queueing'
+import { estimateWait, noteSent, noteWaiting, orderQueue, rateKey, retryAfter, type WaitEstimate } from '@berylshed/queueing'
 import { dequeueRequest, recordAdapterUse, putRequest, requestRecord, refuseRequest } from './_request_transitions.ts'
 import { hasSuspectedPart, quarantinedKey } from './_weigh_evidence.ts'
 import { isQuarantineProbe, noteQuarantineProbe } from './_weigh_upstreams.ts'
@@ -286,7 +286,6 @@
   const estimate = request.waitingSinceMs === nowMs || nowMs >= untilMs ? _estimateWait(state, request, options) : undefined
   const waitUntilMs = estimate === undefined || nowMs < untilMs ? untilMs : _extendWait(request, { untilMs, estimate, nowMs })
   if (_isUnservable(state, request, options)) return refuseRequest(state, request, { reason: 'no_replica', nowMs, retryAfterMs: _retryAfterMs(state, request, nowMs) })
-  if (_isLoadRuledOut(state, request, options)) return refuseRequest(state, request, { reason: 'no_replica', nowMs, detail: 'no load is expected', retryAfterMs: _retryAfterMs(state, request, nowMs) })
   const hasArrived = request.waitingSinceMs === nowMs && request.attempts.length === 0
   if (hasArrived && _isHopeless(state, request, { search, waiting, nowMs, waitUntilMs })) return refuseRequest(state, request, { reason: 'no_capacity', nowMs, detail: 'owner\'s queue', retryAfterMs: _retryAfterMs(state, request, nowMs) })
   if (hasArrived && estimate !== undefined && _isBacklogTooLong(request, estimate, nowMs)) return _refuseForCapacity(state, request, { estimate, detail: 'backlog', nowMs })
@@ -332,17 +331,6 @@
   return refuseRequest(state, request, { reason: 'no_capacity', nowMs, retryAfterMs, fields, ...detail === undefined ? {} : { detail } })
 }
 
-// A request whose model no upstream lists waits only until the lease holder has had the time to announce a load of it.
-function _isLoadRuledOut (state: ServingState, request: Request, { search, nowMs }: _WaitOptions): boolean {
-  const { model, service } = request
-  if (search.kind !== 'absent' || request.phase === 'interrupted' || request.softwareVersion !== undefined || model === undefined) return false
-  const { announcements } = state.queueing
-  const isExpected = _readyAtMs(state, request) !== undefined
-  if (!isLoadRuledOut({ waitingSinceMs: request.waitingSinceMs, announcements, isExpected }, nowMs)) return false
-  const services = [...state.targets.values()].filter((target) => target.service === service && !target.leaving)
-  return services.length > 0 && services.every(({ models }) => models !== undefined && !models.has(model))
-}
-
 // A request whose model is held nowhere is refused once its load is known to end after the caller has left; the caller may return.
 function _isUnservable (state: ServingState, request: Request, { search, nowMs }: _WaitOptions): boolean {
   if (search.kind !== 'absent' || request.phase === 'interrupted') return false
--- a/packages/serving/reduce_serving.ts
+++ b/packages/serving/reduce_serving.ts
@@ -18,7 +18,6 @@
 import { applyEvidenceUpdate } from './evidence_update.ts'
 import { incrementRate } from './instance_report.ts'
 import { markReached, markUnreachable, noteContact, probeSilent, probeUnreachable } from './reach.ts'
-import { noteLoadAnnouncement } from './load_announcement.ts'
 import { noteFirstByte, slowestFirstByteMs } from './patience.ts'
 import { currentAttempt, type Attempt, type ReceivedRequest, type Request } from './request.ts'
 import type { ServingEffect } from './serving_effect.ts'
@@ -226,8 +225,7 @@
     return before !== undefined && before.incarnation < target.incarnation
   })
   const unreachable = new Map([...state.unreachable].filter(([id]) => targets.has(id) && !restarted.some(({ upstream }) => upstream === id)))
-  const announced = event.announcement === undefined ? state : noteLoadAnnouncement(state, event.announcement, nowMs)
-  const changed: ServingState = { ...forgetLostPrompts(announced, targets), targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
+  const changed: ServingState = { ...forgetLostPrompts(state, targets), targets, unreachable, loadEstimatesMs, estimatedAtMs: nowMs, placementVersion: version }
   // Observations of an upstream's previous process do not apply to the restarted one.
   const reset = restarted.reduce((result, target) => updateTargetLoad(result, target.upstream, (load) => ({
     ...load, avoidedUntilMs: -Infinity, misdirectedUntilMs: -Infinity, pausedUntilMs: -Infinity, leaving: false, consecutiveFailures: 0, failureShare: 0, outcomes: [], firstByteMs: 0, recentFirstByteMs: 0, tokenMs: 0, fullUntilMs: -Infinity, slowest: new Map(), absentUntilMs: new Map()
--- a/packages/serving/serving_event.ts
+++ b/packages/serving/serving_event.ts
@@ -1,4 +1,3 @@
-import type { LoadAnnouncements } from '@berylshed/queueing'
 import type { Quota } from '@berylshed/fleet'
 import type { QuotaAnswer } from '@berylshed/limits'
 import type { UpstreamOutcomes } from '@berylshed/scheduler'
@@ -58,8 +57,7 @@
   | { readonly kind: 'caller_left', readonly id: string }
   /** An exception kept the request from being handled; its caller has been answered. */
   | { readonly kind: 'exchange_failed', readonly id: string }
-  /** The upstreams, their models or the expected loads have changed; `announcement` says which lease holder told it when, if one did. */
-  | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number, readonly announcement?: Pick<LoadAnnouncements, 'holder' | 'atMs'> }
+  | { readonly kind: 'targets_changed', readonly targets: ReadonlyMap<string, RoutingTarget>, readonly loadEstimatesMs: ReadonlyMap<string, number>, readonly version: number }
   | { readonly kind: 'peer_loads_received', readonly loads: readonly PeerLoad[], readonly instances: number }
   /** Another instance sent changes of its crash evidence, or the lease names quarantines. */
   | { readonly kind: 'evidence_received', readonly update: Pick<EvidenceUpdate, 'suspicions' | 'quarantines' | 'processes'> }
