--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -22,8 +22,8 @@
 const SHORT_ALLOWANCE_MS = 40
 /** Interval added per instance while an allowance runs short, in ms: small quotas run short with each request, and a holder of 32 instances fell behind with 25 heartbeats a second of each. */
 const SHORT_ALLOWANCE_MS_PER_INSTANCE = 4
-/** Interval added per other instance before a heartbeat that is due at once, in ms, as changes of demand come many times a second. */
-const DUE_MS_PER_INSTANCE = 1
+/** Interval added per other instance before a heartbeat that is due at once, in ms: changes of demand come many times a second, and a holder answers some 300 heartbeats a second. */
+const DUE_MS_PER_INSTANCE = 3
 /** Pause after a heartbeat without an answer, in ms: the time for which that one was waited for. */
 const UNANSWERED_PAUSE_MS = 400
 /** Number of instances to which the holder sends all origins of streams, so that they outlast it; the others get those that they ask for. */
--- a/packages/serving/expected_delay.ts
+++ b/packages/serving/expected_delay.ts
@@ -23,7 +23,7 @@
 const PREFILL_TOKENS_PER_MS = 30
 /** Bounds of an engine's slowness relative to the median; beyond them its first bytes are late for other reasons than its speed. */
 const [MIN_SLOWNESS, MAX_SLOWNESS] = [0.5, 2]
-/** Probability that the home of parts which this instance has not seen elsewhere keeps them, as other instances send them there; chosen between never and surely. */
+/** Probability that the home of parts which this instance has not seen elsewhere keeps them, as other instances send them there, if they see the same upstreams. */
 const HOME_PROBABILITY = 0.5
 /** Load up to which kept parts attract requests, as a multiple of the mean of the upstreams; the usual bound of bounded-load consistent hashing. */
 const LOAD_BOUND = 1.25
