--- a/packages/customers/authenticate.ts
+++ b/packages/customers/authenticate.ts
@@ -37,7 +37,7 @@
  *
  * @example
  * ```ts
- * const found = authenticate(table, ['Token asnmgkcuyj8pjbvk9m68'])
+ * const found = authenticate(table, ['Token 3f9d0c1ab7'])
  * if (found.kind === 'known') console.log(found.customer.name)
  * ```
  */
