Encode an update of the registry once for all instances that lack the same changes

Change: instances that lack the same changes get the same update object, whose encoding is kept with it.

--- a/packages/edge/_heartbeat_codec.ts
+++ b/packages/edge/_heartbeat_codec.ts
@@ -212,17 +212,15 @@
   return Math.round(ratePerS * 100) / 100
 }
 
-const encodedConfigurations = new WeakMap<object, string>()
+const encodedUpdates = new WeakMap<RegistryUpdate, string>()
 
-// Configurations contain maps, which plain JSON cannot represent. All instances need the same one after a change, and encoding one of hundreds
-// of models takes milliseconds.
+// Configurations contain maps, which plain JSON cannot represent. Instances that lack the same changes get the same update, and encoding one of
+// hundreds of models takes milliseconds.
 function _encodeUpdate (update: RegistryUpdate): string {
-  const { configuration, upstreams } = update
-  if (configuration === undefined || upstreams !== undefined) return superjson.stringify(update)
-  const known = encodedConfigurations.get(configuration)
+  const known = encodedUpdates.get(update)
   if (known !== undefined) return known
   const encoded = superjson.stringify(update)
-  encodedConfigurations.set(configuration, encoded)
+  encodedUpdates.set(update, encoded)
   return encoded
 }
 
--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -166,11 +166,22 @@
   readonly listRevision: number
 }
 
+// Updates from each list, by the versions that their receivers have. Encoding one takes milliseconds, and after a change all instances need the same.
+const sharedUpdates = new WeakMap<NonNullable<EdgeState['list']>, Map<string, RegistryUpdate>>()
+
 function _update (state: EdgeState, known: _Known): RegistryUpdate | undefined {
   const { configuration, list } = state
   const newer = (configuration?.version ?? 0) > known.configurationVersion ? configuration : undefined
-  const upstreams = (list?.revision ?? 0) > known.listRevision && list !== undefined ? upstreamUpdateSince(list, known.listRevision) : undefined
-  return newer === undefined && upstreams === undefined ? undefined : { configuration: newer, upstreams, readsCustomers: true }
+  const isListNewer = list !== undefined && list.revision > known.listRevision
+  if (newer === undefined && !isListNewer) return undefined
+  const updates = list === undefined ? undefined : sharedUpdates.get(list) ?? new Map<string, RegistryUpdate>()
+  if (list !== undefined && updates !== undefined) sharedUpdates.set(list, updates)
+  const key = `${newer?.version ?? 0} ${isListNewer ? known.listRevision : 'none'}`
+  const shared = updates?.get(key)
+  if (shared !== undefined && shared.configuration === newer) return shared
+  const update: RegistryUpdate = { configuration: newer, upstreams: isListNewer ? upstreamUpdateSince(list, known.listRevision) : undefined, readsCustomers: true }
+  updates?.set(key, update)
+  return update
 }
 
 // A new holder has acknowledged nothing.
--- a/packages/edge/control_traffic_test.ts
+++ b/packages/edge/control_traffic_test.ts
@@ -76,3 +76,14 @@
     { subject: 'tick', at: at(nowMs + 200) })
   t.deepEqual([[1000, 0], [9000, 0], [1000, 1]].map(([nowMs = 0, era = 0]) => reads(nowMs, era).scheduler.pending !== undefined), [true, false, false])
 })
+
+// The holder encoded hundreds of models for each answer, and answered nobody for seconds after a change of the configuration.
+test('instances that lack the same changes get the same update, which is encoded once', (t) => {
+  const holder = startHolder()
+  const request = { report: { instance: 'other', incarnation: 'other', unmetDemand: [], requestRates: [], loads: [], adapters: [] }, configurationVersion: 0, listRevision: 0, receivedView: { holder: '', version: 0 }, receivedEvidence: { origin: '', version: 0 }, receivedOrigins: { origin: '', version: 0 }, origins: undefined, wantedOrigins: [], historyKnown: true, evidence: undefined, limits: [], brittle: [], members: '', grant: undefined, update: undefined }
+  const [first, second] = [1200, 1210].map((nowMs) => answerHeartbeat(holder, request, at(nowMs)).update)
+  t.truthy(first?.configuration)
+  t.truthy(first?.upstreams)
+  t.is(first, second)
+  t.not(answerHeartbeat(holder, { ...request, configurationVersion: 4 }, at(1220)).update, first)
+})
