Check the pause after an unanswered heartbeat before a report is built, and share the empty heartbeat of the tests

Change: _isPaused is asked beside the interval; EMPTY_HEARTBEAT stands in _test_instances.ts. Behaviour and assertions are the same.

--- a/packages/edge/_peer_heartbeat.ts
+++ b/packages/edge/_peer_heartbeat.ts
@@ -44,7 +44,7 @@
 
 /** Sends a heartbeat to the lease holder if one is due; the holder applies its own report directly. */
 export function sendHeartbeat (state: EdgeState, at: Instant): EdgeStep {
-  if (state.heartbeatInFlight || at.nowMs < state.heartbeatAtMs + _intervalMs(state)) return step(state)
+  if (state.heartbeatInFlight || at.nowMs < state.heartbeatAtMs + _intervalMs(state) || _isPaused(state, at)) return step(state)
   const report = _report(state, at)
   const serving = { ...state.serving, holdsLease: state.scheduler.held !== undefined }
   const next = { ...state, serving, heartbeatDue: false, heartbeatAtMs: at.nowMs, heldSinceMs: state.scheduler.held === undefined ? undefined : state.heldSinceMs ?? at.nowMs }
@@ -58,7 +58,6 @@
   }
   const to = state.scheduler.lease?.holder?.address
   if (to === undefined || to === state.self.address) return step(next)
-  if (state.unanswered?.address === to && at.nowMs < state.unanswered.untilMs) return step(state)
   const { received, updateWantedSince } = state
   const charged = quotaReport(state.serving.quotas, at.nowMs)
   const evidence = _evidenceUpdate(state, { since: _acknowledgedVersion(state, state.evidenceExchange), relay: false, nowMs: at.nowMs })
@@ -87,6 +86,12 @@
   return step({ ...next, serving: { ...next.serving, quotas: charged.quotas }, quotaLedger: undefined, heartbeatInFlight: true, evidenceExchange, originExchange }, [{ subject: 'heartbeat', to, request }])
 }
 
+// Asked before a report is built, as events come many times during a pause.
+function _isPaused ({ scheduler, self, unanswered }: EdgeState, at: Instant): boolean {
+  if (unanswered === undefined || scheduler.held !== undefined || at.nowMs >= unanswered.untilMs) return false
+  return unanswered.address === scheduler.lease?.holder?.address && unanswered.address !== self.address
+}
+
 function _report (state: EdgeState, at: Instant): InstanceReport {
   const report = instanceReport(state.serving, state.self, at)
   return state.draining || state.relayAddress === '' ? report : { ...report, relayAddress: state.relayAddress, ownsUpstreams: true }
--- a/packages/edge/_test_instances.ts
+++ b/packages/edge/_test_instances.ts
@@ -2,6 +2,7 @@
 import type { Instant } from '@berylshed/scheduler'
 import { newEdgeState, type EdgeState } from './edge_state.ts'
 import type { EdgeEvent } from './edge_event.ts'
+import type { HeartbeatRequest } from './heartbeat.ts'
 import { reduceEdge } from './reduce_edge.ts'
 
 /** An engine that holds one model. */
@@ -16,6 +17,25 @@
   limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 
+/** The heartbeat of an instance that has nothing to report and knows nothing. */
+export const EMPTY_HEARTBEAT: HeartbeatRequest = {
+  report: { instance: 'other', incarnation: 'other', unmetDemand: [], requestRates: [], loads: [], adapters: [] },
+  configurationVersion: 0,
+  listRevision: 0,
+  receivedView: { holder: '', version: 0 },
+  receivedEvidence: { origin: '', version: 0 },
+  receivedOrigins: { origin: '', version: 0 },
+  origins: undefined,
+  wantedOrigins: [],
+  historyKnown: true,
+  evidence: undefined,
+  limits: [],
+  brittle: [],
+  members: '',
+  grant: undefined,
+  update: undefined
+}
+
 /** Returns an instant at which both clocks show the same. */
 export function at (nowMs: number): Instant {
   return { nowMs, clockMs: nowMs }
--- a/packages/edge/control_traffic_test.ts
+++ b/packages/edge/control_traffic_test.ts
@@ -4,14 +4,14 @@
 import { newEdgeState, type EdgeState } from './edge_state.ts'
 import { answerHeartbeat, isRegistryRelayed } from './_peer_heartbeat.ts'
 import { reduceEdge } from './reduce_edge.ts'
-import { apply, at, start, startHolder } from './_test_instances.ts'
+import { apply, at, EMPTY_HEARTBEAT, start, startHolder } from './_test_instances.ts'
 
 const SECOND_MS = 1000
 const TICK_MS = 40
 
 // Returns an instance that follows a holder of a fleet.
 function follower (instances: number): EdgeState {
-  const answer = answerHeartbeat(startHolder(), { report: { instance: 'other', incarnation: 'other', unmetDemand: [], requestRates: [], loads: [], adapters: [] }, configurationVersion: 0, listRevision: 0, receivedView: { holder: '', version: 0 }, receivedEvidence: { origin: '', version: 0 }, receivedOrigins: { origin: '', version: 0 }, origins: undefined, wantedOrigins: [], historyKnown: true, evidence: undefined, limits: [], brittle: [], members: '', grant: undefined, update: undefined }, at(1200))
+  const answer = answerHeartbeat(startHolder(), EMPTY_HEARTBEAT, at(1200))
   const lease = { fence: 1, holder: { instance: 'holder', incarnation: 'holder', address: 'holder:1' }, writeId: 'w' }
   return apply(start('other'),
     { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 2, lease, ...at(1200) } },
@@ -80,10 +80,9 @@
 // The holder encoded hundreds of models for each answer, and answered nobody for seconds after a change of the configuration.
 test('instances that lack the same changes get the same update, which is encoded once', (t) => {
   const holder = startHolder()
-  const request = { report: { instance: 'other', incarnation: 'other', unmetDemand: [], requestRates: [], loads: [], adapters: [] }, configurationVersion: 0, listRevision: 0, receivedView: { holder: '', version: 0 }, receivedEvidence: { origin: '', version: 0 }, receivedOrigins: { origin: '', version: 0 }, origins: undefined, wantedOrigins: [], historyKnown: true, evidence: undefined, limits: [], brittle: [], members: '', grant: undefined, update: undefined }
-  const [first, second] = [1200, 1210].map((nowMs) => answerHeartbeat(holder, request, at(nowMs)).update)
+  const [first, second] = [1200, 1210].map((nowMs) => answerHeartbeat(holder, EMPTY_HEARTBEAT, at(nowMs)).update)
   t.truthy(first?.configuration)
   t.truthy(first?.upstreams)
   t.is(first, second)
-  t.not(answerHeartbeat(holder, { ...request, configurationVersion: 4 }, at(1220)).update, first)
+  t.not(answerHeartbeat(holder, { ...EMPTY_HEARTBEAT, configurationVersion: 4 }, at(1220)).update, first)
 })
--- a/packages/edge/customer_handover_test.ts
+++ b/packages/edge/customer_handover_test.ts
@@ -6,11 +6,10 @@
 import { decodeHeartbeatAnswer, encodeHeartbeat, encodeHeartbeatAnswer } from './_heartbeat_codec.ts'
 import { answerHeartbeat, isConfigurationRelayed, isRegistryRelayed } from './_peer_heartbeat.ts'
 import { plainUpstream } from './_test_fleet.ts'
-import { apply, at, startHolder } from './_test_instances.ts'
+import { apply, at, EMPTY_HEARTBEAT, startHolder } from './_test_instances.ts'
 import { KEYS, startKeyedSystem, TENANTS } from './_test_keyed_system.ts'
 import { startTestStore } from './_test_store.ts'
 import { ask, FixedRegistry, MemoryStore, pause, startInstance, type LoggedLine } from './_test_system.ts'
-import type { HeartbeatRequest } from './heartbeat.ts'
 
 const KEY_PATTERN = new RegExp(Object.values(KEYS).join('|'))
 const DIGEST_PATTERN = /[0-9a-f]{9,}/
@@ -63,33 +62,15 @@
   t.false(KEY_PATTERN.test(JSON.stringify(lines)))
 })
 
-const HEARTBEAT: HeartbeatRequest = {
-  report: { instance: 'other', incarnation: 'other', unmetDemand: [], requestRates: [], loads: [], adapters: [] },
-  configurationVersion: 0,
-  listRevision: 0,
-  receivedView: { holder: '', version: 0 },
-  receivedEvidence: { origin: '', version: 0 },
-  evidence: undefined,
-  receivedOrigins: { origin: '', version: 0 },
-  origins: undefined,
-  wantedOrigins: [],
-  historyKnown: true,
-  limits: [],
-  brittle: [],
-  members: '',
-  grant: undefined,
-  update: undefined
-}
-
 test('heartbeats relay digests of keys with a configuration, and neither keys nor digests without one', async (t) => {
   const configuration = await decoded(t)
   const holder = apply(startHolder(), { subject: 'configured', configuration, from: 'store', at: at(1100) })
-  const answer = encodeHeartbeatAnswer(answerHeartbeat(holder, HEARTBEAT, at(1200)))
+  const answer = encodeHeartbeatAnswer(answerHeartbeat(holder, EMPTY_HEARTBEAT, at(1200)))
   const read = decodeHeartbeatAnswer(JSON.parse(JSON.stringify(answer)))
   t.deepEqual(read.update?.configuration?.customers, configuration.customers)
   t.false(KEY_PATTERN.test(JSON.stringify(answer)))
-  t.false(KEY_PATTERN.test(JSON.stringify(encodeHeartbeat({ ...HEARTBEAT, update: { configuration, upstreams: undefined, readsCustomers: true } }))))
-  const later = encodeHeartbeatAnswer(answerHeartbeat(holder, { ...HEARTBEAT, configurationVersion: 9, listRevision: 9 }, at(1300)))
+  t.false(KEY_PATTERN.test(JSON.stringify(encodeHeartbeat({ ...EMPTY_HEARTBEAT, update: { configuration, upstreams: undefined, readsCustomers: true } }))))
+  const later = encodeHeartbeatAnswer(answerHeartbeat(holder, { ...EMPTY_HEARTBEAT, configurationVersion: 9, listRevision: 9 }, at(1300)))
   t.false(DIGEST_PATTERN.test(JSON.stringify({ ...later, members: undefined })))
 })
 
@@ -97,7 +78,7 @@
 test('an instance reads the configuration itself while the holder runs an earlier release', (t) => {
   const holder = startHolder()
   const follower = (answer: ReturnType<typeof answerHeartbeat>) => apply(startHolder(), { subject: 'scheduler', event: { kind: 'lease_read', era: 0, version: 9, lease: { fence: 9, holder: { instance: 'h2', incarnation: 'h2', address: 'h2' }, writeId: 'w' }, ...at(1100) } }, { subject: 'heartbeat_answered', answer, at: at(1200) })
-  const { readsCustomers, ...earlier } = encodeHeartbeatAnswer(answerHeartbeat(holder, HEARTBEAT, at(1200)))
+  const { readsCustomers, ...earlier } = encodeHeartbeatAnswer(answerHeartbeat(holder, EMPTY_HEARTBEAT, at(1200)))
   t.true(readsCustomers)
   const states = [decodeHeartbeatAnswer({ ...earlier, readsCustomers: true }), decodeHeartbeatAnswer(earlier)].map(follower)
   t.deepEqual(states.map((state) => [isRegistryRelayed(state, 1250), isConfigurationRelayed(state, 1250)]), [[true, true], [true, false]])
--- a/packages/edge/peer_call_test.ts
+++ b/packages/edge/peer_call_test.ts
@@ -7,27 +7,9 @@
 import { closeServer, listenAt } from './_listen.ts'
 import { createPeerClient } from './_peer_client.ts'
 import { createPeerRouter, createPeerServer, type PeerRouter, type PeerService } from './_peer_router.ts'
-import type { HeartbeatRequest } from './heartbeat.ts'
-import { at, startHolder } from './_test_instances.ts'
+import { at, EMPTY_HEARTBEAT, startHolder } from './_test_instances.ts'
 
 const ANY_PORT = '127.0.0.1:0'
-const REQUEST: HeartbeatRequest = {
-  report: { instance: 'other', incarnation: 'other', unmetDemand: [], requestRates: [], loads: [], adapters: [] },
-  configurationVersion: 0,
-  listRevision: 0,
-  receivedView: { holder: '', version: 0 },
-  receivedEvidence: { origin: '', version: 0 },
-  receivedOrigins: { origin: '', version: 0 },
-  origins: undefined,
-  wantedOrigins: [],
-  historyKnown: true,
-  evidence: undefined,
-  limits: [],
-  brittle: [],
-  members: '',
-  grant: undefined,
-  update: undefined
-}
 const SERVICE: PeerService = { heartbeat: (request) => answerHeartbeat(startHolder(), request, at(1200)) }
 
 async function startServer (t: ExecutionContext): Promise<string> {
@@ -43,15 +25,15 @@
 test('a heartbeat is answered over a connection', async (t) => {
   const address = await startServer(t)
   const client = createPeerClient()
-  t.deepEqual((await client.heartbeat(address, REQUEST))._unsafeUnwrap(), SERVICE.heartbeat(REQUEST))
-  t.deepEqual((await client.heartbeat(address, REQUEST))._unsafeUnwrap(), SERVICE.heartbeat(REQUEST))
+  t.deepEqual((await client.heartbeat(address, EMPTY_HEARTBEAT))._unsafeUnwrap(), SERVICE.heartbeat(EMPTY_HEARTBEAT))
+  t.deepEqual((await client.heartbeat(address, EMPTY_HEARTBEAT))._unsafeUnwrap(), SERVICE.heartbeat(EMPTY_HEARTBEAT))
 })
 
 test('the client of the build before is answered', async (t) => {
   const address = await startServer(t)
   const client = createTRPCClient<PeerRouter>({ links: [httpLink({ url: `http://${address}` })] })
-  t.deepEqual(decodeHeartbeatAnswer(await client.exchange.mutate(encodeHeartbeat(REQUEST))), SERVICE.heartbeat(REQUEST))
-  await t.throwsAsync(client.exchange.mutate({ ...encodeHeartbeat(REQUEST), listRevision: 'x' } as never))
+  t.deepEqual(decodeHeartbeatAnswer(await client.exchange.mutate(encodeHeartbeat(EMPTY_HEARTBEAT))), SERVICE.heartbeat(EMPTY_HEARTBEAT))
+  await t.throwsAsync(client.exchange.mutate({ ...encodeHeartbeat(EMPTY_HEARTBEAT), listRevision: 'x' } as never))
 })
 
 test('the server of the build before is understood', async (t) => {
@@ -61,7 +43,7 @@
     server.closeAllConnections()
     return closeServer(server)
   })
-  t.deepEqual((await createPeerClient().heartbeat(address, REQUEST))._unsafeUnwrap(), SERVICE.heartbeat(REQUEST))
+  t.deepEqual((await createPeerClient().heartbeat(address, EMPTY_HEARTBEAT))._unsafeUnwrap(), SERVICE.heartbeat(EMPTY_HEARTBEAT))
 })
 
 test('a call that is malformed, too large or of no procedure costs that call alone', async (t) => {
@@ -69,7 +51,7 @@
   const post = async (path: string, body: string) => (await fetch(`http://${address}${path}`, { method: 'POST', body, headers: { 'content-type': 'application/json' } })).status
   t.deepEqual(await Promise.all([post('/exchange', '{'), post('/exchange', '{}'), post('/exchange', 'null'), post('/absent', '{}')]), [400, 400, 400, 404])
   t.is(await post('/exchange', `"${'x'.repeat(5 * 1024 * 1024)}"`).catch(() => 413), 413)
-  t.true((await createPeerClient().heartbeat(address, REQUEST)).isOk())
+  t.true((await createPeerClient().heartbeat(address, EMPTY_HEARTBEAT)).isOk())
 })
 
 // A holder that was behind went on to answer heartbeats whose senders had given up and sent others, and never caught up.
@@ -83,7 +65,7 @@
   })
   const address = await listenAt(server, ANY_PORT)
   t.teardown(() => closeServer(server))
-  const body = JSON.stringify(encodeHeartbeat(REQUEST))
+  const body = JSON.stringify(encodeHeartbeat(EMPTY_HEARTBEAT))
   const send = (givesUp: boolean) => new Promise<void>((resolve) => {
     const socket = connect({ host: '127.0.0.1', port: Number(address.split(':')[1]) }, () => {
       socket.write(`POST /exchange HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`, () => {
@@ -106,10 +88,10 @@
   const silent = createServer((socket) => { socket.on('error', () => {}).resume() })
   await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve))
   const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`
-  const unanswered = (await createPeerClient().heartbeat(address, REQUEST))._unsafeUnwrapErr()
+  const unanswered = (await createPeerClient().heartbeat(address, EMPTY_HEARTBEAT))._unsafeUnwrapErr()
   t.false(unanswered.refused)
   await new Promise((resolve) => silent.close(resolve))
-  const refused = (await createPeerClient().heartbeat(address, REQUEST))._unsafeUnwrapErr()
+  const refused = (await createPeerClient().heartbeat(address, EMPTY_HEARTBEAT))._unsafeUnwrapErr()
   t.true(refused.refused)
 })
 
@@ -120,7 +102,7 @@
       socket.once('data', () => socket.end(bytes))
     })
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-    const failure = (await createPeerClient().heartbeat(`127.0.0.1:${(server.address() as AddressInfo).port}`, REQUEST))._unsafeUnwrapErr()
+    const failure = (await createPeerClient().heartbeat(`127.0.0.1:${(server.address() as AddressInfo).port}`, EMPTY_HEARTBEAT))._unsafeUnwrapErr()
     t.false(failure.refused, bytes)
     server.close()
   }
--- a/packages/edge/shared_evidence_test.ts
+++ b/packages/edge/shared_evidence_test.ts
@@ -1,6 +1,6 @@
 import type { ReceivedRequest } from '@berylshed/serving'
 import test from 'ava'
-import { apply, at, configuration, start, startHolder, upstream } from './_test_instances.ts'
+import { apply, at, configuration, EMPTY_HEARTBEAT, start, startHolder, upstream } from './_test_instances.ts'
 import { answerHeartbeat } from './_peer_heartbeat.ts'
 import { decodeHeartbeat, decodeHeartbeatAnswer, encodeHeartbeat, encodeHeartbeatAnswer } from './_heartbeat_codec.ts'
 import type { EdgeEffect } from './edge_effect.ts'
@@ -27,22 +27,11 @@
   return effects.some((effect) => effect.subject === 'serving' && effect.effect.kind === 'send')
 }
 
-const EMPTY_HEARTBEAT: HeartbeatRequest = {
+const NEW_HEARTBEAT: HeartbeatRequest = {
+  ...EMPTY_HEARTBEAT,
   report: { instance: 'new', incarnation: 'new', unmetDemand: [], requestRates: [], loads: [], adapters: [] },
   configurationVersion: 5,
-  listRevision: 10,
-  receivedView: { holder: '', version: 0 },
-  receivedEvidence: { origin: '', version: 0 },
-  receivedOrigins: { origin: '', version: 0 },
-  origins: undefined,
-  wantedOrigins: [],
-  historyKnown: true,
-  evidence: undefined,
-  limits: [],
-  brittle: [],
-  members: '',
-  grant: undefined,
-  update: undefined
+  listRevision: 10
 }
 
 interface CrashedInstance {
@@ -107,7 +96,7 @@
   let holder = listed(startHolder())
   const crashed = [0, 1, 2, 3, 4].map((i) => {
     const nowMs = 2000 + i * 1000
-    const informed = exchange({ state: startFollower(`f${i}`), crashed: false, heartbeat: EMPTY_HEARTBEAT }, holder, nowMs)
+    const informed = exchange({ state: startFollower(`f${i}`), crashed: false, heartbeat: NEW_HEARTBEAT }, holder, nowMs)
     const result = crashOnce(informed.follower, `r${i}`, nowMs + 10, 'repeated')
     holder = exchange(result, informed.holder, nowMs + 100).holder
     return result.crashed
@@ -159,7 +148,7 @@
   let holder = knows(startHolder(), 0)
   const crashes = Array.from({ length: 8 }, (_, i) => {
     const nowMs = 2000 + i * 1000
-    const informed = exchange({ state: follower(`f${i}`, i), crashed: false, heartbeat: EMPTY_HEARTBEAT }, holder, nowMs)
+    const informed = exchange({ state: follower(`f${i}`, i), crashed: false, heartbeat: NEW_HEARTBEAT }, holder, nowMs)
     const result = crash(informed.follower, `r${i}`, nowMs + 10)
     holder = exchange(result, informed.holder, nowMs + 200).holder
     return result.crashes
--- a/packages/edge/shared_outcomes_test.ts
+++ b/packages/edge/shared_outcomes_test.ts
@@ -6,7 +6,7 @@
 import { decodeHeartbeat, decodeHeartbeatAnswer, encodeHeartbeat, encodeHeartbeatAnswer } from './_heartbeat_codec.ts'
 import { answerHeartbeat } from './_peer_heartbeat.ts'
 import { EarlierHeartbeatWire } from './_test_earlier_wire.ts'
-import { apply, at, configuration, start, startHolder, upstream } from './_test_instances.ts'
+import { apply, at, configuration, EMPTY_HEARTBEAT, start, startHolder, upstream } from './_test_instances.ts'
 import type { EdgeEffect } from './edge_effect.ts'
 import type { EdgeState } from './edge_state.ts'
 import type { HeartbeatRequest } from './heartbeat.ts'
@@ -24,21 +24,10 @@
 
 function heartbeat (instance: string, outcomes?: readonly UpstreamOutcomes[]): HeartbeatRequest {
   return {
+    ...EMPTY_HEARTBEAT,
     report: { instance, incarnation: instance, unmetDemand: [], requestRates: [], loads: [], adapters: [], ...outcomes === undefined ? {} : { outcomes } },
     configurationVersion: 5,
-    listRevision: 10,
-    receivedView: { holder: '', version: 0 },
-    receivedEvidence: { origin: '', version: 0 },
-    receivedOrigins: { origin: '', version: 0 },
-    origins: undefined,
-    wantedOrigins: [],
-    historyKnown: true,
-    evidence: undefined,
-    limits: [],
-    brittle: [],
-    members: '',
-    grant: undefined,
-    update: undefined
+    listRevision: 10
   }
 }
 
